--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,235 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"syscall"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// Bounds of calls to the platform.
+const (
+	dialTimeout    = time.Second
+	idleTimeout    = 30 * time.Second
+	idlePerHost    = 4
+	maxAnswerBytes = 64 << 20
+	callTimeout    = 3 * time.Second // of one call, unless the caller's context ends earlier
+)
+
+// ErrNotAppended is in the chain of an Append error when the record is known not to be in the log. Any other error
+// leaves open whether it was appended.
+var ErrNotAppended = errors.New("record was not appended")
+
+// RefusedError is a worker's refusal: the command had no effect.
+type RefusedError struct{ Refusal Refusal }
+
+// Error returns the worker's reason and the epochs it has seen.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("worker refused: %s (owner %s, epoch %d, scheduler epoch %d)",
+		e.Refusal.Reason, e.Refusal.Owner, e.Refusal.Epoch, e.Refusal.SchedulerEpoch)
+}
+
+// NewHTTPClient returns a client for calls to the platform. It never follows redirects.
+func NewHTTPClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: idlePerHost,
+			IdleConnTimeout:     idleTimeout,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// ConnectionRefused reports whether err shows that the other host refused the connection, so no process listens there.
+func ConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// NotSent reports whether err shows that the connection was never made, so no byte of the request left this process.
+func NotSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// Log is a client of the log service.
+type Log struct {
+	client *http.Client
+	base   string
+}
+
+// NewLog returns a client of the log service at base, a URL such as http://10.0.0.1:7000.
+func NewLog(client *http.Client, base string) *Log { return &Log{client: client, base: base} }
+
+// Append adds one record to a stream and returns its offset. See ErrNotAppended for failures.
+func (l *Log) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	target := l.base + "/streams/" + url.PathEscape(stream) + "/records"
+	var answer AppendResponse
+	status, err := call(ctx, l.client, callTimeout, http.MethodPost, target, AppendRequest{Data: data}, &answer)
+	if NotSent(err) || (err != nil && status >= 400) {
+		return 0, errkind.Wrap(errors.Join(ErrNotAppended, err), errkind.Unavailable, "try again later", "log refused the record")
+	}
+	if err != nil {
+		return 0, errkind.Wrap(err, errkind.Unknown, "read the stream to see whether the record is there", "log did not answer")
+	}
+	return answer.Offset, nil
+}
+
+// Read returns at most limit records from an offset on. When there are none it waits up to wait for the next one.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (ReadResponse, error) {
+	query := url.Values{}
+	query.Set("from", strconv.FormatUint(from, 10))
+	query.Set("max", strconv.Itoa(limit))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	target := l.base + "/streams/" + url.PathEscape(stream) + "/records?" + query.Encode()
+	var answer ReadResponse
+	_, err := call(ctx, l.client, callTimeout+wait, http.MethodGet, target, nil, &answer)
+	if err != nil {
+		return ReadResponse{}, errkind.Wrap(err, errkind.Unavailable, "check the log service", "cannot read stream %s", stream)
+	}
+	return answer, nil
+}
+
+// List is a client of the instance list.
+type List struct {
+	client *http.Client
+	base   string
+}
+
+// NewList returns a client of the instance list at base, a URL.
+func NewList(client *http.Client, base string) *List { return &List{client: client, base: base} }
+
+// Get returns the present list.
+func (l *List) Get(ctx context.Context) (InstanceList, error) {
+	var answer InstanceList
+	_, err := call(ctx, l.client, callTimeout, http.MethodGet, l.base+"/instances", nil, &answer)
+	if err != nil {
+		return InstanceList{}, errkind.Wrap(err, errkind.Unavailable, "check the instance list", "cannot read the instance list")
+	}
+	return answer, nil
+}
+
+// Worker is a client of one worker.
+type Worker struct {
+	client *http.Client
+	base   string
+}
+
+// NewWorker returns a client of the worker with the given id at address (host:port).
+func NewWorker(client *http.Client, address string, id structs.WorkerID) *Worker {
+	return &Worker{client: client, base: "http://" + address + "/workers/" + url.PathEscape(string(id))}
+}
+
+// Session claims or releases the worker. A refusal is a *RefusedError.
+func (w *Worker) Session(ctx context.Context, request SessionRequest) (WorkerState, error) {
+	return w.state(ctx, "/session", request)
+}
+
+// Renew extends the session and the task leases. A refusal is a *RefusedError.
+func (w *Worker) Renew(ctx context.Context, request RenewRequest) (WorkerState, error) {
+	return w.state(ctx, "/renew", request)
+}
+
+// Hold reserves accelerators for a task. A refusal is a *RefusedError.
+func (w *Worker) Hold(ctx context.Context, request HoldRequest) error {
+	return w.command(ctx, "/hold", request)
+}
+
+// Start starts a held task. A refusal is a *RefusedError. A start that is repeated has no further effect.
+func (w *Worker) Start(ctx context.Context, command TaskCommand) error {
+	return w.command(ctx, "/start", command)
+}
+
+// Release ends a hold, or kills the task when it already runs.
+func (w *Worker) Release(ctx context.Context, command TaskCommand) error {
+	return w.command(ctx, "/release", command)
+}
+
+// Stop stops a task, after a checkpoint when the command asks for one. It returns when the stop has begun.
+func (w *Worker) Stop(ctx context.Context, command TaskCommand) error {
+	return w.command(ctx, "/stop", command)
+}
+
+// Throttle limits a task to a share of its accelerators.
+func (w *Worker) Throttle(ctx context.Context, command TaskCommand) error {
+	return w.command(ctx, "/throttle", command)
+}
+
+// Forget drops an ended task whose result has been recorded.
+func (w *Worker) Forget(ctx context.Context, command TaskCommand) error {
+	return w.command(ctx, "/forget", command)
+}
+
+func (w *Worker) state(ctx context.Context, path string, request any) (WorkerState, error) {
+	var answer WorkerState
+	_, err := call(ctx, w.client, callTimeout, http.MethodPost, w.base+path, request, &answer)
+	return answer, err
+}
+
+func (w *Worker) command(ctx context.Context, path string, request any) error {
+	_, err := call(ctx, w.client, callTimeout, http.MethodPost, w.base+path, request, nil)
+	return err
+}
+
+// StatusOfMinion asks the minion at address (host:port) for its status.
+func StatusOfMinion(ctx context.Context, client *http.Client, address string) (MinionStatus, error) {
+	var answer MinionStatus
+	_, err := call(ctx, client, callTimeout, http.MethodGet, "http://"+address+"/status", nil, &answer)
+	return answer, err
+}
+
+// call sends one JSON request and decodes the JSON answer. The returned status is 0 when no answer arrived.
+func call(ctx context.Context, client *http.Client, timeout time.Duration, method, target string, request, answer any) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var body io.Reader
+	if request != nil {
+		encoded, err := json.Marshal(request)
+		if err != nil {
+			return 0, err
+		}
+		body = bytes.NewReader(encoded)
+	}
+	httpRequest, err := http.NewRequestWithContext(ctx, method, target, body)
+	if err != nil {
+		return 0, err
+	}
+	httpRequest.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(httpRequest)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	return response.StatusCode, decode(response, answer)
+}
+
+func decode(response *http.Response, answer any) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode == http.StatusConflict {
+		refused := &RefusedError{}
+		if err := json.Unmarshal(data, &refused.Refusal); err != nil {
+			return err
+		}
+		return refused
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("status %d: %.200s", response.StatusCode, data)
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.Unmarshal(data, answer)
+}
