--- /dev/null
+++ b/internal/configuration/events.go
@@ -0,0 +1,23 @@
+package configuration
+
+import (
+	"github.com/rs/zerolog"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+)
+
+var (
+	eventLower = event.Define(1200, "lower configuration refused", zerolog.ErrorLevel,
+		"A snapshot or a peer offered a lower version than the one in force. It was refused.",
+		"Report this with the state dumps of both instances.")
+	eventUnusable = event.Define(1201, "configuration not usable", zerolog.ErrorLevel,
+		"The accepted text does not pass the checks of this release. The instance keeps the last text that does.",
+		"Publish a text that passes the checks of every running release, or upgrade the instance.")
+	eventInForce = event.Define(1202, "configuration in force", zerolog.InfoLevel,
+		"A new version of the text is in force at this instance.", "")
+	eventFetchFails = event.Define(1203, "configuration not fetched from peer", zerolog.DebugLevel,
+		"A peer that may be ahead did not hand on its state. Another one or the log is tried.", "")
+	eventServesFromPeers = event.Define(1204, "configuration taken from peers", zerolog.WarnLevel,
+		"The log could not be read at start, so the highest version that the peers hold is in force.",
+		"Check the log service.")
+)
--- /dev/null
+++ b/internal/configuration/store.go
@@ -0,0 +1,183 @@
+// Package configuration keeps the specification in force: the fold of the log stream config, publishing by
+// compare-and-set, and the exchange with peers while the log cannot be read.
+package configuration
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/configuration/stream"
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/peer"
+	"dogwoodnotch.example/dogwoodnotch/internal/settings"
+	"dogwoodnotch.example/dogwoodnotch/internal/spec"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// StreamName is the log stream of the specification.
+const StreamName = "config"
+
+// Options configures a store. All fields but Limiter are required.
+type Options struct {
+	Self    structs.InstanceID
+	Log     stream.Log
+	Keys    settings.PurposeKeys // of settings.PurposeRecords
+	Limiter stream.Limiter       // shared by all writers of the process, see NewAppendLimiter; nil: none
+	Events  *event.Log
+	Metrics tally.Scope
+	Peers   peer.Caller
+	// Entries returns the known entry instances, such as membership.View.AllEntries.
+	Entries   func() map[structs.InstanceID]structs.DataCentre
+	Retention time.Duration // settings.Timing.LogRetention
+	PollWait  time.Duration // settings.Timing.ConfigPoll
+}
+
+// Current is the specification in force at this instance.
+type Current struct {
+	Version  uint64     // of the newest accepted text
+	Text     *spec.Text // newest usable text, nil when there is none; older than Version only after an unusable one
+	InForce  uint64     // version of Text
+	Raw      string     // source of Version
+	UpToDate time.Time  // when the log was last read to its end; zero: never
+}
+
+// Store keeps the specification.
+type Store struct {
+	options Options
+	fold    *fold
+	reader  *stream.Reader
+	hints   chan hint
+	serving atomic.Bool // nothing is shown before the state is known to be as new as can be found out
+}
+
+// New returns a store. Run makes it work.
+func New(options Options) *Store {
+	f := newFold(options.Events)
+	reader := stream.NewReader(stream.Options{
+		Stream:    StreamName,
+		Log:       options.Log,
+		Keys:      options.Keys,
+		Limiter:   options.Limiter,
+		Events:    options.Events,
+		Metrics:   options.Metrics,
+		Retention: options.Retention,
+		PollWait:  options.PollWait,
+	}, f)
+	return &Store{options: options, fold: f, reader: reader, hints: make(chan hint, maxHints)}
+}
+
+// Run follows the log and the peers until ctx ends.
+func (s *Store) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.reader.Run(ctx) })
+	group.Go(func() error { return s.exchange(ctx) })
+	group.Go(func() error { return s.announce(ctx) })
+	return group.Wait()
+}
+
+// Current returns the specification in force. ok is false when the instance has none, and so is not ready.
+func (s *Store) Current() (current Current, ok bool) {
+	if !s.isServing() {
+		return Current{}, false
+	}
+	text, inForce := s.fold.inForce()
+	s.fold.mu.RLock()
+	defer s.fold.mu.RUnlock()
+	return Current{
+		Version:  s.fold.state.Version,
+		Text:     text,
+		InForce:  inForce,
+		Raw:      s.fold.state.Text,
+		UpToDate: s.reader.UpToDate(),
+	}, text != nil
+}
+
+// Text returns the text in force, nil when there is none.
+func (s *Store) Text() *spec.Text {
+	if !s.isServing() {
+		return nil
+	}
+	text, _ := s.fold.inForce()
+	return text
+}
+
+// Position returns what heartbeats tell peers: the version, and the offset of the first record that is not folded.
+// Both are 0 while the store shows nothing.
+func (s *Store) Position() (version, next uint64) {
+	if !s.isServing() {
+		return 0, 0
+	}
+	next, _ = s.reader.Position()
+	return s.fold.version(), next
+}
+
+// Changed returns a channel that is closed when the version next rises.
+func (s *Store) Changed() <-chan struct{} {
+	s.fold.mu.RLock()
+	defer s.fold.mu.RUnlock()
+	return s.fold.changed
+}
+
+// History returns the results of the latest publish records, oldest first, lost races included.
+func (s *Store) History() []Entry {
+	s.fold.mu.RLock()
+	defer s.fold.mu.RUnlock()
+	return append([]Entry(nil), s.fold.state.Results...)
+}
+
+// VersionText returns the source of a version. The error is of kind NotFound when it never existed or is not kept any
+// more.
+func (s *Store) VersionText(ctx context.Context, version uint64) (string, error) {
+	if text, found := s.fold.text(version); found {
+		return text, nil
+	}
+	entry, found := s.fold.acceptedAt(version)
+	if !found {
+		return "", errkind.New(errkind.NotFound, "list the versions with: dogwoodnotch history", "version %d is not known", version)
+	}
+	record, err := s.reader.ReadOne(ctx, entry.Offset)
+	if err != nil {
+		return "", err
+	}
+	var publish publishRecord
+	if err := record.Decode(&publish); err != nil {
+		return "", errkind.Wrap(err, errkind.Internal, "report this fault", "cannot decode version %d", version)
+	}
+	return publish.Text, nil
+}
+
+// isServing reports whether the state may be shown: the log has been read to its end once, or it could not be read and
+// the peers have been asked. Before that, an instance that restarts would show versions older than it has shown before.
+func (s *Store) isServing() bool {
+	if s.serving.Load() {
+		return true
+	}
+	if s.reader.UpToDate().IsZero() {
+		return false
+	}
+	s.serving.Store(true)
+	return true
+}
+
+// announce writes an event for every version that comes into force.
+func (s *Store) announce(ctx context.Context) error {
+	last := uint64(0)
+	for {
+		changed := s.reader.Changed()
+		if current, ok := s.Current(); ok && current.Version > last {
+			last = current.Version
+			s.options.Metrics.Gauge("configuration_version").Update(float64(last))
+			s.options.Events.Emit(eventInForce, event.F("version", last), event.F("in_force", current.InForce))
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,109 @@
+// Package settings reads the settings file of one entry instance and derives its keys.
+package settings
+
+import (
+	"os"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/spec/strict"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// Settings is the decoded settings file. It is read-only once loaded.
+type Settings struct {
+	Instance             structs.InstanceID `yaml:"instance" json:"instance"`
+	DataCentre           structs.DataCentre `yaml:"data_centre" json:"data_centre"`
+	Region               string             `yaml:"region" json:"region"`
+	Listen               string             `yaml:"listen" json:"listen"`                 // host:port of the HTTP interface
+	PeerListen           string             `yaml:"peer_listen" json:"peer_listen"`       // host:port for other entry instances
+	Advertise            string             `yaml:"advertise" json:"advertise"`           // ip:port that others use; listen when empty
+	PeerAdvertise        string             `yaml:"peer_advertise" json:"peer_advertise"` // peer_listen when empty
+	LogService           string             `yaml:"log_service" json:"log_service"`       // base URL
+	InstanceList         string             `yaml:"instance_list" json:"instance_list"`   // base URL
+	PeerKeys             []PeerKey          `yaml:"peer_keys" json:"peer_keys"`
+	OperatorTokensSHA256 []string           `yaml:"operator_tokens_sha256" json:"operator_tokens_sha256"` // hex
+	Timing               Timing             `yaml:"timing" json:"timing"`
+}
+
+// Timing holds the durations of section 9 of the design page.
+type Timing struct {
+	WorkerSessionTTL   time.Duration `yaml:"worker_session_ttl" json:"worker_session_ttl"`
+	WorkerSessionRenew time.Duration `yaml:"worker_session_renew" json:"worker_session_renew"`
+	TaskLease          time.Duration `yaml:"task_lease" json:"task_lease"`
+	HoldTTL            time.Duration `yaml:"hold_ttl" json:"hold_ttl"`
+	CheckpointGrace    time.Duration `yaml:"checkpoint_grace" json:"checkpoint_grace"`
+	Heartbeat          time.Duration `yaml:"heartbeat" json:"heartbeat"`               // within the data centre
+	HeartbeatRemote    time.Duration `yaml:"heartbeat_remote" json:"heartbeat_remote"` // to other data centres
+	SuspectAfter       time.Duration `yaml:"suspect_after" json:"suspect_after"`
+	ListPoll           time.Duration `yaml:"list_poll" json:"list_poll"`
+	MinionStatusPoll   time.Duration `yaml:"minion_status_poll" json:"minion_status_poll"`
+	ConfigPoll         time.Duration `yaml:"config_poll" json:"config_poll"` // long poll of the log
+	DrainTimeout       time.Duration `yaml:"drain_timeout" json:"drain_timeout"`
+	KeyLifetime        time.Duration `yaml:"key_lifetime" json:"key_lifetime"`
+	FreezeThreshold    time.Duration `yaml:"freeze_threshold" json:"freeze_threshold"`
+	LogRetention       time.Duration `yaml:"log_retention" json:"log_retention"`
+}
+
+// DefaultTiming returns the defaults; their reasons are in section 9 of the design page.
+func DefaultTiming() Timing {
+	return Timing{
+		WorkerSessionTTL:   3 * time.Second,
+		WorkerSessionRenew: time.Second,
+		TaskLease:          15 * time.Second,
+		HoldTTL:            5 * time.Second,
+		CheckpointGrace:    5 * time.Second,
+		Heartbeat:          250 * time.Millisecond,
+		HeartbeatRemote:    time.Second,
+		SuspectAfter:       1500 * time.Millisecond,
+		ListPoll:           500 * time.Millisecond,
+		MinionStatusPoll:   500 * time.Millisecond,
+		ConfigPoll:         time.Second,
+		DrainTimeout:       30 * time.Second,
+		KeyLifetime:        10 * time.Minute,
+		FreezeThreshold:    2 * time.Second,
+		LogRetention:       time.Hour,
+	}
+}
+
+// Check decodes settings over the defaults and returns every problem in them.
+func Check(data []byte) (*Settings, []strict.Problem) {
+	s := &Settings{Timing: DefaultTiming()}
+	report := strict.Decode(data, s)
+	if len(report.Problems()) == 0 {
+		c := &checker{settings: s, report: report}
+		c.all()
+		s.fillAddresses()
+	}
+	return s, report.Problems()
+}
+
+// Parse decodes and checks settings. The error is of kind Invalid and has a *strict.Error in its chain.
+func Parse(data []byte) (*Settings, error) {
+	s, problems := Check(data)
+	if len(problems) > 0 {
+		return nil, strict.AsError("the settings", problems)
+	}
+	return s, nil
+}
+
+// Load reads, decodes and checks the file. The error is of kind NotFound or Invalid.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.NotFound, "give the path of a readable file", "cannot read the settings")
+	}
+	return Parse(data)
+}
+
+// Keyring returns the keys of the peer_keys section.
+func (s *Settings) Keyring() Keyring { return Keyring{keys: s.PeerKeys} }
+
+func (s *Settings) fillAddresses() {
+	if s.Advertise == "" {
+		s.Advertise = s.Listen
+	}
+	if s.PeerAdvertise == "" {
+		s.PeerAdvertise = s.PeerListen
+	}
+}
