--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -85,6 +85,7 @@
 	if !s.isServing() {
 		return Current{}, false
 	}
+	upToDate := s.reader.UpToDate() // before the fold's lock, which is always taken after the reader's
 	text, inForce := s.fold.inForce()
 	s.fold.mu.RLock()
 	defer s.fold.mu.RUnlock()
@@ -93,7 +94,7 @@
 		Text:     text,
 		InForce:  inForce,
 		Raw:      s.fold.state.Text,
-		UpToDate: s.reader.UpToDate(),
+		UpToDate: upToDate,
 	}, text != nil
 }
 
--- a/internal/configuration/stream/reader.go
+++ b/internal/configuration/stream/reader.go
@@ -201,7 +201,7 @@
 }
 
 func (r *Reader) openRecord(record platform.LogRecord) (Record, error) {
-	kind, body, err := open(r.options.Stream, r.options.Keys, record.Data)
+	kind, body, err := Open(r.options.Stream, r.options.Keys, record.Data)
 	if err != nil {
 		return Record{}, fmt.Errorf("offset %d: %w", record.Offset, err)
 	}
--- a/internal/configuration/stream/record.go
+++ b/internal/configuration/stream/record.go
@@ -77,7 +77,8 @@
 	return msgpack.Marshal(&e)
 }
 
-func open(stream string, keys settings.PurposeKeys, data []byte) (kind string, body []byte, err error) {
+// Open authenticates the data of a log record and returns its kind and body.
+func Open(stream string, keys settings.PurposeKeys, data []byte) (kind string, body []byte, err error) {
 	var e envelope
 	if err := msgpack.Unmarshal(data, &e); err != nil {
 		return "", nil, errors.Join(errForged, err)
