--- a/internal/configuration/invariant_test.go
+++ b/internal/configuration/invariant_test.go
@@ -379,8 +379,10 @@
 		w.do(step{what: "cut off", slot: 1})
 		w.do(step{what: "publish", slot: 2})
 		w.do(step{what: "wait", seconds: 1})
+		w.net.mu.Lock()
 		w.log.set(func() { w.log.down = true })
 		w.net.cut = map[structs.InstanceID]bool{}
+		w.net.mu.Unlock()
 		w.stores[1].PeerAt(id(2), 2, 2)
 		time.Sleep(100 * time.Millisecond)
 		assert.Equal(t, w.stores[1].fold.version(), uint64(2)) // by the heartbeat alone
--- /dev/null
+++ b/internal/jobstore/store_test.go
@@ -0,0 +1,212 @@
+package jobstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/configuration/stream"
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	"dogwoodnotch.example/dogwoodnotch/internal/settings"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// fakeLog keeps one stream. Its faults are set between calls.
+type fakeLog struct {
+	mu       sync.Mutex
+	records  []platform.LogRecord
+	down     bool
+	lose     bool          // appends take effect, but their answers are lost
+	slowness time.Duration // of appends
+
+	unreadable bool // reads fail, appends work
+}
+
+func (l *fakeLog) Append(_ context.Context, _ string, data []byte) (uint64, error) {
+	time.Sleep(l.slowness)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, platform.ErrNotAppended
+	}
+	offset := uint64(len(l.records))
+	l.records = append(l.records, platform.LogRecord{Offset: offset, Time: time.Now(), Data: data})
+	if l.lose {
+		return 0, context.DeadlineExceeded
+	}
+	return offset, nil
+}
+
+func (l *fakeLog) Read(_ context.Context, _ string, from uint64, limit int, _ time.Duration) (platform.ReadResponse, error) {
+	time.Sleep(10 * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down || l.unreadable {
+		return platform.ReadResponse{}, errors.New("log is down")
+	}
+	end := uint64(len(l.records))
+	last := min(end, from+uint64(limit))
+	return platform.ReadResponse{Next: end, Records: append([]platform.LogRecord(nil), l.records[from:last]...)}, nil
+}
+
+func (l *fakeLog) appended() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
+}
+
+// within runs a test with a running store under a fake clock.
+func within(t *testing.T, log *fakeLog, test func(t *testing.T, s *Store)) {
+	synctest.Test(t, func(t *testing.T) {
+		keys, err := (&settings.Settings{PeerKeys: []settings.PeerKey{{ID: "a", Secret: settings.Secret(strings.Repeat("k", 32))}}}).
+			Keyring().Derive(settings.PurposeRecords)
+		assert.NilError(t, err)
+		s := New(Options{
+			DataCentre: "a", Log: log, Keys: keys, Events: event.Discard(), Metrics: tally.NoopScope,
+			Retention: time.Hour, PollWait: time.Second, MaxOpen: func() int { return 6000 },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { _ = s.Run(ctx); close(done) }()
+		time.Sleep(time.Second)
+		test(t, s)
+		cancel()
+		<-done
+	})
+}
+
+func job(n int) structs.Job {
+	return structs.Job{ID: structs.JobID(fmt.Sprintf("job-%d", n)), Customer: "c", Kind: "k", DataCentre: "a", Accelerators: 1}
+}
+
+// Guards against a job that is accepted twice after a lost answer, and against another job under the same id.
+func TestSubmitIsIdempotent(t *testing.T) {
+	log := &fakeLog{lose: true}
+	within(t, log, func(t *testing.T, s *Store) {
+		first, err := s.Submit(t.Context(), job(1))
+		assert.NilError(t, err) // the record was seen in the stream
+		again, err := s.Submit(t.Context(), job(1))
+		assert.NilError(t, err)
+		assert.Equal(t, again.Offset, first.Offset)
+		other := job(1)
+		other.Accelerators = 2
+		_, err = s.Submit(t.Context(), other)
+		assert.Assert(t, errkind.Is(err, errkind.Conflict))
+		assert.Equal(t, log.appended(), 1)
+	})
+}
+
+// Guards against a submission that is refused and runs nevertheless: in a log outage, and when the caller gives up
+// while its change waits behind a slow append.
+func TestRefusedIsNeverWritten(t *testing.T) {
+	log := &fakeLog{slowness: 2 * time.Second}
+	within(t, log, func(t *testing.T, s *Store) {
+		go func() { _, _ = s.Submit(t.Context(), job(1)) }()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := s.Submit(ctx, job(2))
+		assert.Assert(t, errkind.Is(err, errkind.Unavailable), "%v", err)
+		time.Sleep(5 * time.Second)
+		log.mu.Lock()
+		log.down = true
+		log.mu.Unlock()
+		_, err = s.Submit(t.Context(), job(3))
+		assert.Assert(t, errkind.Is(err, errkind.Unavailable), "%v", err)
+		log.mu.Lock()
+		log.down = false
+		log.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		open, _ := s.Open()
+		assert.Equal(t, len(open), 1)
+	})
+}
+
+// Guards against an outcome that is claimed although neither the log nor the stream confirmed it.
+func TestUnconfirmedIsUnknown(t *testing.T) {
+	log := &fakeLog{}
+	within(t, log, func(t *testing.T, s *Store) {
+		log.mu.Lock()
+		log.lose = true
+		log.unreadable = true
+		log.mu.Unlock()
+		_, err := s.Submit(t.Context(), job(1))
+		assert.Assert(t, errkind.Is(err, errkind.Unknown), "%v", err)
+	})
+}
+
+// Guards against a wave of cancellations that needs an append each, and against results that change once final.
+func TestCancelWave(t *testing.T) {
+	const wave = 5000
+	log := &fakeLog{slowness: 10 * time.Millisecond}
+	within(t, log, func(t *testing.T, s *Store) {
+		var group sync.WaitGroup
+		for i := range wave {
+			group.Go(func() { _, err := s.Submit(t.Context(), job(i)); assert.Check(t, err) })
+		}
+		group.Wait()
+		entry, _ := s.Get(RefOf(job(7)))
+		waited := make(chan Entry, 1)
+		go func() { changed, _ := s.WaitChange(t.Context(), RefOf(job(7)), entry); waited <- changed }()
+		for i := range wave {
+			group.Go(func() { _, err := s.Cancel(t.Context(), RefOf(job(i))); assert.Check(t, err) })
+		}
+		group.Wait()
+		assert.Equal(t, (<-waited).Result.State, structs.JobCancelled)
+		assert.Equal(t, s.Count(), 0)
+		assert.Assert(t, log.appended() < 100, "%d appends", log.appended())
+		late, err := s.Finish(t.Context(), RefOf(job(7)), Result{State: structs.JobFinished})
+		assert.NilError(t, err)
+		assert.Equal(t, late.Result.State, structs.JobCancelled)
+	})
+}
+
+// Guards against states that depend on where a reader started: a fold restored from a snapshot must go on like the one
+// that read everything, also over the bounds on final jobs.
+func TestFoldFromSnapshotIsEqual(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, restored := newFold(), newFold()
+		cut := rapid.IntRange(0, 20).Draw(t, "cut")
+		now := time.Unix(0, 0).UTC()
+		for i := range 20 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 120).Draw(t, "minutes")) * time.Minute)
+			number := rapid.IntRange(0, 5).Draw(t, "job")
+			j := job(number)
+			o := op{Kind: rapid.SampledFrom([]opKind{opSubmit, opCancel, opFinish}).Draw(t, "kind"), Ref: RefOf(j), Job: &j}
+			if o.Kind == opFinish {
+				o.Result = &Result{State: structs.JobFinished, EndedAt: now}
+			}
+			body, err := msgpack.Marshal(&batch{Ops: []op{o}})
+			assert.NilError(t, err)
+			record := stream.Record{Offset: uint64(i), Time: now, Kind: kindBatch, Body: body}
+			if i == cut {
+				state, err := whole.State()
+				assert.NilError(t, err)
+				assert.NilError(t, restored.Restore(state))
+			}
+			whole.Apply(record)
+			if i >= cut {
+				restored.Apply(record)
+			}
+		}
+		if cut == 20 {
+			return
+		}
+		want, _ := whole.State()
+		got, _ := restored.State()
+		assert.DeepEqual(t, got, want)
+		assert.Equal(t, restored.waiting, whole.waiting)
+	})
+}
