Add the stand-in for the platform's workers

The rack owner, the gang and the scheduler need workers to be tested against. One process hosts many workers behind one http.Handler, applies what became due lazily at each call, and records every run, so that partial gangs and doubled jobs are counted without asking the scheduler.

--- /dev/null
+++ b/internal/standin/worker/fleet.go
@@ -0,0 +1,298 @@
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/lease"
+	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// maxBodyBytes bounds a request's body.
+const maxBodyBytes = 1 << 20
+
+// maxRuns bounds the recorded runs; older ones are dropped.
+const maxRuns = 200_000
+
+// Run is one member of a job that started on a worker.
+type Run struct {
+	Job     structs.JobID      `json:"job"`
+	Attempt uint64             `json:"attempt"`
+	Member  int                `json:"member"`
+	Members int                `json:"members"`
+	Worker  structs.WorkerID   `json:"worker"`
+	Started time.Time          `json:"started"`
+	Ended   time.Time          `json:"ended"` // zero while it runs
+	How     platform.TaskPhase `json:"how"`   // phase it ended in
+	Message string             `json:"message,omitempty"`
+}
+
+// Control is the body of POST /control. Action is kill, revive, freeze, thaw, fail, heal or drop; drop loses the
+// responses of the next Count commands after they took effect.
+type Control struct {
+	Worker structs.WorkerID `json:"worker"`
+	Action string           `json:"action"`
+	Count  int              `json:"count,omitempty"`
+}
+
+// Fleet is a set of stand-in workers. It is safe for concurrent use.
+type Fleet struct {
+	options  Options
+	machines map[structs.WorkerID]*machine
+	mu       sync.Mutex
+	runs     []Run
+	open     map[runKey]int // index in runs of a run under way
+}
+
+type runKey struct {
+	worker structs.WorkerID
+	task   taskKey
+}
+
+// NewFleet returns a fleet with the given workers.
+func NewFleet(options Options, workers ...structs.WorkerID) *Fleet {
+	f := &Fleet{options: options, machines: map[structs.WorkerID]*machine{}, open: map[runKey]int{}}
+	for _, id := range workers {
+		f.machines[id] = newMachine(id, f)
+	}
+	return f
+}
+
+// Handler returns the HTTP interface: /workers/{id}/{command}, GET /report and POST /control.
+func (f *Fleet) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/workers/{id}/{command}", f.command).Methods(http.MethodPost)
+	router.HandleFunc("/report", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, f.Report())
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/control", f.control).Methods(http.MethodPost)
+	return router
+}
+
+func (f *Fleet) command(w http.ResponseWriter, r *http.Request) {
+	m, known := f.machines[structs.WorkerID(mux.Vars(r)["id"])]
+	if !known {
+		http.NotFound(w, r)
+		return
+	}
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil || !m.awake(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
+	m.mu.Lock()
+	if m.dead {
+		m.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	answer, err := m.apply(mux.Vars(r)["command"], data, time.Now())
+	drop := m.dropNext > 0
+	m.dropNext = max(0, m.dropNext-1)
+	m.mu.Unlock()
+	if drop {
+		panic(http.ErrAbortHandler)
+	}
+	write(w, answer, err)
+}
+
+// awake waits while the worker is frozen. It returns false when the caller gave up first: a request that was not
+// read during the freeze is taken as lost.
+func (m *machine) awake(ctx context.Context) bool {
+	m.mu.Lock()
+	frozen := m.frozen
+	m.mu.Unlock()
+	if frozen == nil {
+		return true
+	}
+	select {
+	case <-frozen:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// apply runs one command at a machine whose lock is held.
+func (m *machine) apply(command string, data []byte, now time.Time) (any, error) {
+	m.advance(now)
+	switch command {
+	case "session":
+		request, err := decodeInto[platform.SessionRequest](data)
+		if err != nil {
+			return nil, err
+		}
+		return m.claim(request, now)
+	case "renew":
+		request, err := decodeInto[platform.RenewRequest](data)
+		if err != nil {
+			return nil, err
+		}
+		return m.renew(request, now)
+	case "hold":
+		request, err := decodeInto[platform.HoldRequest](data)
+		if err != nil {
+			return nil, err
+		}
+		if err := m.fence(request.Fence, now); err != nil {
+			return nil, err
+		}
+		return struct{}{}, m.hold(request, now)
+	default:
+		return struct{}{}, m.taskCommand(command, data, now)
+	}
+}
+
+func (m *machine) taskCommand(command string, data []byte, now time.Time) error {
+	handlers := map[string]func(platform.TaskCommand, time.Time) error{
+		"start": m.start, "release": m.release, "stop": m.stop, "throttle": m.throttle, "forget": m.forget,
+	}
+	handle, known := handlers[command]
+	if !known {
+		return errors.New("no such command")
+	}
+	request, err := decodeInto[platform.TaskCommand](data)
+	if err != nil {
+		return err
+	}
+	if err := m.fence(request.Fence, now); err != nil {
+		return err
+	}
+	return handle(request, now)
+}
+
+func write(w http.ResponseWriter, answer any, err error) {
+	var refused *platform.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		writeJSON(w, http.StatusConflict, refused.Refusal)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	default:
+		writeJSON(w, http.StatusOK, answer)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value) // a failed write means that the caller has gone
+}
+
+func (f *Fleet) control(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	request, err := decodeInto[Control](data)
+	if err == nil {
+		err = f.Control(request)
+	}
+	write(w, struct{}{}, err)
+}
+
+// Control applies a fault to a worker or ends it.
+func (f *Fleet) Control(c Control) error {
+	m, known := f.machines[c.Worker]
+	if !known {
+		return errors.New("no such worker")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	m.advance(now)
+	switch c.Action {
+	case "kill":
+		m.kill(now)
+	case "revive":
+		m.dead = false
+	case "freeze":
+		if m.frozen == nil {
+			m.frozen = make(chan struct{})
+		}
+	case "thaw":
+		if m.frozen != nil {
+			close(m.frozen)
+			m.frozen = nil
+		}
+	case "fail":
+		m.failing = true
+	case "heal":
+		m.failing = false
+	case "drop":
+		m.dropNext = c.Count
+	default:
+		return errors.New("unknown action")
+	}
+	return nil
+}
+
+// kill ends every task and empties the worker, as a power failure does.
+func (m *machine) kill(now time.Time) {
+	for _, t := range m.tasks {
+		if t.status.Phase == platform.TaskRunning || t.status.Phase == platform.TaskCheckpointing {
+			m.end(t, platform.TaskFailed, "worker killed", now)
+		}
+	}
+	m.dead = true
+	m.tasks = map[taskKey]*task{}
+	m.session = lease.Lease{}
+	m.scheduler = 0
+	m.sequence = 0
+}
+
+func (f *Fleet) began(worker structs.WorkerID, t *task) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.runs) >= maxRuns {
+		return
+	}
+	task := t.status.Task
+	f.open[runKey{worker, keyOf(task)}] = len(f.runs)
+	f.runs = append(f.runs, Run{
+		Job: task.Job.ID, Attempt: task.Attempt, Member: task.Member, Members: task.Members, Worker: worker, Started: t.started,
+	})
+}
+
+func (f *Fleet) ended(worker structs.WorkerID, t *task, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := runKey{worker, keyOf(t.status.Task)}
+	index, known := f.open[key]
+	if !known {
+		return
+	}
+	delete(f.open, key)
+	f.runs[index].Ended = at
+	f.runs[index].How = t.status.Phase
+	f.runs[index].Message = t.status.Message
+}
+
+// Report returns every run so far, after applying what became due at each worker.
+func (f *Fleet) Report() []Run {
+	now := time.Now()
+	for _, m := range f.machines {
+		m.mu.Lock()
+		m.advance(now)
+		m.mu.Unlock()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Run(nil), f.runs...)
+}
+
+// Busy returns the number of accelerators in use at a worker.
+func (f *Fleet) Busy(id structs.WorkerID) int {
+	m := f.machines[id]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advance(time.Now())
+	return len(m.busy())
+}
