--- a/internal/rackowner/racks.go
+++ b/internal/rackowner/racks.go
@@ -10,13 +10,19 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
 
-// Change is a difference in what a rack owner knows of a worker.
+// Change is a difference in what a rack owner knows of a worker. A Change without a Worker marks the end of the report
+// that Attach starts with: everything before it was there when the scheduler attached.
 type Change struct {
 	Worker    structs.WorkerID      `msgpack:"worker"`
 	Rack      structs.RackID        `msgpack:"rack"`
 	Reachable bool                  `msgpack:"reachable"` // the owner holds its session
 	State     *platform.WorkerState `msgpack:"state"`     // nil when unreachable; Tasks holds only what changed, unless Full
 	Full      bool                  `msgpack:"full"`      // State is complete: what it does not list does not exist
+	// Holder is the other instance that holds the worker's session, when the worker itself said so. Its tasks then
+	// keep running, so they are not lost.
+	Holder structs.InstanceID `msgpack:"holder,omitempty"`
+	// Gone means that the instance list no longer shows the worker.
+	Gone bool `msgpack:"gone,omitempty"`
 }
 
 // Racks is what the scheduler needs of the rack owners of its data centre. Commands are fenced by the scheduler's epoch.
