Add the scheduler of a data centre and the job calls

The decision loop owns all state in one goroutine; commands run beside it and post what follows from them. It rebuilds from the change feed and the job stream. Thin defaults stand in for placement and queue order: first fit, and urgency before age.

--- /dev/null
+++ b/internal/scheduler/apply.go
@@ -0,0 +1,321 @@
+package scheduler
+
+import (
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	"dogwoodnotch.example/dogwoodnotch/internal/rackowner"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// early is a report that arrived before the view was rebuilt.
+type early struct {
+	worker *worker
+	status platform.TaskStatus
+}
+
+// apply takes over one change of the feed.
+func (t *term) apply(c rackowner.Change) {
+	if c.Worker == "" {
+		t.synced = true
+		return
+	}
+	now := time.Now()
+	w := t.worker(c.Worker)
+	if c.Rack != "" {
+		w.rack = c.Rack
+	}
+	if !c.Reachable {
+		t.workerUnreachable(w, c, now)
+		return
+	}
+	t.workerReachable(w, c.State)
+	if c.Full {
+		t.applyFull(w, c.State.Tasks)
+	}
+	for _, status := range c.State.Tasks {
+		t.report(w, status, now)
+	}
+}
+
+func (t *term) worker(id structs.WorkerID) *worker {
+	w := t.workers[id]
+	if w == nil {
+		w = &worker{id: id, jobs: map[structs.JobID]bool{}, tasks: map[taskID]platform.TaskPhase{}}
+		t.workers[id] = w
+	}
+	return w
+}
+
+func (t *term) workerUnreachable(w *worker, c rackowner.Change, now time.Time) {
+	w.holder = c.Holder
+	if w.reachable || w.lostAt.IsZero() {
+		w.lostAt = now
+		w.reported = false
+	}
+	if w.reachable && t.placer != nil {
+		t.placer.LoseWorker(w.id)
+	}
+	w.reachable = false
+	t.markJobs(w)
+	if c.Gone && len(w.jobs) == 0 {
+		delete(t.workers, w.id)
+	}
+}
+
+func (t *term) workerReachable(w *worker, state *platform.WorkerState) {
+	isNew := !w.reachable || w.accelerators != state.Accelerators
+	w.reachable = true
+	w.holder = ""
+	w.accelerators = state.Accelerators
+	if !isNew {
+		return
+	}
+	t.replace = true
+	t.markJobs(w)
+	if t.placer != nil {
+		t.placer.SetWorker(w.placement())
+	}
+}
+
+func (t *term) markJobs(w *worker) {
+	for key := range w.jobs {
+		t.dirty[key] = true
+	}
+}
+
+// applyFull ends the tasks that a complete report does not list: the worker restarted without them.
+func (t *term) applyFull(w *worker, tasks []platform.TaskStatus) {
+	listed := map[taskID]bool{}
+	for _, status := range tasks {
+		listed[idOf(status.Task)] = true
+	}
+	for id := range w.tasks {
+		if !listed[id] {
+			delete(w.tasks, id)
+			delete(t.orphans, sighting{w.id, id})
+		}
+	}
+	for key := range w.jobs {
+		j := t.jobs[key]
+		for i := range j.members {
+			m := &j.members[i]
+			lost := m.task.Worker == w.id && m.phase != "" && !m.phase.Ended() && !listed[idOf(m.task)]
+			if lost {
+				m.phase = platform.TaskLapsed
+				m.message = "the worker restarted"
+				t.dirty[key] = true
+			}
+		}
+	}
+}
+
+// report takes over one task's state.
+func (t *term) report(w *worker, status platform.TaskStatus, now time.Time) {
+	id := idOf(status.Task)
+	seen := sighting{w.id, id}
+	if status.Phase == platform.TaskForgotten {
+		delete(w.tasks, id)
+		delete(t.orphans, seen)
+	} else {
+		w.tasks[id] = status.Phase
+	}
+	if !t.rebuilt {
+		t.early = append(t.early, early{w, status})
+		return
+	}
+	j := t.jobs[id.job]
+	switch {
+	case j == nil:
+		t.orphan(seen, status.Phase)
+	case status.Phase == platform.TaskForgotten:
+		j.noteForgotten(id, now)
+	default:
+		t.reportKnown(j, w, status, seen, now)
+	}
+}
+
+func (j *job) noteForgotten(id taskID, now time.Time) {
+	if id.attempt >= j.attempt && j.state == structs.JobWaiting {
+		j.forgotten = now
+		j.attempt = id.attempt
+	}
+}
+
+func (t *term) reportKnown(j *job, w *worker, status platform.TaskStatus, seen sighting, now time.Time) {
+	j.seen[seen] = true
+	if t.updateMember(j, status, w) {
+		t.dirty[j.key] = true
+		return
+	}
+	late := status.Task.Attempt > j.attempt && j.state == structs.JobWaiting
+	j.attempt = max(j.attempt, status.Task.Attempt)
+	if late && status.Task.Members == 1 {
+		t.adopt(j, []early{{w, status}}, now)
+		return
+	}
+	if !status.Phase.Ended() || j.state == structs.JobRunning {
+		t.orphan(seen, status.Phase)
+	}
+}
+
+// updateMember stores a report on a member of the present attempt, and returns false when it is none.
+func (t *term) updateMember(j *job, status platform.TaskStatus, w *worker) bool {
+	m := j.member(status.Task.Member)
+	if status.Task.Attempt != j.attempt || m == nil || m.task.Worker != w.id {
+		return false
+	}
+	m.phase = status.Phase
+	m.ranFor = status.RanFor
+	m.saved = status.SavedWork
+	m.message = status.Message
+	return true
+}
+
+// orphan notes a task that belongs to no known job and attempt.
+func (t *term) orphan(seen sighting, phase platform.TaskPhase) {
+	if phase == platform.TaskForgotten {
+		return
+	}
+	if _, known := t.orphans[seen]; !known {
+		t.orphans[seen] = time.Time{}
+	}
+}
+
+// rebuild adopts what the workers reported when the scheduler attached.
+func (t *term) rebuild(now time.Time) {
+	t.rebuilt = true
+	newest := map[structs.JobID]uint64{}
+	for _, e := range t.early {
+		key := e.status.Task.Job.ID
+		newest[key] = max(newest[key], e.status.Task.Attempt)
+	}
+	groups := map[structs.JobID][]early{}
+	for _, e := range t.early {
+		key := e.status.Task.Job.ID
+		if t.jobs[key] == nil || e.status.Task.Attempt < newest[key] {
+			t.report(e.worker, e.status, now)
+			continue
+		}
+		groups[key] = append(groups[key], e)
+	}
+	t.early = nil
+	for key, group := range groups {
+		t.adopt(t.jobs[key], group, now)
+	}
+	t.fenceUnseen(now)
+	t.config.Log.Emit(eventActive, event.F("jobs", len(t.jobs)), event.F("workers", len(t.workers)))
+}
+
+// adopt takes over the newest attempt of a job from its workers.
+func (t *term) adopt(j *job, group []early, now time.Time) {
+	first := group[0].status.Task
+	j.attempt = first.Attempt
+	j.starts = max(j.starts, 1)
+	j.attained = max(j.attained, first.Attained)
+	members := make([]member, first.Members)
+	found := 0
+	live := 0
+	for _, e := range group {
+		status := e.status
+		if status.Phase == platform.TaskForgotten {
+			j.noteForgotten(idOf(status.Task), now)
+			continue
+		}
+		j.seen[sighting{e.worker.id, idOf(status.Task)}] = true
+		if status.Task.Member >= len(members) {
+			continue
+		}
+		members[status.Task.Member] = member{status.Task, status.Phase, status.RanFor, status.SavedWork, status.Message}
+		found++
+		if !status.Phase.Ended() {
+			live++
+		}
+	}
+	j.members = members
+	if found == 0 {
+		j.members = nil
+		return
+	}
+	t.adoptState(j, found, live, now)
+}
+
+// adoptState decides how an adopted job goes on. A member that no worker reported may still run at a worker that is
+// out of reach, so the job then waits for the lapse of its lease.
+func (t *term) adoptState(j *job, found, live int, now time.Time) {
+	complete := found == len(j.members)
+	finished := j.count(isPhase(platform.TaskFinished))
+	if !complete {
+		j.fenceUntil = now.Add(t.lapse())
+		j.members = knownMembers(j.members)
+	}
+	if complete && finished == found {
+		j.result = t.finished(j, now)
+		t.active[j.key] = true
+		return
+	}
+	if live == 0 {
+		j.attained = j.savedWork()
+		j.members = nil
+		return
+	}
+	j.placement = placementOf(j.key, j.members)
+	t.restore(j)
+	t.book(j)
+	j.setState(structs.JobRunning, now)
+	t.active[j.key] = true
+	if !complete {
+		t.stop(j, causeLost, now)
+	}
+}
+
+func knownMembers(all []member) []member {
+	var known []member
+	for _, m := range all {
+		if m.task.Worker != "" {
+			known = append(known, m)
+		}
+	}
+	return known
+}
+
+// fenceUnseen delays older jobs while workers on the list were not reported: they may run there.
+func (t *term) fenceUnseen(now time.Time) {
+	missing := false
+	for _, listed := range t.config.View.Workers(t.dc) {
+		w := t.workers[structs.WorkerID(listed.ID)]
+		missing = missing || w == nil || !w.reachable
+	}
+	if !missing {
+		return
+	}
+	for _, j := range t.jobs {
+		if j.state == structs.JobWaiting && j.origin != fromProbe {
+			j.fenceUntil = now.Add(t.lapse())
+		}
+	}
+}
+
+// lapse is the time after which a task whose lease nobody extends has ended: half a lease until a rack owner withholds
+// renewal, one lease until the last renewal expires, and a tenth for delays.
+func (t *term) lapse() time.Duration {
+	return t.config.Timing.TaskLease * 16 / 10
+}
+
+// book links a placed job with its workers and counts what its customer uses.
+func (t *term) book(j *job) {
+	j.placed = true
+	t.used[j.info.Customer] += j.info.Accelerators
+	for _, m := range j.placement.Members {
+		t.worker(m.Worker).jobs[j.key] = true
+	}
+}
+
+func (t *term) unbind(j *job) {
+	for _, m := range j.placement.Members {
+		delete(t.worker(m.Worker).jobs, j.key)
+	}
+}
+
+func idOf(task structs.Task) taskID { return taskID{task.Job.ID, task.Attempt, task.Member} }
--- /dev/null
+++ b/internal/scheduler/interfaces.go
@@ -0,0 +1,96 @@
+// Package scheduler is the decision loop of one data centre. It runs on every entry instance and is active on the one
+// that membership names for the role and that attached to the rack owners. All its state is derived: it is rebuilt
+// from the change feed of the rack owners and from the job stream.
+package scheduler
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/placement"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// Accepted is a job of the job stream that has no finish record.
+type Accepted struct {
+	Job       structs.Job
+	Cancelled bool
+}
+
+// Result is the content of a finish record.
+type Result struct {
+	State    structs.JobState `json:"state" msgpack:"state"` // final
+	Message  string           `json:"message,omitempty" msgpack:"message,omitempty"`
+	Attempts int              `json:"attempts" msgpack:"attempts"`
+	RanFor   time.Duration    `json:"ran_for" msgpack:"ran_for"`
+	EndedAt  time.Time        `json:"ended_at" msgpack:"ended_at"`
+}
+
+// Jobs is what the scheduler needs of the data centre's job stream. Job ids are unique per customer.
+type Jobs interface {
+	// Submit accepts a job. It returns nil when the job's first submit record is in the stream.
+	Submit(ctx context.Context, job structs.Job) error
+	// Cancel records that the customer wants the job to end.
+	Cancel(ctx context.Context, customer structs.Customer, id structs.JobID) error
+	// Finish records a result. The first finish record of a job wins.
+	Finish(ctx context.Context, customer structs.Customer, id structs.JobID, result Result) error
+	// Unfinished returns the accepted jobs without a finish record, in order of submission.
+	Unfinished() []Accepted
+	// Find returns a job and its result, nil while it has none.
+	Find(customer structs.Customer, id structs.JobID) (Accepted, *Result, bool)
+	// CurrentAsOf returns when the fold last reached the end of the stream.
+	CurrentAsOf() time.Time
+	// Changed returns a channel that is closed at the next change of the fold.
+	Changed() <-chan struct{}
+}
+
+// Request asks the Placer for accelerators.
+type Request struct {
+	Job          structs.JobID // qualified with the customer
+	Customer     structs.Customer
+	Accelerators int
+	Urgency      int
+	Avoid        map[structs.WorkerID]bool
+	Now          time.Time
+}
+
+// Placer chooses accelerators. Job ids are qualified with the customer.
+type Placer interface {
+	SetWorker(w placement.Worker)
+	LoseWorker(id structs.WorkerID)
+	// Place chooses accelerators, and the borrowers that must yield first. The error is typed and says what is missing;
+	// one of kind CannotRun means that waiting does not help.
+	Place(r Request) (placement.Placement, error)
+	// Commit books a placement. Its victims keep their booking until they are released.
+	Commit(p placement.Placement, r Request) error
+	// Restore books a job that was found running.
+	Restore(p placement.Placement, r Request) error
+	Release(id structs.JobID)
+	// SetSaved tells when a job last saved its work; its start counts.
+	SetSaved(id structs.JobID, at time.Time)
+}
+
+// Waiting is a job in the queue.
+type Waiting struct {
+	Key      structs.JobID // qualified with the customer
+	Job      structs.Job
+	Since    time.Time
+	Attained time.Duration // run time that it has had
+	Attempts int
+}
+
+// Order decides which waiting job is tried first.
+type Order interface {
+	Sort(waiting []Waiting, now time.Time)
+}
+
+// Key qualifies a job's id with its customer, so that it is unique in the data centre.
+func Key(customer structs.Customer, id structs.JobID) structs.JobID {
+	return structs.JobID(string(customer) + "/" + string(id))
+}
+
+// bareID undoes Key.
+func bareID(customer structs.Customer, key structs.JobID) structs.JobID {
+	return structs.JobID(strings.TrimPrefix(string(key), string(customer)+"/"))
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,134 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/membership"
+	"dogwoodnotch.example/dogwoodnotch/internal/rackowner"
+	"dogwoodnotch.example/dogwoodnotch/internal/spec"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// roleRetry is the pause between attempts to take the role.
+const roleRetry = 100 * time.Millisecond
+
+// Config is what a Scheduler needs.
+type Config struct {
+	View    membership.View
+	Text    func() *spec.Text // the specification in force, nil when there is none yet
+	Jobs    Jobs
+	Racks   func(ctx context.Context) rackowner.Racks         // makes a new attachment
+	Placer  func(dc *spec.DataCentre, text *spec.Text) Placer // nil: first fit
+	Order   func(text *spec.Text) Order                       // nil: urgency, then attained run time, then age
+	Timing  rackowner.Timing
+	Grace   time.Duration // longest checkpoint, section 9
+	Tick    time.Duration // longest time between decisions, 0 means DefaultTick
+	Probe   time.Duration // between probes of an excluded worker, 0 means DefaultProbe
+	Log     *event.Log
+	Metrics tally.Scope
+}
+
+// Defaults of Config.
+const (
+	DefaultTick  = 50 * time.Millisecond
+	DefaultProbe = 30 * time.Second
+)
+
+// Scheduler holds the role of the data centre's scheduler while this instance has it.
+type Scheduler struct {
+	config Config
+	self   structs.InstanceID
+	dc     structs.DataCentre
+
+	mu     sync.Mutex
+	active *term // nil while another instance has the role
+}
+
+// New returns a scheduler that does nothing until Run.
+func New(config Config) *Scheduler {
+	if config.Tick == 0 {
+		config.Tick = DefaultTick
+	}
+	if config.Probe == 0 {
+		config.Probe = DefaultProbe
+	}
+	if config.Placer == nil {
+		config.Placer = func(*spec.DataCentre, *spec.Text) Placer { return newFirstFit() }
+	}
+	if config.Order == nil {
+		config.Order = func(*spec.Text) Order { return byUrgency{} }
+	}
+	self, dc := config.View.Self()
+	return &Scheduler{config: config, self: self, dc: dc}
+}
+
+// Run takes the role whenever the view names this instance, until ctx ends. It gives the role back before it returns.
+func (s *Scheduler) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed := s.config.View.Changed()
+		if s.winner() && s.config.Text() != nil {
+			s.serve(ctx)
+		}
+		timer := time.NewTimer(roleRetry)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return ctx.Err()
+}
+
+func (s *Scheduler) winner() bool {
+	return s.config.View.Owner(s.dc, membership.OwnerKeyScheduler) == s.self
+}
+
+// serve attaches and decides until the role is lost or the view names another instance.
+func (s *Scheduler) serve(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	racks := s.config.Racks(ctx)
+	attachCtx, attached := context.WithTimeout(ctx, 2*s.config.Timing.SessionTTL+time.Second)
+	err := racks.Attach(attachCtx)
+	attached()
+	if err != nil {
+		return
+	}
+	t := newTerm(s.config, s.dc, racks)
+	s.setActive(t)
+	t.run(ctx, s.winner)
+	s.setActive(nil)
+	racks.Detach(context.WithoutCancel(ctx))
+	s.config.Log.Emit(eventInactive)
+}
+
+func (s *Scheduler) setActive(t *term) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active = t
+}
+
+// ask runs f in the decision loop. The error is of kind Unavailable when this instance does not have the role.
+func (s *Scheduler) ask(ctx context.Context, f func(*term)) error {
+	s.mu.Lock()
+	t := s.active
+	s.mu.Unlock()
+	if t == nil {
+		return errkind.New(errkind.Unavailable, "ask again in a few seconds", "this instance is not the scheduler of %s", s.dc)
+	}
+	return t.ask(ctx, func() { f(t) })
+}
+
+// Active reports whether this instance decides for its data centre now.
+func (s *Scheduler) Active() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active != nil
+}
--- /dev/null
+++ b/internal/scheduler/services.go
@@ -0,0 +1,116 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/spec"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// syncServices keeps one job for each task that the specification declares here, and notes which services are up.
+func (t *term) syncServices(now time.Time) {
+	wanted := map[structs.JobID]bool{}
+	for i := range t.text.Services {
+		service := &t.text.Services[i]
+		for k := range service.Tasks {
+			t.syncTask(service, &service.Tasks[k], wanted, now)
+		}
+	}
+	for key := range t.services {
+		j := t.jobs[key]
+		if j == nil {
+			delete(t.services, key)
+			continue
+		}
+		if !wanted[key] && !j.removed {
+			j.removed = true
+			t.active[key] = true
+		}
+	}
+	down := t.findDown()
+	if len(down) != len(t.down) {
+		t.replace = true
+	}
+	t.down = down
+}
+
+func (t *term) syncTask(service *spec.Service, task *spec.ServiceTask, wanted map[structs.JobID]bool, now time.Time) {
+	if !slices.Contains(task.DataCentres, t.dc) {
+		return
+	}
+	for number := range task.Count {
+		key := Key(task.Customer, serviceTaskID(service.Name, task.Name, number))
+		wanted[key] = true
+		if t.jobs[key] != nil {
+			continue
+		}
+		info := structs.Job{
+			ID: bareID(task.Customer, key), Customer: task.Customer, DataCentre: t.dc, Accelerators: task.Accelerators,
+			Urgency: task.Urgency, Service: service.Name, SubmittedAt: now,
+		}
+		t.jobs[key] = newJob(key, info, fromService, now)
+		t.services[key] = true
+		t.replace = true
+	}
+}
+
+// serviceTaskID names the job of a service's task. A job id of a customer cannot contain a slash.
+func serviceTaskID(service structs.ServiceName, task string, number int) structs.JobID {
+	return structs.JobID(fmt.Sprintf("service/%s/%s/%d", service, task, number))
+}
+
+// findDown returns the services that are down here, with the service whose tasks are missing.
+func (t *term) findDown() map[structs.ServiceName]structs.ServiceName {
+	missing := map[structs.ServiceName]bool{}
+	for key := range t.services {
+		if j := t.jobs[key]; j != nil && j.state != structs.JobRunning {
+			missing[j.info.Service] = true
+		}
+	}
+	down := map[structs.ServiceName]structs.ServiceName{}
+	for range t.text.Services { // dependencies have no cycles, so this many rounds reach everything
+		before := len(down)
+		for i := range t.text.Services {
+			t.markDown(&t.text.Services[i], missing, down)
+		}
+		if len(down) == before {
+			break
+		}
+	}
+	return down
+}
+
+func (t *term) markDown(s *spec.Service, missing map[structs.ServiceName]bool, down map[structs.ServiceName]structs.ServiceName) {
+	if missing[s.Name] {
+		down[s.Name] = s.Name
+		return
+	}
+	for _, dependency := range s.DependsOn {
+		if cause, isDown := down[dependency]; isDown {
+			down[s.Name] = cause
+			return
+		}
+	}
+}
+
+// dependenciesUp reports whether the services that a service's task depends on are up, and notes the reason if not.
+func (t *term) dependenciesUp(j *job) bool {
+	if j.origin != fromService {
+		return true
+	}
+	for i := range t.text.Services {
+		s := &t.text.Services[i]
+		if s.Name != j.info.Service {
+			continue
+		}
+		for _, dependency := range s.DependsOn {
+			if cause, isDown := t.down[dependency]; isDown {
+				j.reason = fmt.Sprintf("services.%s.depends_on: %s is down because tasks of %s do not run", s.Name, dependency, cause)
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/scheduler/term.go
@@ -0,0 +1,267 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/gang"
+	"dogwoodnotch.example/dogwoodnotch/internal/placement"
+	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	"dogwoodnotch.example/dogwoodnotch/internal/rackowner"
+	"dogwoodnotch.example/dogwoodnotch/internal/spec"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// Bounds of a term.
+const (
+	maxOperations  = 256 // asynchronous operations under way
+	maxPosted      = 1024
+	changesPerStep = 1024 // changes applied between two decisions
+)
+
+// term is one period in which this instance has the role. Its state belongs to the goroutine of run; other goroutines
+// reach it through post.
+type term struct {
+	config  Config
+	dc      structs.DataCentre
+	racks   rackowner.Racks
+	starter gang.Starter
+	text    *spec.Text
+	placer  Placer
+	order   Order
+
+	began     time.Time
+	synced    bool    // the report of the rack owners is complete
+	rebuilt   bool    // and was taken over
+	early     []early // reports before that
+	jobs      map[structs.JobID]*job
+	workers   map[structs.WorkerID]*worker
+	dirty     map[structs.JobID]bool
+	active    map[structs.JobID]bool                      // jobs that are neither waiting nor plainly running
+	replace   bool                                        // a placement may succeed that did not before
+	orphans   map[sighting]time.Time                      // tasks to free or forget, with the time of the last command
+	withheld  string                                      // the set of withheld jobs sent last
+	permitted bool                                        // and the rack owners took it
+	down      map[structs.ServiceName]structs.ServiceName // services that are down, with what is missing
+	services  map[structs.JobID]bool                      // jobs that the specification declares
+	excluded  map[structs.WorkerID]bool
+	used      map[structs.Customer]int // accelerators of placed jobs
+	jobsSeen  <-chan struct{}          // of the fold that was taken over
+	retryAt   time.Time                // next time that a pause of a waiting job ends
+
+	posted     chan func()
+	operations chan struct{}
+	wg         sync.WaitGroup
+	done       chan struct{}
+}
+
+func newTerm(config Config, dc structs.DataCentre, racks rackowner.Racks) *term {
+	t := &term{
+		config: config, dc: dc, racks: racks, began: time.Now(), jobs: map[structs.JobID]*job{},
+		workers: map[structs.WorkerID]*worker{}, dirty: map[structs.JobID]bool{}, active: map[structs.JobID]bool{},
+		services: map[structs.JobID]bool{}, excluded: map[structs.WorkerID]bool{}, used: map[structs.Customer]int{},
+		orphans: map[sighting]time.Time{}, posted: make(chan func(), maxPosted),
+		operations: make(chan struct{}, maxOperations), done: make(chan struct{}),
+	}
+	t.starter = gang.Starter{Commands: racks, HoldTTL: config.Timing.HoldTTL, Log: config.Log, Metrics: config.Metrics}
+	return t
+}
+
+// run decides until ctx ends, the feed is closed or this instance should not have the role.
+func (t *term) run(ctx context.Context, winner func() bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer t.wg.Wait()
+	defer cancel()
+	defer close(t.done)
+	ticker := time.NewTicker(t.config.Tick)
+	defer ticker.Stop()
+	for winner() {
+		jobsChanged := t.config.Jobs.Changed()
+		if t.synced {
+			t.step(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case c, open := <-t.racks.Changes():
+			if !open {
+				return
+			}
+			t.applyBatch(c)
+		case f := <-t.posted:
+			f()
+			t.drainPosted()
+		case <-jobsChanged:
+		case <-ticker.C:
+		}
+	}
+}
+
+// applyBatch applies a change and those that are already there.
+func (t *term) applyBatch(first rackowner.Change) {
+	t.apply(first)
+	for range changesPerStep {
+		select {
+		case c, open := <-t.racks.Changes():
+			if !open {
+				return
+			}
+			t.apply(c)
+		default:
+			return
+		}
+	}
+}
+
+func (t *term) drainPosted() {
+	for range maxPosted {
+		select {
+		case f := <-t.posted:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// step makes all decisions that are due.
+func (t *term) step(ctx context.Context) {
+	now := time.Now()
+	t.adoptText()
+	if t.text == nil {
+		return
+	}
+	t.syncJobs(now)
+	t.syncServices(now)
+	if !t.rebuilt {
+		t.rebuild(now)
+	}
+	t.syncProbes(now)
+	t.checkWorkers(now)
+	t.settleAll(ctx, now)
+	t.place(ctx, now)
+	t.freeOrphans(ctx, now)
+	t.sendWithheld(ctx)
+}
+
+// adoptText rebuilds the placer and the order when the specification has changed.
+func (t *term) adoptText() {
+	text := t.config.Text()
+	if text == t.text || text == nil {
+		return
+	}
+	dc := dataCentre(text, t.dc)
+	if dc == nil {
+		return
+	}
+	t.text = text
+	t.order = t.config.Order(text)
+	t.placer = t.config.Placer(dc, text)
+	t.replace = true
+	for _, w := range t.workers {
+		if w.reachable {
+			t.placer.SetWorker(w.placement())
+		}
+	}
+	for _, j := range t.jobs {
+		if j.placed {
+			t.restore(j)
+		}
+	}
+}
+
+// restore books a job's present placement.
+func (t *term) restore(j *job) {
+	err := t.placer.Restore(j.placement, j.request(time.Now()))
+	if err != nil {
+		t.config.Log.Emit(eventStartFailed, event.F("job", j.key), event.F("cause", err))
+	}
+}
+
+// spawn runs an operation beside the loop and posts what follows from it. It reports false when too many are under way.
+func (t *term) spawn(operation func() func()) bool {
+	select {
+	case t.operations <- struct{}{}:
+	default:
+		return false
+	}
+	t.wg.Add(1)
+	go func() {
+		defer t.wg.Done()
+		after := operation()
+		<-t.operations
+		select {
+		case t.posted <- after:
+		case <-t.done:
+		}
+	}()
+	return true
+}
+
+// ask runs f in the loop and waits for it.
+func (t *term) ask(ctx context.Context, f func()) error {
+	finished := make(chan struct{})
+	run := func() {
+		f()
+		close(finished)
+	}
+	lost := errkind.New(errkind.Unavailable, "ask again in a few seconds", "the scheduler role moved")
+	select {
+	case t.posted <- run:
+	case <-t.done:
+		return lost
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-finished:
+		return nil
+	case <-t.done:
+		return lost
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func dataCentre(text *spec.Text, name structs.DataCentre) *spec.DataCentre {
+	for i := range text.DataCentres {
+		if text.DataCentres[i].Name == name {
+			return &text.DataCentres[i]
+		}
+	}
+	return nil
+}
+
+// worker is what the scheduler knows of a worker.
+type worker struct {
+	id           structs.WorkerID
+	rack         structs.RackID
+	accelerators int
+	reachable    bool
+	holder       structs.InstanceID // another rack owner that holds the session
+	lostAt       time.Time          // when it became unreachable
+	reported     bool               // lost event written
+	jobs         map[structs.JobID]bool
+	tasks        map[taskID]platform.TaskPhase // tasks that the worker keeps
+	health       health
+}
+
+func (w *worker) placement() placement.Worker {
+	return placement.Worker{ID: w.id, Rack: w.rack, Accelerators: w.accelerators}
+}
+
+// taskID identifies a task on its worker.
+type taskID struct {
+	job     structs.JobID
+	attempt uint64
+	member  int
+}
+
+// sighting identifies a task on a worker.
+type sighting struct {
+	worker structs.WorkerID
+	task   taskID
+}
