Test that a gang start is all or nothing

Cause: a start that fails midway must leave no member running, and no member may start before all are held.

Change: a generated test of gang.Starter against workers that refuse, cannot be reached or lose responses in each phase, and that ignore releases.

Shown failing first. Without the release in abort: gang_test.go:122: assertion failed: expression is false: !w.running[i] || uncertain[i]: member 1 runs alone and is not reported Without waiting for the result of the hold phase: gang_test.go:123: assertion failed: expression is false: allHeld || !w.startedEver[i]: member 1 was started before all were held With both steps in place it passes, also with -race.

--- /dev/null
+++ b/internal/gang/gang_test.go
@@ -0,0 +1,126 @@
+package gang_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/gang"
+	"dogwoodnotch.example/dogwoodnotch/internal/peer"
+	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// behaviour is what a member's worker does with one command.
+type behaviour int
+
+const (
+	accepts behaviour = iota
+	refuses
+	unsent
+	losesResponse // after the effect
+	behaviours
+)
+
+// workers is a worker per member with scripted behaviour.
+type workers struct {
+	mu            sync.Mutex
+	hold, start   []behaviour
+	releaseFails  []bool
+	held, running []bool
+	startedEver   []bool
+}
+
+func (w *workers) do(b behaviour, effect func()) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch b {
+	case refuses:
+		return &platform.RefusedError{}
+	case unsent:
+		return peer.ErrNotSent
+	case losesResponse:
+		effect()
+		return errors.New("no response")
+	default:
+		effect()
+		return nil
+	}
+}
+
+func (w *workers) Hold(_ context.Context, t structs.Task, _ time.Duration) error {
+	return w.do(w.hold[t.Member], func() { w.held[t.Member] = true })
+}
+
+func (w *workers) Start(_ context.Context, t structs.Task) error {
+	return w.do(w.start[t.Member], func() {
+		w.running[t.Member] = w.held[t.Member]
+		w.startedEver[t.Member] = true
+	})
+}
+
+func (w *workers) Release(_ context.Context, t structs.Task) error {
+	if w.releaseFails[t.Member] {
+		return errors.New("no response")
+	}
+	return w.do(accepts, func() { w.held[t.Member], w.running[t.Member] = false, false })
+}
+
+// Guards against a gang of which only some members run when a start ends, other than members that are reported as
+// uncertain, and against a start of any member before all are held.
+func TestInvariantGangAllOrNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "members")
+		script := func(name string) []behaviour {
+			all := make([]behaviour, n)
+			for range rapid.IntRange(0, 2).Draw(t, name+" faults") {
+				all[rapid.IntRange(0, n-1).Draw(t, name+" member")] = behaviour(rapid.IntRange(1, int(behaviours)-1).Draw(t, name))
+			}
+			return all
+		}
+		w := &workers{
+			hold: script("hold"), start: script("start"), releaseFails: make([]bool, n), held: make([]bool, n),
+			running: make([]bool, n), startedEver: make([]bool, n),
+		}
+		if rapid.Bool().Draw(t, "release fails") {
+			w.releaseFails[rapid.IntRange(0, n-1).Draw(t, "release")] = true
+		}
+		tasks := make([]structs.Task, n)
+		for i := range tasks {
+			tasks[i] = structs.Task{Job: structs.Job{ID: "gang"}, Attempt: 1, Member: i, Members: n}
+		}
+		s := gang.Starter{Commands: w, HoldTTL: time.Second, Log: event.Discard(), Metrics: tally.NoopScope}
+		result := s.Start(context.Background(), tasks)
+		checkWhole(t, w, n, result)
+	})
+}
+
+func checkWhole(t *rapid.T, w *workers, n int, result gang.Result) {
+	uncertain := map[int]bool{}
+	for _, task := range result.Uncertain {
+		uncertain[task.Member] = true
+	}
+	allHeld := true
+	for _, b := range w.hold {
+		allHeld = allHeld && b == accepts
+	}
+	for i := range n {
+		if result.Started {
+			assert.Assert(t, w.running[i], "member %d does not run", i)
+			continue
+		}
+		assert.Assert(t, !w.running[i] || uncertain[i], "member %d runs alone and is not reported", i)
+		assert.Assert(t, allHeld || !w.startedEver[i], "member %d was started before all were held", i)
+	}
+	assert.Equal(t, result.Started, len(result.Failures) == 0)
+}
