Keep gangs running while rack owners and the scheduler move

Cause: a scheduler that attached while some racks were moving found a gang incomplete and stopped it at once.

Change: an adopted gang waits up to half a task lease for members at workers that were not reported yet, and its leases are withheld meanwhile, so the bound of 1.5 task leases still holds. A scheduler that saw every listed worker stops an incomplete gang at once, as before. Jobs without a task wait only as long as listed workers are unseen.

--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -65,6 +65,7 @@
 }
 
 func (t *term) workerReachable(w *worker, state *platform.WorkerState) {
+	delete(t.unseen, w.id)
 	isNew := !w.reachable || w.accelerators != state.Accelerators
 	w.reachable = true
 	w.holder = ""
@@ -119,6 +120,9 @@
 		delete(w.tasks, id)
 		delete(t.orphans, seen)
 	} else {
+		if _, known := t.orphans[seen]; known && w.tasks[id] != status.Phase {
+			t.orphans[seen] = time.Time{} // the next command is due at once
+		}
 		w.tasks[id] = status.Phase
 	}
 	if !t.rebuilt {
@@ -151,10 +155,14 @@
 	}
 	late := status.Task.Attempt > j.attempt && j.state == structs.JobWaiting
 	j.attempt = max(j.attempt, status.Task.Attempt)
-	if late && status.Task.Members == 1 {
+	if late {
 		t.adopt(j, []early{{w, status}}, now)
 		return
 	}
+	if t.joins(j, status.Task) {
+		t.join(j, status)
+		return
+	}
 	if !status.Phase.Ended() || j.state == structs.JobRunning {
 		t.orphan(seen, status.Phase)
 	}
@@ -186,6 +194,7 @@
 // rebuild adopts what the workers reported when the scheduler attached.
 func (t *term) rebuild(now time.Time) {
 	t.rebuilt = true
+	t.findUnseen(now)
 	newest := map[structs.JobID]uint64{}
 	for _, e := range t.early {
 		key := e.status.Task.Job.ID
@@ -204,7 +213,7 @@
 	for key, group := range groups {
 		t.adopt(t.jobs[key], group, now)
 	}
-	t.fenceUnseen(now)
+	t.fenceUnseen()
 	t.config.Log.Emit(eventActive, event.F("jobs", len(t.jobs)), event.F("workers", len(t.workers)))
 }
 
@@ -214,86 +223,85 @@
 	j.attempt = first.Attempt
 	j.starts = max(j.starts, 1)
 	j.attained = max(j.attained, first.Attained)
-	members := make([]member, first.Members)
-	found := 0
-	live := 0
+	j.members = nil
 	for _, e := range group {
-		status := e.status
-		if status.Phase == platform.TaskForgotten {
-			j.noteForgotten(idOf(status.Task), now)
+		if e.status.Phase == platform.TaskForgotten {
+			j.noteForgotten(idOf(e.status.Task), now)
 			continue
 		}
-		j.seen[sighting{e.worker.id, idOf(status.Task)}] = true
-		if status.Task.Member >= len(members) {
-			continue
-		}
-		members[status.Task.Member] = member{status.Task, status.Phase, status.RanFor, status.SavedWork, status.Message}
-		found++
-		if !status.Phase.Ended() {
-			live++
+		j.seen[sighting{e.worker.id, idOf(e.status.Task)}] = true
+		if j.member(e.status.Task.Member) == nil {
+			j.members = append(j.members, memberOf(e.status))
 		}
 	}
-	j.members = members
-	if found == 0 {
-		j.members = nil
-		return
+	if len(j.members) > 0 {
+		t.adoptState(j, first.Members-len(j.members), now)
 	}
-	t.adoptState(j, found, live, now)
 }
 
-// adoptState decides how an adopted job goes on. A member that no worker reported may still run at a worker that is
-// out of reach, so the job then waits for the lapse of its lease.
-func (t *term) adoptState(j *job, found, live int, now time.Time) {
-	complete := found == len(j.members)
+func memberOf(status platform.TaskStatus) member {
+	return member{status.Task, status.Phase, status.RanFor, status.SavedWork, status.Message}
+}
+
+// adoptState decides how an adopted job goes on. Members that no worker reported may still run at a worker that was
+// not reported yet: the gang then waits for them, without an extension of its leases.
+func (t *term) adoptState(j *job, missing int, now time.Time) {
+	ended := j.count(platform.TaskPhase.Ended)
 	finished := j.count(isPhase(platform.TaskFinished))
-	if !complete {
-		j.fenceUntil = now.Add(t.lapse())
-		j.members = knownMembers(j.members)
-	}
-	if complete && finished == found {
+	switch {
+	case missing == 0 && finished == len(j.members):
 		j.result = t.finished(j, now)
 		t.active[j.key] = true
 		return
-	}
-	if live == 0 {
+	case ended == len(j.members) && (finished < ended || len(t.unseen) == 0):
 		j.attained = j.savedWork()
 		j.members = nil
+		j.unseen = missing > 0
 		return
 	}
 	j.placement = placementOf(j.key, j.members)
 	t.restore(j)
 	t.book(j)
+	j.missing = missing
+	j.missingSince = now
 	j.setState(structs.JobRunning, now)
 	t.active[j.key] = true
-	if !complete {
+	if j.count(isPhase(platform.TaskHeld)) > 0 || (missing > 0 && len(t.unseen) == 0) {
 		t.stop(j, causeLost, now)
 	}
 }
 
-func knownMembers(all []member) []member {
-	var known []member
-	for _, m := range all {
-		if m.task.Worker != "" {
-			known = append(known, m)
-		}
-	}
-	return known
+// joins reports whether a task is a member that the adopted gang still lacks.
+func (t *term) joins(j *job, task structs.Task) bool {
+	return j.missing > 0 && j.state == structs.JobRunning && task.Attempt == j.attempt && j.member(task.Member) == nil
+}
+
+// join adds a member that was reported after the others.
+func (t *term) join(j *job, status platform.TaskStatus) {
+	t.unplace(j)
+	j.members = append(j.members, memberOf(status))
+	j.missing--
+	j.placement = placementOf(j.key, j.members)
+	t.restore(j)
+	t.book(j)
+	t.dirty[j.key] = true
 }
 
-// fenceUnseen delays older jobs while workers on the list were not reported: they may run there.
-func (t *term) fenceUnseen(now time.Time) {
-	missing := false
+// findUnseen collects the workers on the list that were not reported. Jobs that were accepted before may run there.
+func (t *term) findUnseen(now time.Time) {
+	t.unseenUntil = now.Add(t.lapse())
 	for _, listed := range t.config.View.Workers(t.dc) {
-		w := t.workers[structs.WorkerID(listed.ID)]
-		missing = missing || w == nil || !w.reachable
-	}
-	if !missing {
-		return
+		id := structs.WorkerID(listed.ID)
+		if w := t.workers[id]; w == nil || !w.reachable {
+			t.unseen[id] = true
+		}
 	}
+}
+
+// fenceUnseen delays the jobs without a task while such workers are missing.
+func (t *term) fenceUnseen() {
 	for _, j := range t.jobs {
-		if j.state == structs.JobWaiting && j.origin != fromProbe {
-			j.fenceUntil = now.Add(t.lapse())
-		}
+		j.unseen = j.unseen || j.state == structs.JobWaiting && j.origin != fromProbe
 	}
 }
 
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -139,13 +139,25 @@
 	}
 }
 
-// sendWithheld tells the rack owners which gangs must not be extended: those being stopped whose members are not all
-// in reach. The first call after a rebuild also permits the extension of all others.
+// mustLapse reports whether the leases of a job must not be extended: it is being stopped for good, or it is a gang
+// with a member out of reach. Members in reach then stop in time even when this scheduler is lost as well.
+func (t *term) mustLapse(j *job) bool {
+	switch j.state {
+	case structs.JobStopping:
+		return j.cause != causePreempted
+	case structs.JobRunning:
+		return len(j.members)+j.missing > 1 && t.incomplete(j)
+	default:
+		return false
+	}
+}
+
+// sendWithheld tells the rack owners which jobs must not be extended. The first call after a rebuild also permits the extension of all others.
 func (t *term) sendWithheld(ctx context.Context) {
 	var jobs []structs.JobID
 	for key := range t.active {
 		j := t.jobs[key]
-		if j != nil && j.state == structs.JobStopping && j.cause != causePreempted {
+		if j != nil && t.mustLapse(j) {
 			jobs = append(jobs, key)
 		}
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -61,20 +61,23 @@
 	stopBegan time.Time
 	attained  time.Duration
 
-	cancelled  bool
-	removed    bool // not in the job stream, or not in the specification, any more
-	result     *Result
-	recorded   time.Time // last attempt to record the result
-	failures   int       // that count against max_attempts
-	failedOn   map[structs.WorkerID]int
-	blamed     bool
-	notBefore  time.Time // pause after a failure
-	fenceUntil time.Time // an earlier attempt may run until then
-	forgotten  time.Time // a worker reported that it forgot an attempt of the waiting job
-	reason     string    // why it waits
-	remedy     string
-	lastError  string
-	seen       map[sighting]bool
+	cancelled    bool
+	removed      bool // not in the job stream, or not in the specification, any more
+	result       *Result
+	recorded     time.Time // last attempt to record the result
+	failures     int       // that count against max_attempts
+	failedOn     map[structs.WorkerID]int
+	blamed       bool
+	notBefore    time.Time // pause after a failure
+	fenceUntil   time.Time // an earlier attempt may run until then
+	unseen       bool      // may run at a worker that was not reported since this scheduler attached
+	missing      int       // members of an adopted gang that were not reported yet
+	missingSince time.Time
+	forgotten    time.Time // a worker reported that it forgot an attempt of the waiting job
+	reason       string    // why it waits
+	remedy       string
+	lastError    string
+	seen         map[sighting]bool
 }
 
 func newJob(key structs.JobID, info structs.Job, from origin, now time.Time) *job {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -82,6 +82,8 @@
 	switch {
 	case stale:
 		return time.Now().Add(recordRetry), "a worker has already forgotten the job; the job stream is read first"
+	case j.unseen && len(t.unseen) > 0 && t.unseenUntil.After(j.notBefore):
+		return t.unseenUntil, fmt.Sprintf("the job may run on one of %d workers that cannot be reached", len(t.unseen))
 	case j.fenceUntil.After(j.notBefore):
 		return j.fenceUntil, "an earlier attempt may still run at a worker that cannot be reached"
 	default:
@@ -241,6 +243,7 @@
 		return
 	}
 	j.setState(structs.JobRunning, now)
+	j.missing = 0
 	t.forgetEarlier(j)
 	t.config.Log.Emit(eventStarted, event.F("job", j.key), event.F("attempt", j.attempt), event.F("members", len(j.members)))
 	t.config.Metrics.Timer("scheduler_wait").Record(now.Sub(j.info.SubmittedAt))
--- a/internal/scheduler/settle.go
+++ b/internal/scheduler/settle.go
@@ -83,13 +83,17 @@
 	case structs.JobWaiting:
 		return true
 	case structs.JobRunning:
-		return !t.anyLost(j)
+		return !t.incomplete(j)
 	default:
 		return false
 	}
 }
 
-func (t *term) anyLost(j *job) bool {
+// incomplete reports whether a member of a running job is out of reach.
+func (t *term) incomplete(j *job) bool {
+	if j.missing > 0 {
+		return true
+	}
 	for _, m := range j.members {
 		if !t.worker(m.task.Worker).reachable {
 			return true
@@ -128,7 +132,7 @@
 	ended := j.count(platform.TaskPhase.Ended)
 	finished := j.count(isPhase(platform.TaskFinished))
 	switch {
-	case finished == len(j.members):
+	case finished == len(j.members) && j.missing == 0:
 		t.succeeded(j)
 		j.result = t.finished(j, now)
 	case j.removed:
@@ -137,6 +141,9 @@
 		t.stop(j, causeCancelled, now)
 	case j.count(isPhase(platform.TaskFailed)) > 0:
 		t.stop(j, causeFailed, now)
+	case j.missing > 0 && now.Sub(j.missingSince) > t.config.Timing.TaskLease/2:
+		j.fenceUntil = now.Add(t.lapse())
+		t.stop(j, causeLost, now)
 	case ended > finished || t.gangTorn(j, now):
 		t.stop(j, causeLost, now)
 	}
@@ -300,6 +307,7 @@
 func (t *term) requeue(j *job, now time.Time) {
 	j.setState(structs.JobWaiting, now)
 	j.members = nil
+	j.missing = 0
 	j.reason = "stopped: " + string(j.cause)
 	t.replace = true
 	t.config.Log.Emit(eventRequeued, event.F("job", j.key), event.F("cause", j.cause), event.F("attained", j.attained))
--- a/internal/scheduler/term.go
+++ b/internal/scheduler/term.go
@@ -33,24 +33,26 @@
 	placer  Placer
 	order   Order
 
-	began     time.Time
-	synced    bool    // the report of the rack owners is complete
-	rebuilt   bool    // and was taken over
-	early     []early // reports before that
-	jobs      map[structs.JobID]*job
-	workers   map[structs.WorkerID]*worker
-	dirty     map[structs.JobID]bool
-	active    map[structs.JobID]bool                      // jobs that are neither waiting nor plainly running
-	replace   bool                                        // a placement may succeed that did not before
-	orphans   map[sighting]time.Time                      // tasks to free or forget, with the time of the last command
-	withheld  string                                      // the set of withheld jobs sent last
-	permitted bool                                        // and the rack owners took it
-	down      map[structs.ServiceName]structs.ServiceName // services that are down, with what is missing
-	services  map[structs.JobID]bool                      // jobs that the specification declares
-	excluded  map[structs.WorkerID]bool
-	used      map[structs.Customer]int // accelerators of placed jobs
-	jobsSeen  <-chan struct{}          // of the fold that was taken over
-	retryAt   time.Time                // next time that a pause of a waiting job ends
+	began       time.Time
+	synced      bool    // the report of the rack owners is complete
+	rebuilt     bool    // and was taken over
+	early       []early // reports before that
+	jobs        map[structs.JobID]*job
+	workers     map[structs.WorkerID]*worker
+	dirty       map[structs.JobID]bool
+	active      map[structs.JobID]bool                      // jobs that are neither waiting nor plainly running
+	replace     bool                                        // a placement may succeed that did not before
+	orphans     map[sighting]time.Time                      // tasks to free or forget, with the time of the last command
+	withheld    string                                      // the set of withheld jobs sent last
+	permitted   bool                                        // and the rack owners took it
+	down        map[structs.ServiceName]structs.ServiceName // services that are down, with what is missing
+	services    map[structs.JobID]bool                      // jobs that the specification declares
+	excluded    map[structs.WorkerID]bool
+	used        map[structs.Customer]int  // accelerators of placed jobs
+	jobsSeen    <-chan struct{}           // of the fold that was taken over
+	unseen      map[structs.WorkerID]bool // listed workers that were not reported since the attachment
+	unseenUntil time.Time                 // when tasks there have lapsed
+	retryAt     time.Time                 // next time that a pause of a waiting job ends
 
 	posted     chan func()
 	operations chan struct{}
@@ -62,7 +64,7 @@
 	t := &term{
 		config: config, dc: dc, racks: racks, began: time.Now(), jobs: map[structs.JobID]*job{},
 		workers: map[structs.WorkerID]*worker{}, dirty: map[structs.JobID]bool{}, active: map[structs.JobID]bool{},
-		services: map[structs.JobID]bool{}, excluded: map[structs.WorkerID]bool{}, used: map[structs.Customer]int{},
+		unseen: map[structs.WorkerID]bool{}, services: map[structs.JobID]bool{}, excluded: map[structs.WorkerID]bool{}, used: map[structs.Customer]int{},
 		orphans: map[sighting]time.Time{}, posted: make(chan func(), maxPosted),
 		operations: make(chan struct{}, maxOperations), done: make(chan struct{}),
 	}
--- a/internal/standin/worker/fleet.go
+++ b/internal/standin/worker/fleet.go
@@ -296,3 +296,16 @@
 	m.advance(time.Now())
 	return len(m.busy())
 }
+
+// Phases returns the phases of the tasks that a worker knows.
+func (f *Fleet) Phases(id structs.WorkerID) []platform.TaskPhase {
+	m := f.machines[id]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advance(time.Now())
+	var all []platform.TaskPhase
+	for _, t := range m.tasks {
+		all = append(all, t.status.Phase)
+	}
+	return all
+}
