Add the demonstration's driver and the stand-ins' command

Cause: the whole path must be shown from outside the daemon, in separate processes, with counts by the stand-ins and the client.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,13 @@
 
 clean:
 	rm -rf bin
+
+# Runs the whole path with stand-ins, in separate processes, and counts what was lost, doubled or cut short.
+demo: build
+	go build -o bin/standin ./cmd/standin
+	go build -o bin/demo ./cmd/demo
+	./bin/demo --daemon bin/dogwoodnotch --standin bin/standin --text examples/$(DEPLOYMENT)/text.yaml
+
+# Runs every measure, the naive version and ours in one run, and prints one line each.
+bench:
+	DOGWOODNOTCH_MEASURE=1 go test -run 'TestMeasure' -count=1 -timeout 20m -v ./... | grep -E '^ *measure |FAIL|^ok' | sed 's/^ *//'
--- /dev/null
+++ b/cmd/demo/main.go
@@ -0,0 +1,51 @@
+// Command demo runs the demonstration and prints its verdict as the last line. It is not shipped.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/demo"
+)
+
+func main() {
+	var flags struct {
+		Daemon    string `required:"" type:"existingfile" help:"Path of the dogwoodnotch binary."`
+		Standin   string `required:"" type:"existingfile" help:"Path of the standin binary."`
+		Text      string `required:"" type:"existingfile" help:"Path of the specification."`
+		Directory string `type:"path" help:"Directory for settings and logs; a temporary one when empty."`
+	}
+	kong.Parse(&flags, kong.Description("Runs the whole path with stand-ins and counts what happened."))
+	if err := runDemo(flags.Daemon, flags.Standin, flags.Text, flags.Directory); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+func runDemo(daemon, standin, text, directory string) error {
+	if directory == "" {
+		created, err := os.MkdirTemp("", "dogwoodnotch-demo-")
+		if err != nil {
+			return err
+		}
+		directory = created
+	}
+	verdict, err := demo.Run(context.Background(), demo.Options{
+		Daemon: daemon, Standin: standin, Text: text, Directory: directory, Progress: os.Stdout,
+	})
+	if err != nil {
+		return fmt.Errorf("%w (logs are in %s)", err, directory)
+	}
+	for _, problem := range verdict.Problems {
+		fmt.Println("problem:", problem)
+	}
+	fmt.Printf("highest slots=%d connections=%d at a minion\n", verdict.SlotsHighest, verdict.ConnectionsHighest)
+	fmt.Println(verdict)
+	if !verdict.Passed() {
+		return fmt.Errorf("the checks failed (logs are in %s)", directory)
+	}
+	return os.RemoveAll(directory)
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,97 @@
+// Command standin hosts the stand-ins for what the platform gives: the log service and the instance list, workers and
+// minions. It is for tests and the demonstration and is not shipped.
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/instancelist"
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/logservice"
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/minion"
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/worker"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+const readHeaderTimeout = 5 * time.Second
+
+type platformCommand struct {
+	Listen    string        `required:"" help:"Address of the log service and the instance list."`
+	Retention time.Duration `default:"1h" help:"How long the log keeps records."`
+	Rate      float64       `default:"300" help:"Appends a second that the log takes."`
+}
+
+func (c *platformCommand) Run(ctx context.Context) error {
+	list := instancelist.New()
+	log := logservice.New(logservice.Options{Retention: c.Retention, Rate: c.Rate})
+	routes := http.NewServeMux()
+	routes.Handle("/instances", list)
+	routes.Handle("/instances/", list)
+	routes.Handle("/control/list", list)
+	routes.Handle("/", log)
+	return serve(ctx, c.Listen, &http.Server{Handler: routes, ReadHeaderTimeout: readHeaderTimeout})
+}
+
+type workersCommand struct {
+	Listen       string             `required:"" help:"Address that all workers of this process share."`
+	Worker       []structs.WorkerID `required:"" help:"Identifier of a worker; repeat for more."`
+	Accelerators int                `default:"8" help:"Accelerators of each worker."`
+	Cores        int                `default:"64" help:"Processor cores of each worker."`
+	MemoryMB     int64              `default:"262144" help:"Memory of each worker."`
+}
+
+func (c *workersCommand) Run(ctx context.Context) error {
+	options := worker.Options{Accelerators: c.Accelerators, Cores: c.Cores, MemoryMB: c.MemoryMB, UsageLag: time.Second}
+	fleet := worker.NewFleet(options, c.Worker...)
+	return serve(ctx, c.Listen, &http.Server{Handler: fleet.Handler(), ReadHeaderTimeout: readHeaderTimeout})
+}
+
+type minionsCommand struct {
+	Address     []string      `required:"" help:"Address of one minion; repeat for more."`
+	Slots       int           `default:"8" help:"Slots of each minion."`
+	Connections int           `default:"64" help:"Connections of each minion."`
+	ServiceTime time.Duration `default:"20ms" help:"Time that each run takes."`
+}
+
+func (c *minionsCommand) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, address := range c.Address {
+		m := minion.New(minion.Config{Slots: c.Slots, Connections: c.Connections, ServiceTime: c.ServiceTime})
+		group.Go(func() error { return serve(ctx, address, m.Server()) })
+	}
+	return group.Wait()
+}
+
+// serve runs a server until ctx ends.
+func serve(ctx context.Context, address string, server *http.Server) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func main() {
+	var commands struct {
+		Platform platformCommand `cmd:"" help:"Log service and instance list."`
+		Workers  workersCommand  `cmd:"" help:"Workers of one rack or more."`
+		Minions  minionsCommand  `cmd:"" help:"Minions, each at its own address."`
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	parsed := kong.Parse(&commands, kong.Description("Stand-ins for the platform."), kong.BindTo(ctx, (*context.Context)(nil)))
+	parsed.FatalIfErrorf(parsed.Run())
+}
--- /dev/null
+++ b/internal/demo/process.go
@@ -0,0 +1,78 @@
+// Package demo drives the demonstration: it starts the stand-ins and the entry instances as separate processes, loads them
+// as callers would, and counts what happened from outside the daemon.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// stopTimeout bounds how long a process may take to end after SIGTERM.
+const stopTimeout = 40 * time.Second
+
+// process is a child process started by the demonstration, with its output in a file.
+type process struct {
+	name    string
+	command *exec.Cmd
+	done    chan struct{}
+	err     error // how it ended; read after done is closed
+}
+
+// start runs a program with its output in dir/name.log.
+func start(dir, name, program string, args ...string) (*process, error) {
+	logFile, err := os.Create(filepath.Join(dir, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	defer logFile.Close()
+	command := exec.Command(program, args...) //nolint:noctx // a process outlives the call; stop ends it
+	command.Stdout = logFile
+	command.Stderr = logFile
+	if err := command.Start(); err != nil {
+		return nil, fmt.Errorf("cannot start %s: %w", name, err)
+	}
+	p := &process{name: name, command: command, done: make(chan struct{})}
+	go func() {
+		p.err = command.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// kill ends the process with SIGKILL.
+func (p *process) kill() {
+	_ = p.command.Process.Kill() // it may have ended by itself
+	<-p.done
+}
+
+// stop asks the process to drain and end, and kills it when it takes too long. It returns how it ended.
+func (p *process) stop() error {
+	_ = p.command.Process.Signal(syscall.SIGTERM) // it may have ended by itself
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(stopTimeout):
+		p.kill()
+		return fmt.Errorf("%s did not end within %v of SIGTERM", p.name, stopTimeout)
+	}
+}
+
+// freeAddresses returns n loopback addresses whose ports were free a moment ago.
+func freeAddresses(n int) ([]string, error) {
+	addresses := make([]string, 0, n)
+	for range n {
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close() // kept until all are found, so that no port is given twice
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
--- /dev/null
+++ b/internal/demo/secrets.go
@@ -0,0 +1,23 @@
+package demo
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// Secrets of the demonstration. The examples hold their digests; a real deployment generates its own.
+const (
+	peerSecret    = "64656d6f2d6f6e6c792d64656d6f2d6f6e6c792d64656d6f2d6f6e6c792d2121"
+	operatorToken = "example-operator"
+)
+
+// customerToken returns the bearer token of a customer of the examples.
+func customerToken(customer structs.Customer) string { return "example-" + string(customer) }
+
+// digest returns the SHA-256 of a token in hex, as settings and specifications hold it.
+func digest(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
