--- /dev/null
+++ b/internal/router/keys.go
@@ -0,0 +1,92 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/minion"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// KeyState tells what is known about a request key.
+type KeyState int
+
+const (
+	// KeyFree means that this instance issued the key and may run its request now. Finish must follow.
+	KeyFree KeyState = iota
+	// KeyAnswered means that the request ran and its answer is recorded.
+	KeyAnswered
+	// KeyRunning means that the request is running.
+	KeyRunning
+	// KeyUnknown means that the request may have run, or that its issuer is gone.
+	KeyUnknown
+	// KeyElsewhere means that another instance acts as the issuer.
+	KeyElsewhere
+)
+
+// Begun is the result of Keys.Begin.
+type Begun struct {
+	State  KeyState
+	Issuer structs.InstanceID // set with KeyElsewhere
+	Answer *minion.Answer     // set with KeyAnswered
+}
+
+// Keys is what the router needs of the table of request keys.
+type Keys interface {
+	// Begin marks an unused key of this instance as running, or tells why the request must not run here. The error is of
+	// kind Invalid or Forbidden when the key cannot be used for this request, KeyExpired when it is too old.
+	Begin(ctx context.Context, key string, customer structs.Customer, service structs.ServiceName) (Begun, error)
+	// Finish records the outcome of a request after Begin returned KeyFree. OutcomeNotRun makes the key unused again.
+	// answer is set with OutcomeAnswered.
+	Finish(key string, outcome structs.Outcome, answer *minion.Answer)
+}
+
+// withKey runs a request under its key, at the instance that acts as the key's issuer.
+func (r *Router) withKey(ctx context.Context, request *Request, forwarded bool, run func() Response) Response {
+	begun, err := r.cfg.Keys.Begin(ctx, request.Key, request.Customer, request.Service)
+	if err != nil {
+		return keyRefused(err)
+	}
+	switch begun.State {
+	case KeyFree:
+		return r.finishing(request.Key, run)
+	case KeyAnswered:
+		return Response{Outcome: structs.OutcomeAnswered, Answer: begun.Answer}
+	case KeyRunning:
+		return unknown(errkind.New(errkind.InProgress, "repeat the request with the same key later", "a request with this key is running"))
+	case KeyElsewhere:
+		if forwarded {
+			return unknown(errkind.New(errkind.Unknown, remedyKey, "instances disagree about the issuer of the key"))
+		}
+		return r.forwardKey(ctx, begun.Issuer, request)
+	default:
+		return unknown(errkind.New(errkind.Unknown, remedyKey, "nobody knows whether the request with this key ran"))
+	}
+}
+
+// finishing runs a request and records its outcome, unknown when run panics.
+func (r *Router) finishing(key string, run func() Response) (response Response) {
+	response = Response{Outcome: structs.OutcomeUnknown}
+	defer func() { r.cfg.Keys.Finish(key, response.Outcome, response.Answer) }()
+	return run()
+}
+
+// keyRefused maps an error of Begin. A request whose key has expired may have run before.
+func keyRefused(err error) Response {
+	if errkind.Is(err, errkind.Invalid) || errkind.Is(err, errkind.Forbidden) || errkind.Is(err, errkind.Unavailable) {
+		return notRun(err, 0)
+	}
+	return unknown(err)
+}
+
+// deadlineOf returns the deadline of a request that arrives now.
+func deadlineOf(declared, wanted time.Duration, now time.Time) time.Time {
+	if wanted > 0 && (declared <= 0 || wanted < declared) {
+		declared = wanted
+	}
+	if declared <= 0 {
+		declared = defaultDeadline
+	}
+	return now.Add(declared)
+}
