--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -2,10 +2,12 @@
 //
 // Cells follow the idea of HiveD (Zhao et al., OSDI 2020): accelerator, worker, rack and data centre form a hierarchy,
 // and guarantees are numbers of cells. Invariant after every commit: all unused guarantees can be formed at once by
-// preempting borrowers alone.
+// preempting borrowers alone, except those that Missing reports.
 package placement
 
 import (
+	"time"
+
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
 
@@ -13,7 +15,7 @@
 type Worker struct {
 	ID           structs.WorkerID
 	Rack         structs.RackID
-	Accelerators int
+	Accelerators int // those above the declared accelerators per worker are not used
 }
 
 // Guarantee is Count cells of Size accelerators for a customer.
@@ -44,3 +46,28 @@
 	Members  []Member
 	Victims  []structs.JobID // borrowers that must yield first
 }
+
+// Request asks for accelerators. Job must be unique in the data centre: job ids are unique per customer only, so the
+// scheduler qualifies them with the customer.
+type Request struct {
+	Job          structs.JobID
+	Customer     structs.Customer
+	Accelerators int
+	Urgency      int                       // 0 to structs.MaxUrgency; matters for preemption only
+	Borrow       bool                      // never use a guarantee
+	Avoid        map[structs.WorkerID]bool // workers that must not be used
+	Now          time.Time                 // time of the decision, for the work that victims lose
+}
+
+// Attributes describe a placed job for the choice of victims.
+type Attributes struct {
+	Urgency     int
+	SavedAt     time.Time // start or last checkpoint: work since then is lost when the job is stopped
+	Checkpoints bool      // the job saves its work when it is asked to yield
+}
+
+// Shape is a size of jobs with its share of the demand.
+type Shape struct {
+	Size   int
+	Weight float64
+}
