--- a/internal/placement/errors.go
+++ b/internal/placement/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
 
 func checkGuarantees(guarantees []Guarantee) error {
@@ -60,3 +61,8 @@
 		"job %q needs %d adjacent accelerators; %d are free, but no free shape holds them",
 		r.Job, r.Accelerators, c.free.accelerators)
 }
+
+// Entitled reports whether a customer has an unused guaranteed cell that holds n accelerators.
+func (c *Cluster) Entitled(customer structs.Customer, n int) bool {
+	return c.ledger.smallest(customer, n) >= 0
+}
