Record the first bytes of each body in the stand-in minion

Cause: the demonstration must find out which of its requests ran and how often, also for requests whose answer never arrived and whose id it does not know. Change: a run's record has the first 64 bytes of its body. Ruled out: the request id, which the entry instance chooses.

--- a/internal/standin/minion/minion.go
+++ b/internal/standin/minion/minion.go
@@ -18,6 +18,7 @@
 // Bounds of the stand-in.
 const (
 	maxRuns           = 1 << 20 // runs kept in the report
+	payloadPrefix     = 64      // bytes of a body kept with its run
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
 )
@@ -43,6 +44,7 @@
 type Run struct {
 	RequestID string           `json:"request_id"`
 	Kind      structs.KindName `json:"kind"`
+	Payload   string           `json:"payload"` // first bytes of the body, by which a client recognises its request
 	Started   time.Time        `json:"started"`
 	Finished  time.Time        `json:"finished"` // zero while it runs
 }
--- a/internal/standin/minion/run.go
+++ b/internal/standin/minion/run.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return
 	}
-	run, serviceTime := m.begin(r)
+	run, serviceTime := m.begin(r, body)
 	if run == nil {
 		w.Header().Set(structs.HeaderMinionOutcome, string(structs.OutcomeNotRun))
 		http.Error(w, "no free slot", http.StatusServiceUnavailable)
@@ -37,7 +37,7 @@
 }
 
 // begin takes a slot and records the run. It returns nil when the minion refuses the request.
-func (m *Minion) begin(r *http.Request) (*Run, time.Duration) {
+func (m *Minion) begin(r *http.Request, body []byte) (*Run, time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.leavingSince.IsZero() {
@@ -52,6 +52,7 @@
 	run := &Run{
 		RequestID: r.Header.Get(structs.HeaderRequestID),
 		Kind:      structs.KindName(r.Header.Get(structs.HeaderKind)),
+		Payload:   string(body[:min(len(body), payloadPrefix)]),
 		Started:   time.Now(),
 	}
 	if len(m.report.Runs) < maxRuns {
