Start the wiring of an entry instance

Cause: the parts exist and need one place that builds them from the settings. Change: internal/server builds peers, streams, request path and values on heartbeats.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -242,7 +242,7 @@
 				Kind:         r.jobKind(sizes[i%len(sizes)]),
 				DataCentre:   r.text.DataCentres[i%len(r.text.DataCentres)].Name,
 				Accelerators: sizes[i%len(sizes)],
-				RunTime:      gangRunTime,
+				RunTimeMS:    gangRunTime.Milliseconds(),
 			}, r.caller(i))
 		})
 	}
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -32,7 +32,7 @@
 	Kind         structs.KindName   `json:"kind"`
 	DataCentre   structs.DataCentre `json:"data_centre"`
 	Accelerators int                `json:"accelerators"`
-	RunTime      time.Duration      `json:"run_time"`
+	RunTimeMS    int64              `json:"run_time_ms"`
 }
 
 // gangClient submits gangs and waits for their end.
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,212 @@
+// Package server wires one entry instance together and runs it from start to drain.
+package server
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/configuration"
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/idempotency"
+	"dogwoodnotch.example/dogwoodnotch/internal/jobstore"
+	"dogwoodnotch.example/dogwoodnotch/internal/membership"
+	"dogwoodnotch.example/dogwoodnotch/internal/metrics"
+	"dogwoodnotch.example/dogwoodnotch/internal/minion"
+	"dogwoodnotch.example/dogwoodnotch/internal/peer"
+	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	"dogwoodnotch.example/dogwoodnotch/internal/rackowner"
+	"dogwoodnotch.example/dogwoodnotch/internal/router"
+	"dogwoodnotch.example/dogwoodnotch/internal/scheduler"
+	"dogwoodnotch.example/dogwoodnotch/internal/settings"
+	"dogwoodnotch.example/dogwoodnotch/internal/spec"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// Server is one entry instance.
+type Server struct {
+	settings *settings.Settings
+	events   *event.Log
+	scope    tally.Scope
+	metrics  http.Handler
+	closer   io.Closer
+	draining atomic.Bool
+
+	node      *peer.Node
+	members   *membership.Members
+	config    *configuration.Store
+	jobs      *jobstore.Store
+	keys      *idempotency.Keys
+	pool      *minion.Pool
+	router    *router.Router
+	racks     *rackowner.Owner
+	scheduler *scheduler.Scheduler
+	gateway   *scheduler.Gateway
+	services  *scheduler.Services
+	routes    *mux.Router
+
+	successors func(context.Context) error // exchange of key successions, from ExchangeSuccessors
+}
+
+// New builds an instance from its settings; it does nothing until Run. Log lines go to logs. The error is of kind Invalid.
+func New(s *settings.Settings, logs io.Writer) (*Server, error) {
+	events := event.NewLog(logs, string(s.Instance))
+	scope, handler, closer := metrics.New(map[string]string{"instance": string(s.Instance)})
+	server := &Server{settings: s, events: events, scope: scope, metrics: handler, closer: closer}
+	ring, err := keyRing(s)
+	if err != nil {
+		return nil, err
+	}
+	if err := server.buildPeers(ring); err != nil {
+		return nil, err
+	}
+	if err := server.buildStreams(); err != nil {
+		return nil, err
+	}
+	if err := server.buildRequests(ring); err != nil {
+		return nil, err
+	}
+	server.buildJobs()
+	server.registerCalls()
+	server.attachValues()
+	server.routes = server.handlers()
+	return server, nil
+}
+
+// keyRing returns the shared keys of the settings.
+func keyRing(s *settings.Settings) (*peer.KeyRing, error) {
+	var keys []peer.SharedKey
+	for _, k := range s.PeerKeys {
+		keys = append(keys, peer.SharedKey{ID: k.ID, Secret: []byte(k.Secret), UseFrom: k.UseFrom})
+	}
+	return peer.NewKeyRing(keys, nil)
+}
+
+func (s *Server) buildPeers(ring *peer.KeyRing) error {
+	node, err := peer.New(peer.Config{
+		Self:      s.settings.Instance,
+		Keys:      ring,
+		Resolve:   func(id structs.InstanceID) (string, bool) { return s.members.PeerAddress(id) },
+		BulkKinds: []string{configuration.CallFetch, router.CallForward},
+		Events:    s.events,
+		Scope:     s.scope.SubScope("peer"),
+	})
+	if err != nil {
+		return err
+	}
+	s.node = node
+	timing := s.settings.Timing
+	s.members, err = membership.New(membership.Config{
+		Self:        s.settings.Instance,
+		DataCentre:  s.settings.DataCentre,
+		Address:     s.settings.Advertise,
+		PeerAddress: s.settings.PeerAdvertise,
+		Incarnation: membership.NewIncarnation(),
+		List:        platform.NewList(platform.NewHTTPClient(), s.settings.InstanceList),
+		Caller:      node,
+		Timing: membership.Timing{
+			Heartbeat:          timing.Heartbeat,
+			HeartbeatElsewhere: timing.HeartbeatRemote,
+			Suspect:            timing.SuspectAfter,
+			ListPoll:           timing.ListPoll,
+			FreezeThreshold:    timing.FreezeThreshold,
+		},
+		Events: s.events,
+		Scope:  s.scope.SubScope("membership"),
+	})
+	return err
+}
+
+func (s *Server) buildStreams() error {
+	records, err := s.settings.Keyring().Derive(settings.PurposeRecords)
+	if err != nil {
+		return err
+	}
+	log := platform.NewLog(platform.NewHTTPClient(), s.settings.LogService)
+	limiter := configuration.NewAppendLimiter(func() int { return len(s.members.AllEntries()) })
+	timing := s.settings.Timing
+	s.config = configuration.New(configuration.Options{
+		Self:      s.settings.Instance,
+		Log:       log,
+		Keys:      records,
+		Limiter:   limiter,
+		Events:    s.events,
+		Metrics:   s.scope.SubScope("configuration"),
+		Peers:     s.node,
+		Entries:   s.members.AllEntries,
+		Retention: timing.LogRetention,
+		PollWait:  timing.ConfigPoll,
+	})
+	s.jobs = jobstore.New(jobstore.Options{
+		DataCentre: s.settings.DataCentre,
+		Log:        log,
+		Keys:       records,
+		Limiter:    limiter,
+		Events:     s.events,
+		Metrics:    s.scope.SubScope("jobs"),
+		Retention:  timing.LogRetention,
+		PollWait:   timing.ConfigPoll,
+		MaxOpen:    s.maxOpenJobs,
+	})
+	return nil
+}
+
+func (s *Server) text() *spec.Text { return s.config.Text() }
+
+func (s *Server) maxOpenJobs() int {
+	text := s.text()
+	if text == nil {
+		return 0
+	}
+	return text.Limits.QueuedJobs
+}
+
+func (s *Server) buildRequests(ring *peer.KeyRing) error {
+	var err error
+	s.keys, err = idempotency.New(idempotency.Config{
+		Self:      idempotency.Issuer{Instance: s.settings.Instance, Incarnation: membership.NewIncarnation()},
+		Ring:      ring,
+		Directory: s.members,
+		Caller:    s.node,
+		Lifetime:  s.settings.Timing.KeyLifetime,
+		Events:    s.events,
+		Scope:     s.scope.SubScope("keys"),
+	})
+	if err != nil {
+		return err
+	}
+	s.pool = minion.New(minion.Config{
+		View:   s.members,
+		Peers:  s.node,
+		Text:   s.text,
+		Events: s.events,
+		Scope:  s.scope.SubScope("minions"),
+		Poll:   s.settings.Timing.MinionStatusPoll,
+		Freeze: s.settings.Timing.FreezeThreshold,
+	})
+	s.router = router.New(router.Config{
+		Text:         s.text,
+		Pool:         router.FromPool(s.pool),
+		Keys:         newRouterKeys(s.keys),
+		Peers:        freeSlots{members: s.members},
+		Calls:        s.node,
+		Dependencies: dependencies{server: s},
+		Events:       s.events,
+		Scope:        s.scope.SubScope("requests"),
+	})
+	return nil
+}
+
+func (s *Server) registerCalls() {
+	s.members.Register(s.node)
+	s.config.Register(s.node)
+	s.keys.Register(s.node)
+	s.pool.Register(s.node)
+	s.router.Register(s.node)
+	s.racks.Register(s.node)
+	s.gateway.Register(s.node)
+}
