--- /dev/null
+++ b/internal/idempotency/keys.go
@@ -0,0 +1,217 @@
+package idempotency
+
+import (
+	"cmp"
+	"container/list"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/peer"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// Defaults and bounds.
+const (
+	// MaxBatch is the most keys that one call issues.
+	MaxBatch        = 256
+	defaultLifetime = 10 * time.Minute
+	// defaultMaxUsed allows 1,700 non-idempotent requests a second at one instance for 10 minutes.
+	defaultMaxUsed     = 1 << 20
+	defaultMaxBytes    = 64 << 20
+	defaultMaxResponse = 1 << 20
+	clockSkew          = time.Second // between any two instances
+	sweepInterval      = time.Second
+)
+
+// Directory tells which instances are known to have ended; membership.View is one.
+type Directory interface {
+	Gone(id structs.InstanceID) bool
+}
+
+// Config is what Keys needs. A zero bound means its default.
+type Config struct {
+	Self      Issuer
+	Ring      *peer.KeyRing
+	Directory Directory
+	Caller    peer.Caller
+	Lifetime  time.Duration // of a key; 10 min
+	// MaxUsed bounds the used keys whose records are kept, adopted ones included. When it is reached, requests with new
+	// keys are refused as not run: dropping a record early would let a key run twice.
+	MaxUsed     int
+	MaxBytes    int64 // of all recorded responses; the oldest are dropped first and give Unknown from then on
+	MaxResponse int   // bytes of one recorded response
+	Events      *event.Log
+	Scope       tally.Scope
+	Now         func() time.Time // nil: time.Now
+}
+
+// Keys issues request keys and decides about requests that carry one. It is safe for concurrent use.
+type Keys struct {
+	config Config
+	sealer *sealer
+
+	mu         sync.Mutex
+	own        *table
+	tables     map[Issuer]*table // the own one and adopted ones
+	stopped    bool              // issues no more
+	used       int               // records in all tables
+	responses  *list.List        // of *record with a response, oldest first
+	bytes      int64
+	successors map[Issuer]succession
+	transfers  map[structs.InstanceID]*transfer // hand-overs that are being received
+
+	issued, runs, repeats, refused tally.Counter
+}
+
+// New returns the keys of a process that starts now.
+func New(config Config) (*Keys, error) {
+	if config.Self.Instance == "" || config.Self.Incarnation == 0 || config.Ring == nil || config.Directory == nil {
+		return nil, errkind.New(errkind.Invalid, "report this", "request keys need a name, an incarnation, a key ring and a directory")
+	}
+	config.Lifetime = cmp.Or(config.Lifetime, defaultLifetime)
+	config.MaxUsed = cmp.Or(config.MaxUsed, defaultMaxUsed)
+	config.MaxBytes = cmp.Or(config.MaxBytes, defaultMaxBytes)
+	config.MaxResponse = cmp.Or(config.MaxResponse, defaultMaxResponse)
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.Events == nil {
+		config.Events = event.Discard()
+	}
+	if config.Scope == nil {
+		config.Scope = tally.NoopScope
+	}
+	scope := config.Scope.SubScope("request_keys")
+	own := newTable(config.Self, newClock(config.Now(), config.Now))
+	return &Keys{
+		config:     config,
+		sealer:     newSealer(config.Ring),
+		own:        own,
+		tables:     map[Issuer]*table{config.Self: own},
+		responses:  list.New(),
+		successors: make(map[Issuer]succession),
+		transfers:  make(map[structs.InstanceID]*transfer),
+		issued:     scope.Counter("issued"),
+		runs:       scope.Counter("runs"),
+		repeats:    scope.Counter("repeats"),
+		refused:    scope.Counter("refused_table_full"),
+	}, nil
+}
+
+// Issue returns count keys for one customer and service, and when they expire by this instance's clock. The error is of
+// kind Invalid or, after StopIssuing, Unavailable.
+func (k *Keys) Issue(customer structs.Customer, service structs.ServiceName, count int) ([]string, time.Time, error) {
+	if count < 1 || count > MaxBatch {
+		return nil, time.Time{}, errkind.New(errkind.Invalid, "ask for 1 to 256 keys", "%d keys were asked for", count)
+	}
+	if customer == "" || len(customer) > structs.MaxIdentifierBytes || service == "" || len(service) > structs.MaxIdentifierBytes {
+		return nil, time.Time{}, errkind.New(errkind.Invalid, "name a customer and a service", "customer or service is empty or too long")
+	}
+	ticket, err := k.reserve(count)
+	if err != nil {
+		return nil, time.Time{}, err
+	}
+	ticket.Customer = customer
+	ticket.Service = service
+	keys := make([]string, count)
+	for i := range keys {
+		if keys[i], err = k.sealer.seal(&ticket); err != nil {
+			return nil, time.Time{}, err
+		}
+		ticket.Serial++
+	}
+	k.issued.Inc(int64(count))
+	return keys, ticket.Expires, nil
+}
+
+// reserve takes count serials and returns the ticket of the first.
+func (k *Keys) reserve(count int) (Ticket, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stopped {
+		return Ticket{}, errkind.New(errkind.Unavailable, "ask another instance", "this instance is stopping and issues no more keys")
+	}
+	now := k.own.clock.now()
+	first := k.own.issued + 1
+	k.own.issued += uint64(count)
+	return Ticket{Issuer: k.config.Self, Serial: first, IssuedAt: now, Expires: now.Add(k.config.Lifetime)}, nil
+}
+
+// StopIssuing makes Issue fail from now on. Keys that were issued stay valid.
+func (k *Keys) StopIssuing() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stopped = true
+}
+
+// Used returns the number of used keys that are recorded, for the state dump.
+func (k *Keys) Used() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.used
+}
+
+// Run drops records of expired keys until ctx ends.
+func (k *Keys) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			k.sweep()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// sweep drops what has expired.
+func (k *Keys) sweep() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for issuer, t := range k.tables {
+		for _, r := range t.expired() {
+			k.drop(t, r)
+		}
+		if t != k.own && t.finished(k.config.Lifetime) {
+			delete(k.tables, issuer)
+		}
+	}
+	k.forgetSuccessors()
+	k.forgetTransfers()
+}
+
+// drop removes the record of a key that is refused as expired from now on.
+func (k *Keys) drop(t *table, r *record) {
+	delete(t.records, r.serial)
+	k.used--
+	k.dropResponse(r)
+}
+
+func (k *Keys) dropResponse(r *record) {
+	if r.element == nil {
+		return
+	}
+	k.bytes -= int64(r.response.size())
+	k.responses.Remove(r.element)
+	r.element = nil
+	r.response = nil
+}
+
+// keepResponse records a response within the memory bounds.
+func (k *Keys) keepResponse(r *record, response *Response) {
+	if response == nil || response.size() > k.config.MaxResponse {
+		return
+	}
+	r.response = response
+	r.element = k.responses.PushBack(r)
+	k.bytes += int64(response.size())
+	for k.bytes > k.config.MaxBytes {
+		k.dropResponse(k.responses.Front().Value.(*record))
+	}
+}
--- /dev/null
+++ b/internal/idempotency/keys_test.go
@@ -0,0 +1,106 @@
+package idempotency
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/peer"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	customer = structs.Customer("harbour-clubs")
+	service  = structs.ServiceName("raft-booking")
+)
+
+type directory map[structs.InstanceID]bool
+
+func (d directory) Gone(id structs.InstanceID) bool { return d[id] }
+
+func ring(t testing.TB, keys ...peer.SharedKey) *peer.KeyRing {
+	t.Helper()
+	if len(keys) == 0 {
+		keys = []peer.SharedKey{{ID: "a", Secret: []byte("0123456789abcdef")}}
+	}
+	r, err := peer.NewKeyRing(keys, nil)
+	assert.NilError(t, err)
+	return r
+}
+
+func newKeys(t testing.TB, change func(*Config)) *Keys {
+	t.Helper()
+	config := Config{Self: Issuer{"self", 1}, Ring: ring(t), Directory: directory{}}
+	if change != nil {
+		change(&config)
+	}
+	k, err := New(config)
+	assert.NilError(t, err)
+	return k
+}
+
+func issue(t testing.TB, k *Keys) string {
+	t.Helper()
+	keys, _, err := k.Issue(customer, service, 1)
+	assert.NilError(t, err)
+	return keys[0]
+}
+
+func begin(t testing.TB, k *Keys, key string) Decision {
+	t.Helper()
+	d, err := k.Begin(key, customer, service)
+	assert.NilError(t, err)
+	return d
+}
+
+// Guards against a repeated request that runs again, or that gets another outcome than the first one's.
+func TestRepeatedRequest(t *testing.T) {
+	k := newKeys(t, nil)
+	key := issue(t, k)
+	first := begin(t, k, key)
+	assert.Equal(t, first.Action, ActionRun)
+	assert.Equal(t, begin(t, k, key).Action, ActionInProgress)
+	first.Run.NotRun()
+	first.Run.Answered(&Response{Status: 500}) // has no effect after the end
+	second := begin(t, k, key)
+	assert.Equal(t, second.Action, ActionRun)
+	second.Run.Answered(&Response{Status: 201, Body: []byte("booked")})
+	second.Run.Unknown()
+	repeat := begin(t, k, key)
+	assert.Equal(t, repeat.Action, ActionRecorded)
+	assert.Equal(t, string(repeat.Response.Body), "booked")
+}
+
+// Guards against keys that are forged, changed, of another customer or service, or sealed with a retired key, and
+// against a key that is refused while its sealing key is still listed.
+func TestForeignAndRotatedKeys(t *testing.T) {
+	a := peer.SharedKey{ID: "a", Secret: []byte("0123456789abcdef")}
+	b := peer.SharedKey{ID: "b", Secret: []byte("fedcba9876543210"), UseFrom: time.Unix(1, 0)}
+	keys := ring(t, a)
+	k := newKeys(t, func(c *Config) { c.Ring = keys })
+	old := issue(t, k)
+	_, err := k.Begin(old, "somebody-else", service)
+	assert.Assert(t, errkind.Is(err, errkind.Forbidden))
+	_, err = k.Begin(old, customer, "another-service")
+	assert.Assert(t, errkind.Is(err, errkind.Invalid))
+	for i := range len(old) {
+		changed := []byte(old)
+		changed[i] ^= 1
+		_, err = k.Begin(string(changed), customer, service)
+		assert.Assert(t, errkind.Is(err, errkind.Invalid), "byte %d", i)
+		_, err = k.Begin(old[:i], customer, service)
+		assert.Assert(t, errkind.Is(err, errkind.Invalid), "length %d", i)
+	}
+	assert.NilError(t, keys.Replace([]peer.SharedKey{a, b}))
+	fresh := issue(t, k)
+	assert.Equal(t, begin(t, k, old).Action, ActionRun)
+	assert.NilError(t, keys.Replace([]peer.SharedKey{b}))
+	assert.Equal(t, begin(t, k, fresh).Action, ActionRun)
+	_, err = k.Begin(old, customer, service)
+	assert.Assert(t, errkind.Is(err, errkind.Invalid))
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -30,7 +30,7 @@
 
 	mu       sync.Mutex
 	session  *session
-	dialing  chan struct{} // closed when the dial under way ends
+	underWay chan struct{} // closed when the dial under way ends
 	failure  error         // of the last dial
 	failedAt time.Time
 }
@@ -58,8 +58,8 @@
 		return l.session, nil, nil
 	}
 	l.session = nil
-	if l.dialing != nil {
-		return nil, l.dialing, nil
+	if l.underWay != nil {
+		return nil, l.underWay, nil
 	}
 	if l.failure != nil && time.Since(l.failedAt) < redialPause {
 		return nil, nil, l.failure
@@ -68,7 +68,7 @@
 	if !l.node.spawn(func() { l.dial(done) }) {
 		return nil, nil, errors.Join(ErrNotSent, net.ErrClosed)
 	}
-	l.dialing = done
+	l.underWay = done
 	return nil, done, nil
 }
 
@@ -78,7 +78,7 @@
 	l.session = s
 	l.failure = err
 	l.failedAt = time.Now()
-	l.dialing = nil
+	l.underWay = nil
 	l.mu.Unlock()
 	close(done)
 	if s == nil {
@@ -179,5 +179,5 @@
 		return false
 	}
 	defer l.mu.Unlock()
-	return l.dialing == nil && (l.session == nil || !l.session.usable())
+	return l.underWay == nil && (l.session == nil || !l.session.usable())
 }
