--- a/internal/fairqueue/estimate.go
+++ b/internal/fairqueue/estimate.go
@@ -15,7 +15,7 @@
 	halveAt        = 512                    // total at which old samples lose half their weight
 	declaredError  = 10                     // declared run times are off by up to this factor
 	usualQuantile  = 0.5
-	safeQuantile   = 0.95
+	safeQuantile   = 0.98
 )
 
 // estimate measures the service times of a kind. Recent samples weigh more.
--- a/internal/fairqueue/kind.go
+++ b/internal/fairqueue/kind.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// burst is how much unused guarantee a kind can save up. A kind whose load is below its share on average then waits for
+// nothing but the next free slot, although its load varies.
+const burst = time.Second
+
 // kind is the queue of one kind.
 type kind struct {
 	Kind
@@ -11,14 +15,17 @@
 	size         int // waiting items
 	inUse        int // dispatched items that have not ended
 	lastDispatch time.Time
+	// paidUntil is the moment up to which the kind has used its guarantee. It is at least burst ago; the guarantee gives
+	// the kind a slot while it is in the past.
+	paidUntil time.Time
 
-	underPlace   int
-	waitingPlace int
-	longestPlace int
+	guaranteedPlace int
+	waitingPlace    int
+	longestPlace    int
 }
 
 func newKind() *kind {
-	return &kind{customers: newLevel(), underPlace: -1, waitingPlace: -1, longestPlace: -1}
+	return &kind{customers: newLevel(), guaranteedPlace: -1, waitingPlace: -1, longestPlace: -1}
 }
 
 // probeDue reports whether the kind has not been measured for a while.
@@ -26,12 +33,26 @@
 
 func (k *kind) part() float64 { return max(k.Share, minShare) }
 
-// usage is the number of used slots for the kind's share.
-func (k *kind) usage() float64 { return float64(k.inUse) / k.part() }
+// guaranteed reports whether the kind's guarantee gives it a slot now.
+func (k *kind) guaranteed(now time.Time) bool { return k.paidUntil.Before(now) }
+
+// pay uses up the guarantee for cost seconds of one slot. What a kind gets beyond its guarantee is not paid for.
+func (k *kind) pay(cost float64, slots int, now time.Time) {
+	if earliest := now.Add(-burst); k.paidUntil.Before(earliest) {
+		k.paidUntil = earliest
+	}
+	k.correct(cost, slots)
+}
+
+func (k *kind) correct(cost float64, slots int) {
+	if guaranteed := k.Share * float64(slots); guaranteed > 0 {
+		k.paidUntil = k.paidUntil.Add(time.Duration(cost / guaranteed * float64(time.Second)))
+	}
+}
 
-func lessUsed(a, b *kind) bool {
-	if a.usage() != b.usage() {
-		return a.usage() < b.usage()
+func leastPaid(a, b *kind) bool {
+	if !a.paidUntil.Equal(b.paidUntil) {
+		return a.paidUntil.Before(b.paidUntil)
 	}
 	return a.Name < b.Name
 }
@@ -40,7 +61,7 @@
 	if a.Urgency != b.Urgency {
 		return a.Urgency > b.Urgency
 	}
-	return lessUsed(a, b)
+	return a.Name < b.Name
 }
 
 func longerKind(a, b *kind) bool {
@@ -58,18 +79,14 @@
 	waits := k.size > 0
 	q.waiting.set(k, waits)
 	q.longest.set(k, waits)
-	q.under.set(k, waits && q.belowGuarantee(k))
-}
-
-func (q *Queue) belowGuarantee(k *kind) bool {
-	return float64(k.inUse) < k.Share*float64(q.slots)
+	q.guaranteed.set(k, waits && k.Share > 0)
 }
 
-// replace restores all orders after the configuration or the number of slots has changed.
+// replace restores all orders after the configuration has changed.
 func (q *Queue) replace() {
 	q.waiting.rebuild()
 	q.longest.rebuild()
-	q.under.rebuild()
+	q.guaranteed.rebuild()
 	for _, k := range q.kinds {
 		q.place(k)
 	}
--- a/internal/fairqueue/queue.go
+++ b/internal/fairqueue/queue.go
@@ -1,7 +1,7 @@
 // Package fairqueue is the bounded queue of the requests of one service that wait for a slot.
 //
-// A free slot goes to a kind that uses fewer slots than its guaranteed share; when no such kind has waiting items, to
-// the most urgent kind. Within a kind customers share by weight, and within a customer callers share equally, both
+// A free slot goes to the kind that has used its guaranteed share least; when every kind with waiting items has used its
+// share up, to the most urgent kind. Within a kind customers share by weight, and within a customer callers share equally, both
 // measured in service time. Every operation costs logarithmic time in the number of kinds, customers and callers. The
 // queue reads no clock. Callers synchronise access.
 package fairqueue
@@ -56,6 +56,7 @@
 	pushed      time.Time
 	cost        float64 // seconds charged at dispatch
 	inUse       bool
+	paid        bool // from the guarantee of its kind
 }
 
 // LatestStart returns when the item must be dispatched to meet its deadline, as estimated when it was pushed.
@@ -83,24 +84,24 @@
 
 // Queue is the queue of one service.
 type Queue struct {
-	cfg     Config
-	kinds   map[structs.KindName]*kind
-	under   *ordered[*kind] // with waiting items and below their guarantee, least used for its share first
-	waiting *ordered[*kind] // with waiting items, most urgent first
-	longest *ordered[*kind] // with waiting items, longest for its share first
-	expiry  *ordered[*Item] // by latest start
-	slots   int
-	size    int
+	cfg        Config
+	kinds      map[structs.KindName]*kind
+	guaranteed *ordered[*kind] // with waiting items and a share, least used guarantee first
+	waiting    *ordered[*kind] // with waiting items, most urgent first
+	longest    *ordered[*kind] // with waiting items, longest for its share first
+	expiry     *ordered[*Item] // by latest start
+	slots      int
+	size       int
 }
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
 	q := &Queue{
-		kinds:   map[structs.KindName]*kind{},
-		under:   newOrdered(lessUsed, func(k *kind) *int { return &k.underPlace }),
-		waiting: newOrdered(moreUrgent, func(k *kind) *int { return &k.waitingPlace }),
-		longest: newOrdered(longerKind, func(k *kind) *int { return &k.longestPlace }),
-		expiry:  newOrdered(soonerStart, func(i *Item) *int { return &i.expiryPlace }),
+		kinds:      map[structs.KindName]*kind{},
+		guaranteed: newOrdered(leastPaid, func(k *kind) *int { return &k.guaranteedPlace }),
+		waiting:    newOrdered(moreUrgent, func(k *kind) *int { return &k.waitingPlace }),
+		longest:    newOrdered(longerKind, func(k *kind) *int { return &k.longestPlace }),
+		expiry:     newOrdered(soonerStart, func(i *Item) *int { return &i.expiryPlace }),
 	}
 	q.Configure(cfg)
 	return q
@@ -131,12 +132,7 @@
 }
 
 // SetSlots sets the number of slots of which the kinds have shares.
-func (q *Queue) SetSlots(slots int) {
-	if q.slots != slots {
-		q.slots = slots
-		q.replace()
-	}
-}
+func (q *Queue) SetSlots(slots int) { q.slots = slots }
 
 // Len returns the number of waiting items.
 func (q *Queue) Len() int { return q.size }
@@ -266,7 +262,7 @@
 // unable to meet their deadline; they are no longer in the queue. The caller reports the end of the item with Done.
 func (q *Queue) Pop(now time.Time) (item *Item, late []*Item) {
 	for q.size > 0 {
-		item = q.next()
+		item = q.next(now)
 		if q.mayStart(item, now) {
 			q.dispatch(item, now)
 			return item, late
@@ -277,10 +273,11 @@
 	return nil, late
 }
 
-func (q *Queue) next() *Item {
+// next returns the item that a free slot goes to. Something waits.
+func (q *Queue) next(now time.Time) *Item {
 	k := q.waiting.least()
-	if q.under.len() > 0 {
-		k = q.under.least()
+	if q.guaranteed.len() > 0 && q.guaranteed.least().guaranteed(now) {
+		k = q.guaranteed.least()
 	}
 	caller := k.customers.active.least().callers.active.least()
 	return caller.items.Front().Value.(*Item)
@@ -304,6 +301,10 @@
 	k.customers.dispatched(item.customer, item.cost, now)
 	k.inUse++
 	k.lastDispatch = now
+	item.paid = k.guaranteed(now)
+	if item.paid {
+		k.pay(item.cost, q.slots, now)
+	}
 	q.place(k)
 }
 
@@ -319,6 +320,9 @@
 	item.customer.callers.ended(item.caller, correction)
 	k.customers.ended(item.customer, correction)
 	k.inUse--
+	if item.paid {
+		k.correct(correction, q.slots)
+	}
 	if ranFor > 0 {
 		k.estimate.add(ranFor)
 	}
