--- a/internal/placement/cluster.go
+++ b/internal/placement/cluster.go
@@ -86,22 +86,22 @@
 	c.setLost(w, false)
 }
 
-// replace moves the placements of a worker whose description changed. Accelerators that no longer exist are dropped.
+// replace moves the placements of a worker whose description changed. Accelerators that no longer exist are dropped, and
+// cells around the worker are formed anew.
 func (c *Cluster) replace(known, w *worker) {
+	for _, j := range c.jobsOn(known) {
+		if j.cell >= 0 {
+			c.demote(j)
+		}
+	}
 	c.setLost(known, true)
 	known.rack.removeWorker(known)
 	copy(w.owner, known.owner)
-	copy(w.cells, known.cells)
 	for _, j := range c.jobsOn(known) {
-		moveParts(j.parts, known, w)
-		moveParts(j.held, known, w)
-	}
-}
-
-func moveParts(parts []part, from, to *worker) {
-	for i := range parts {
-		if parts[i].worker == from {
-			parts[i] = part{to, parts[i].mask & to.all()}
+		for i := range j.parts {
+			if j.parts[i].worker == known {
+				j.parts[i] = part{w, j.parts[i].mask & w.all()}
+			}
 		}
 	}
 }
