--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -77,6 +77,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := os.MkdirAll(options.Directory, 0o755); err != nil {
+		return nil, err
+	}
 	plan, err := planFleet(options.Directory, options.Daemon, options.Standin, text)
 	if err != nil {
 		return nil, err
@@ -243,7 +246,7 @@
 				DataCentre:   r.text.DataCentres[i%len(r.text.DataCentres)].Name,
 				Accelerators: sizes[i%len(sizes)],
 				RunTimeMS:    gangRunTime.Milliseconds(),
-			}, r.caller(i))
+			}, r.gangCaller(i, sizes[i%len(sizes)]))
 		})
 	}
 	group.Wait()
@@ -251,6 +254,17 @@
 	return results
 }
 
+// gangCaller returns a caller of a customer whose quota allows a gang of the given size.
+func (r *run) gangCaller(i, accelerators int) caller {
+	for offset := range r.text.Customers {
+		quota := r.text.Customers[(i+offset)%len(r.text.Customers)].Quota.Accelerators
+		if quota == 0 || quota >= accelerators {
+			return r.caller(i + offset)
+		}
+	}
+	return r.caller(i)
+}
+
 // jobKind returns the first kind of job that allows a gang of the given size.
 func (r *run) jobKind(accelerators int) structs.KindName {
 	for _, k := range r.text.JobKinds {
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -20,6 +20,7 @@
 
 // gangResult is what a caller knows of one gang in the end.
 type gangResult struct {
+	customer structs.Customer
 	id       structs.JobID
 	accepted bool
 	state    structs.JobState
@@ -45,7 +46,7 @@
 func (c *gangClient) run(ctx context.Context, gang gangRequest, who caller) gangResult {
 	ctx, cancel := context.WithTimeout(ctx, gangPatience)
 	defer cancel()
-	result := gangResult{id: gang.ID}
+	result := gangResult{customer: who.customer, id: gang.ID}
 	body, err := json.Marshal(gang)
 	if err != nil {
 		result.detail = err.Error()
--- a/internal/demo/secrets.go
+++ b/internal/demo/secrets.go
@@ -10,11 +10,11 @@
 // Secrets of the demonstration. The examples hold their digests; a real deployment generates its own.
 const (
 	peerSecret    = "64656d6f2d6f6e6c792d64656d6f2d6f6e6c792d64656d6f2d6f6e6c792d2121"
-	operatorToken = "example-operator"
+	operatorToken = "operator-demo-token"
 )
 
 // customerToken returns the bearer token of a customer of the examples.
-func customerToken(customer structs.Customer) string { return "example-" + string(customer) }
+func customerToken(customer structs.Customer) string { return string(customer) + "-demo-token" }
 
 // digest returns the SHA-256 of a token in hex, as settings and specifications hold it.
 func digest(token string) string {
--- a/internal/demo/verdict.go
+++ b/internal/demo/verdict.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	"dogwoodnotch.example/dogwoodnotch/internal/scheduler"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/minion"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/worker"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
@@ -107,7 +108,7 @@
 		v.problem("job %s attempt %d finished on %d of %d members", key.job, key.attempt, n, members[key])
 	}
 	for _, r := range results {
-		v.judgeGang(r, whole[r.id])
+		v.judgeGang(r, whole[scheduler.Key(r.customer, r.id)])
 	}
 }
 
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -53,7 +53,7 @@
 		t.config.Log.Emit(eventRecordFailed, event.F("job", j.key), event.F("cause", err))
 		return
 	}
-	t.config.Log.Emit(eventEnded, event.F("job", j.key), event.F("state", j.result.State), event.F("message", j.result.Message))
+	t.config.Log.Emit(eventEnded, event.F("job", j.key), event.F("state", j.result.State), event.F("detail", j.result.Message))
 	t.config.Metrics.Tagged(map[string]string{"state": string(j.result.State)}).Counter("scheduler_jobs_ended").Inc(1)
 	t.drop(j)
 }
