Add the rolling replacement of all entry instances to the demonstration

Cause: a planned stop must cut no request and touch no gang, for all instances. Found by it: a scheduler whose job stream was not read yet took running gangs for dropped ones and stopped them; it now waits until its fold is current.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -16,28 +16,30 @@
 		Daemon    string `required:"" type:"existingfile" help:"Path of the dogwoodnotch binary."`
 		Standin   string `required:"" type:"existingfile" help:"Path of the standin binary."`
 		Text      string `required:"" type:"existingfile" help:"Path of the specification."`
+		Rolling   bool   `help:"Replace all entry instances one after the other instead of killing one and draining one."`
 		Directory string `type:"path" help:"Directory for settings and logs; a temporary one when empty."`
 	}
 	kong.Parse(&flags, kong.Description("Runs the whole path with stand-ins and counts what happened."))
-	if err := runDemo(flags.Daemon, flags.Standin, flags.Text, flags.Directory); err != nil {
+	if err := runDemo(demo.Options{
+		Daemon: flags.Daemon, Standin: flags.Standin, Text: flags.Text, Directory: flags.Directory,
+		Progress: os.Stdout, Rolling: flags.Rolling,
+	}); err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
 		os.Exit(1)
 	}
 }
 
-func runDemo(daemon, standin, text, directory string) error {
-	if directory == "" {
+func runDemo(options demo.Options) error {
+	if options.Directory == "" {
 		created, err := os.MkdirTemp("", "dogwoodnotch-demo-")
 		if err != nil {
 			return err
 		}
-		directory = created
+		options.Directory = created
 	}
-	verdict, err := demo.Run(context.Background(), demo.Options{
-		Daemon: daemon, Standin: standin, Text: text, Directory: directory, Progress: os.Stdout,
-	})
+	verdict, err := demo.Run(context.Background(), options)
 	if err != nil {
-		return fmt.Errorf("%w (logs are in %s)", err, directory)
+		return fmt.Errorf("%w (logs are in %s)", err, options.Directory)
 	}
 	for _, problem := range verdict.Problems {
 		fmt.Println("problem:", problem)
@@ -45,7 +47,7 @@
 	fmt.Printf("highest slots=%d connections=%d at a minion\n", verdict.SlotsHighest, verdict.ConnectionsHighest)
 	fmt.Println(verdict)
 	if !verdict.Passed() {
-		return fmt.Errorf("the checks failed (logs are in %s)", directory)
+		return fmt.Errorf("the checks failed (logs are in %s)", options.Directory)
 	}
-	return os.RemoveAll(directory)
+	return os.RemoveAll(options.Directory)
 }
--- a/internal/demo/balancer.go
+++ b/internal/demo/balancer.go
@@ -24,18 +24,25 @@
 
 // balancer spreads calls over the entry instances that say they are ready.
 type balancer struct {
-	client  *http.Client
+	client *http.Client
+	next   atomic.Uint64
+
+	mu      sync.Mutex
 	entries []*entry
-	next    atomic.Uint64
 }
 
-// run polls the readiness of every entry instance until ctx ends.
-func (b *balancer) run(ctx context.Context) {
-	var group sync.WaitGroup
-	for _, e := range b.entries {
-		group.Go(func() { b.watch(ctx, e) })
-	}
-	group.Wait()
+// add makes the balancer poll the readiness of an entry instance until ctx ends.
+func (b *balancer) add(ctx context.Context, e *entry) {
+	b.mu.Lock()
+	b.entries = append(b.entries, e)
+	b.mu.Unlock()
+	go b.watch(ctx, e)
+}
+
+func (b *balancer) all() []*entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.entries[:len(b.entries):len(b.entries)]
 }
 
 func (b *balancer) watch(ctx context.Context, e *entry) {
@@ -68,8 +75,9 @@
 
 // pick returns the next ready entry instance, nil when none is ready.
 func (b *balancer) pick() *entry {
-	for range b.entries {
-		e := b.entries[b.next.Add(1)%uint64(len(b.entries))]
+	entries := b.all()
+	for range entries {
+		e := entries[b.next.Add(1)%uint64(len(entries))]
 		if e.ready.Load() {
 			return e
 		}
@@ -77,27 +85,16 @@
 	return nil
 }
 
-// pickIn returns a ready entry instance of a data centre, nil when none is ready.
-func (b *balancer) pickIn(dataCentre string) *entry {
-	for range b.entries {
-		e := b.entries[b.next.Add(1)%uint64(len(b.entries))]
-		if e.dataCentre == dataCentre && e.ready.Load() {
-			return e
-		}
-	}
-	return nil
-}
-
-// waitAllReady returns when every entry instance is ready, or with ctx's error.
-func (b *balancer) waitAllReady(ctx context.Context) error {
+// waitReady returns when all given entry instances are ready, or with ctx's error.
+func (b *balancer) waitReady(ctx context.Context, entries ...*entry) error {
 	for {
 		ready := 0
-		for _, e := range b.entries {
+		for _, e := range entries {
 			if e.ready.Load() {
 				ready++
 			}
 		}
-		if ready == len(b.entries) {
+		if ready == len(entries) {
 			return nil
 		}
 		select {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/spec"
@@ -17,7 +18,8 @@
 
 // Load of the demonstration.
 const (
-	requests       = 2400
+	requests       = 2400 // at least; the load goes on until the faults are over
+	maxRequests    = 40_000
 	concurrency    = 48
 	gangs          = 20
 	killAfter      = 2 * time.Second
@@ -35,6 +37,9 @@
 	Text      string    // path of the specification
 	Directory string    // for settings and logs; kept when the demonstration fails
 	Progress  io.Writer // one line for each step
+	// Rolling replaces all entry instances one after the other, in place of killing one and draining another. The gangs
+	// then run long enough to see several replacements.
+	Rolling bool
 }
 
 // run is a demonstration under way.
@@ -46,6 +51,9 @@
 	balancer  *balancer
 	processes map[string]*process
 	verdict   Verdict
+
+	background context.Context // ends with the demonstration
+	faultsDone atomic.Bool
 }
 
 // Run runs the demonstration. The error says why it could not be run; what it found is in the verdict.
@@ -57,6 +65,7 @@
 	defer r.stopAll()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	r.background = ctx
 	if err := r.startAll(ctx); err != nil {
 		return nil, err
 	}
@@ -93,7 +102,7 @@
 		text:      text,
 		fleet:     plan,
 		client:    client,
-		balancer:  &balancer{client: client, entries: plan.entries},
+		balancer:  &balancer{client: client},
 		processes: map[string]*process{},
 	}, nil
 }
@@ -106,11 +115,9 @@
 func (r *run) startAll(ctx context.Context) error {
 	r.say("starting %d stand-ins and %d entry instances, logs in %s", len(r.fleet.hosts), len(r.fleet.entryHosts), r.options.Directory)
 	for _, h := range append(r.fleet.hosts, r.fleet.entryHosts...) {
-		p, err := start(r.options.Directory, h.name, h.program, h.args...)
-		if err != nil {
+		if err := r.startHost(h); err != nil {
 			return err
 		}
-		r.processes[h.name] = p
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
@@ -120,14 +127,25 @@
 	if err := r.publish(ctx); err != nil {
 		return err
 	}
-	go r.balancer.run(context.WithoutCancel(ctx))
-	if err := r.balancer.waitAllReady(ctx); err != nil {
+	for _, e := range r.fleet.entries {
+		r.balancer.add(r.background, e)
+	}
+	if err := r.balancer.waitReady(ctx, r.fleet.entries...); err != nil {
 		return fmt.Errorf("not every entry instance became ready: %w", err)
 	}
 	r.say("all entry instances are ready")
 	return nil
 }
 
+func (r *run) startHost(h host) error {
+	p, err := start(r.options.Directory, h.name, h.program, h.args...)
+	if err != nil {
+		return err
+	}
+	r.processes[h.name] = p
+	return nil
+}
+
 // fillList puts every instance on the list, repeating until the platform's process listens.
 func (r *run) fillList(ctx context.Context) error {
 	for _, instance := range r.fleet.instances {
@@ -171,7 +189,10 @@
 	var faultError error
 	group.Go(func() { requestResults = r.sendRequests(ctx) })
 	group.Go(func() { gangResults = r.runGangs(ctx) })
-	group.Go(func() { faultError = r.injectFaults(ctx) })
+	group.Go(func() {
+		faultError = r.injectFaults(ctx)
+		r.faultsDone.Store(true)
+	})
 	group.Wait()
 	if faultError != nil {
 		return faultError
@@ -182,13 +203,17 @@
 		return err
 	}
 	r.verdict.judgeRequests(requestResults, runs)
+	if r.options.Rolling {
+		r.verdict.judgeAnswered(requestResults)
+	}
 	return r.judgeGangs(ctx, gangResults)
 }
 
 func (r *run) sendRequests(ctx context.Context) []requestResult {
 	client := &requestClient{http: r.client, balancer: r.balancer, keys: map[string][]string{}}
 	plain, keyed := r.kinds()
-	results := make([]requestResult, requests)
+	var mu sync.Mutex
+	var results []requestResult
 	indices := make(chan int)
 	var group sync.WaitGroup
 	for range concurrency {
@@ -198,17 +223,20 @@
 				if i%3 == 0 {
 					kind = keyed[i/3%len(keyed)]
 				}
-				results[i] = client.send(ctx, fmt.Sprintf("r%05d", i), kind, r.caller(i))
+				result := client.send(ctx, fmt.Sprintf("r%05d", i), kind, r.caller(i))
+				mu.Lock()
+				results = append(results, result)
+				mu.Unlock()
 				pause(ctx, time.Duration(rand.IntN(200))*time.Millisecond)
 			}
 		})
 	}
-	for i := range requests {
+	for i := 0; i < requests || (i < maxRequests && !r.faultsDone.Load()); i++ {
 		indices <- i
 	}
 	close(indices)
 	group.Wait()
-	r.say("%d requests done", requests)
+	r.say("%d requests done", len(results))
 	return results
 }
 
@@ -245,7 +273,7 @@
 				Kind:         r.jobKind(sizes[i%len(sizes)]),
 				DataCentre:   r.text.DataCentres[i%len(r.text.DataCentres)].Name,
 				Accelerators: sizes[i%len(sizes)],
-				RunTimeMS:    gangRunTime.Milliseconds(),
+				RunTimeMS:    r.gangRunTime().Milliseconds(),
 			}, r.gangCaller(i, sizes[i%len(sizes)]))
 		})
 	}
@@ -275,30 +303,6 @@
 	return ""
 }
 
-// injectFaults kills one entry instance and drains another, in different data centres when there are several.
-func (r *run) injectFaults(ctx context.Context) error {
-	pause(ctx, killAfter)
-	victim := r.fleet.entries[1]
-	victim.killed.Store(true)
-	r.processes[victim.id].kill()
-	r.say("killed %s with SIGKILL", victim.id)
-	pause(ctx, listLag)
-	if err := r.fleet.deleteInstance(ctx, r.client, victim.id); err != nil {
-		return err
-	}
-	pause(ctx, drainAfter-killAfter-listLag)
-	drained := r.fleet.entries[2]
-	if err := r.fleet.putInstance(ctx, r.client, r.fleet.leaving(drained.id)); err != nil {
-		return err
-	}
-	began := time.Now()
-	if err := r.processes[drained.id].stop(); err != nil {
-		r.verdict.problem("draining %s: %v", drained.id, err)
-	}
-	r.say("drained %s in %.1f s", drained.id, time.Since(began).Seconds())
-	return r.fleet.deleteInstance(ctx, r.client, drained.id)
-}
-
 func (r *run) judgeGangs(ctx context.Context, results []gangResult) error {
 	var all []workerRun
 	for _, address := range r.fleet.workerAddresses {
@@ -309,6 +313,9 @@
 		all = append(all, runs...)
 	}
 	r.verdict.judgeGangs(results, all)
+	if r.options.Rolling {
+		r.verdict.judgeUntouched(all)
+	}
 	return nil
 }
 
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -15,7 +15,6 @@
 const (
 	gangPatience = 45 * time.Second
 	waitCall     = 5 * time.Second // one long poll for a job's end
-	gangRunTime  = 1500 * time.Millisecond
 )
 
 // gangResult is what a caller knows of one gang in the end.
--- a/internal/demo/verdict.go
+++ b/internal/demo/verdict.go
@@ -112,6 +112,24 @@
 	}
 }
 
+// judgeAnswered checks that every request was answered: planned stops must not cost any.
+func (v *Verdict) judgeAnswered(results []requestResult) {
+	for _, r := range results {
+		if r.outcome != structs.OutcomeAnswered {
+			v.problem("request %s was not answered: %s", r.id, r.detail)
+		}
+	}
+}
+
+// judgeUntouched checks that no task failed or lost its lease: planned stops must not touch running work.
+func (v *Verdict) judgeUntouched(runs []workerRun) {
+	for _, r := range runs {
+		if r.How == platform.TaskLapsed || r.How == platform.TaskFailed {
+			v.problem("job %s attempt %d member %d on %s ended as %s: %s", r.Job, r.Attempt, r.Member, r.Worker, r.How, r.Message)
+		}
+	}
+}
+
 func (v *Verdict) judgeGang(r gangResult, whole int) {
 	switch {
 	case !r.accepted || r.state != structs.JobFinished:
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -120,7 +120,7 @@
 		return true // the operator's tasks are not in the job stream
 	}
 	_, result, known := t.config.Jobs.Find(structs.Customer(customer), structs.JobID(id))
-	return known && result != nil || t.config.Jobs.CurrentAsOf().After(t.began)
+	return known && result != nil || t.streamCurrent()
 }
 
 func (t *term) freeOrphan(ctx context.Context, seen sighting, phase platform.TaskPhase) {
--- a/internal/scheduler/settle.go
+++ b/internal/scheduler/settle.go
@@ -29,6 +29,10 @@
 		return
 	}
 	t.jobsSeen = changed
+	current := t.streamCurrent()
+	if !current {
+		t.jobsSeen = nil // looks again at every step until the fold is current
+	}
 	listed := map[structs.JobID]bool{}
 	for _, a := range t.config.Jobs.Unfinished() {
 		key := Key(a.Job.Customer, a.Job.ID)
@@ -45,13 +49,23 @@
 		}
 	}
 	for key, j := range t.jobs {
-		if j.origin == fromCustomer && !listed[key] && !j.removed {
+		if j.origin == fromCustomer && !listed[key] && !j.removed && (current || t.ended(j)) {
 			j.removed = true
 			t.active[key] = true
 		}
 	}
 }
 
+// streamCurrent reports whether the fold has reached the end of the job stream since this term began. Before that it may
+// lack a job that runs: an instance that has just started once stopped running gangs for that reason.
+func (t *term) streamCurrent() bool { return t.config.Jobs.CurrentAsOf().After(t.began) }
+
+// ended reports whether the job stream has a result of the job.
+func (t *term) ended(j *job) bool {
+	_, result, known := t.config.Jobs.Find(j.info.Customer, j.info.ID)
+	return known && result != nil
+}
+
 // settleAll moves every job on that may have to.
 func (t *term) settleAll(ctx context.Context, now time.Time) {
 	for key := range t.dirty {
