--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -53,7 +53,7 @@
 		t.config.Log.Emit(eventRecordFailed, event.F("job", j.key), event.F("cause", err))
 		return
 	}
-	t.config.Log.Emit(eventEnded, event.F("job", j.key), event.F("state", j.result.State), event.F("message", j.result.Message))
+	t.config.Log.Emit(eventEnded, event.F("job", j.key), event.F("state", j.result.State), event.F("detail", j.result.Message))
 	t.config.Metrics.Tagged(map[string]string{"state": string(j.result.State)}).Counter("scheduler_jobs_ended").Inc(1)
 	t.drop(j)
 }
@@ -120,7 +120,7 @@
 		return true // the operator's tasks are not in the job stream
 	}
 	_, result, known := t.config.Jobs.Find(structs.Customer(customer), structs.JobID(id))
-	return known && result != nil || t.config.Jobs.CurrentAsOf().After(t.began)
+	return known && result != nil || t.streamCurrent()
 }
 
 func (t *term) freeOrphan(ctx context.Context, seen sighting, phase platform.TaskPhase) {
