--- a/internal/idempotency/seal.go
+++ b/internal/idempotency/seal.go
@@ -90,7 +90,7 @@
 	if len(text) > MaxKeyBytes {
 		return nil, errMalformed()
 	}
-	sealed, err := base64.RawURLEncoding.DecodeString(text)
+	sealed, err := base64.RawURLEncoding.Strict().DecodeString(text)
 	if err != nil || len(sealed) < 2 || sealed[0] != sealVersion {
 		return nil, errMalformed()
 	}
