--- a/internal/idempotency/handover.go
+++ b/internal/idempotency/handover.go
@@ -57,7 +57,7 @@
 // candidate may have received the last part, no other one is tried, whatever its answer: two successors could run the
 // same key. It returns the successor, and an error when it is not known to have taken over.
 func (k *Keys) Handover(ctx context.Context, candidates []structs.InstanceID) (structs.InstanceID, error) {
-	parts := k.close()
+	parts, candidates := k.close(candidates)
 	err := errkind.New(errkind.Unavailable, "callers get the outcome unknown for keys of this instance", "there is no successor for the request keys")
 	for _, to := range candidates {
 		if to == k.config.Self.Instance {
@@ -116,16 +116,29 @@
 func (k *Keys) nameSuccessor(tables []tableState, to structs.InstanceID) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.handedTo = to
 	for _, t := range tables {
 		k.succeed(t.Issuer, to, t.Generation)
 	}
 }
 
-// close stops all runs of keys here and returns the parts of the hand-over.
-func (k *Keys) close() []part {
+// close stops all runs of keys here and returns the parts of the hand-over and the candidates that may get them. Both
+// are the same from the first call on: parts of two hand-overs must not mix at a receiver, and the tables may already
+// have a successor.
+func (k *Keys) close(candidates []structs.InstanceID) ([]part, []structs.InstanceID) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.stopped = true
+	if k.handedTo != "" {
+		candidates = []structs.InstanceID{k.handedTo}
+	}
+	if k.parts == nil {
+		k.parts = k.closeTables()
+	}
+	return k.parts, candidates
+}
+
+func (k *Keys) closeTables() []part {
 	builder := partBuilder{transfer: k.config.Self.Incarnation}
 	var states []tableState
 	for _, t := range k.tables {
--- a/internal/idempotency/keys.go
+++ b/internal/idempotency/keys.go
@@ -64,6 +64,8 @@
 	bytes      int64
 	successors map[Issuer]succession
 	transfers  map[structs.InstanceID]*transfer // hand-overs that are being received
+	parts      []part                           // of the own hand-over; nil before it begins
+	handedTo   structs.InstanceID               // who may have received the last part
 
 	issued, runs, repeats, refused tally.Counter
 }
--- a/internal/idempotency/keys_test.go
+++ b/internal/idempotency/keys_test.go
@@ -104,3 +104,32 @@
 	_, err = k.Begin(old, customer, service)
 	assert.Assert(t, errkind.Is(err, errkind.Invalid))
 }
+
+// Guards against memory that clients or peers can fill without bound, and against making room by dropping the record
+// of a key that could then run twice.
+func TestBounds(t *testing.T) {
+	k := newKeys(t, func(c *Config) { c.MaxUsed, c.MaxBytes, c.MaxResponse = 3, 300, 150 })
+	used := []string{issue(t, k), issue(t, k), issue(t, k)}
+	for i, size := range []int{70, 70, 200} {
+		begin(t, k, used[i]).Run.Answered(&Response{Body: make([]byte, size)})
+	}
+	begun := issue(t, k)
+	_, err := k.Begin(begun, customer, service)
+	assert.Assert(t, errkind.Is(err, errkind.Overloaded))
+	assert.Equal(t, begin(t, k, used[0]).Action, ActionRecorded)
+	assert.Equal(t, begin(t, k, used[2]).Action, ActionUnknown, "its response is larger than allowed")
+	_, err = k.receive(t.Context(), "other", func(into any) error {
+		into.(*part).Records = make([]entry, 1)
+		return nil
+	})
+	assert.Assert(t, errkind.Is(err, errkind.Overloaded))
+	for _, count := range []int{0, -1, MaxBatch + 1} {
+		_, _, err = k.Issue(customer, service, count)
+		assert.Assert(t, errkind.Is(err, errkind.Invalid))
+	}
+	k.config.MaxBytes = 100
+	k.config.MaxUsed = 4
+	begin(t, k, begun).Run.Answered(&Response{Body: make([]byte, 30)})
+	assert.Equal(t, begin(t, k, used[1]).Action, ActionUnknown, "the oldest responses are dropped first")
+	assert.Equal(t, begin(t, k, begun).Action, ActionRecorded)
+}
