Test the ownership of minions and TestInvariantLeavingMinionGetsNoNewWork

Cause: the pool had no tests.

Change: tests over stand-in minions for slots and connections through changes of owner, a frozen owner, a pause of the own process, requests in flight at a release, and a leaving minion under single and paired faults. The stand-in can leave its status unanswered and run requests although it is leaving.

--- /dev/null
+++ b/internal/minion/pool_test.go
@@ -0,0 +1,212 @@
+package minion
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	standin "dogwoodnotch.example/dogwoodnotch/internal/standin/minion"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// load keeps sending requests through a pool until ctx ends, some of them with deadlines that pass during the run.
+func (i *instance) load(ctx context.Context, callers int, served *atomic.Int64) *sync.WaitGroup {
+	var group sync.WaitGroup
+	for caller := range callers {
+		random := rand.New(rand.NewPCG(1, uint64(caller)))
+		group.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				slot := i.pool.Acquire(testService)
+				if slot == nil {
+					time.Sleep(time.Millisecond)
+					continue
+				}
+				limit := time.Second
+				if random.IntN(50) == 0 {
+					limit = 5 * time.Millisecond
+				}
+				call := Call{RequestID: fmt.Sprintf("%s-%d-%d", i.id, caller, n), Body: []byte("x"), Deadline: time.Now().Add(limit)}
+				if slot.Run(ctx, call).Outcome == structs.OutcomeAnswered {
+					served.Add(1)
+				}
+				slot.Release()
+			}
+		})
+	}
+	return &group
+}
+
+// TestSlotsThroughChangesOfOwner guards against two owners that together offer a minion more requests than it has slots.
+// Owners change all the time, requests time out while they run, and one owner is killed with requests in flight.
+func TestSlotsThroughChangesOfOwner(t *testing.T) {
+	t.Parallel()
+	w := newWorld()
+	var minions []*standin.Minion
+	for range 3 {
+		minions = append(minions, w.addMinion(t, "a", standin.Config{Slots: 8, ServiceTime: 15 * time.Millisecond}))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	killed, kill := context.WithCancel(ctx)
+	defer kill()
+	var served atomic.Int64
+	instances := map[structs.InstanceID]*instance{}
+	var groups []*sync.WaitGroup
+	for _, id := range []structs.InstanceID{"a", "b", "c"} {
+		instances[id] = w.addInstance(t, id, time.Hour)
+		loadCtx := ctx
+		if id == "c" {
+			loadCtx = killed
+		}
+		groups = append(groups, instances[id].load(loadCtx, 30, &served))
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	owners := []structs.InstanceID{"a", "b", "c"}
+	for step := range 40 {
+		if step == 20 {
+			kill()
+			instances["c"].stop()
+			w.change(func() { delete(w.handlers, "c") })
+			time.Sleep(50 * time.Millisecond) // the list takes longer than this to show that the process has gone
+			w.change(func() { w.gone["c"] = true })
+			owners = owners[:2]
+		}
+		key := fmt.Sprintf("minion/m%d", random.IntN(len(minions)))
+		w.change(func() { w.owner[key] = owners[random.IntN(len(owners))] })
+		time.Sleep(50 * time.Millisecond)
+	}
+	w.change(func() { // no minion is left with the killed instance
+		for key := range w.owner {
+			w.owner[key] = "b"
+		}
+	})
+	before := served.Load()
+	assert.Assert(t, eventually(func() bool { return served.Load() > before+500 }), "minions are used after the changes")
+	cancel()
+	for _, group := range groups {
+		group.Wait()
+	}
+	for _, m := range minions {
+		report := m.Report()
+		assert.Equal(t, report.RefusedFull, 0, "requests offered to a full minion")
+		assert.Assert(t, report.HighestSlots <= 8)
+		assert.Assert(t, report.HighestConnections <= 64)
+		t.Logf("runs=%d highest slots=%d connections=%d", len(report.Runs), report.HighestSlots, report.HighestConnections)
+	}
+}
+
+// TestReleaseCountsRequestsInFlight guards against a new owner that uses a slot whose request the earlier owner has not
+// written yet, so that the minion's status does not show it.
+func TestReleaseCountsRequestsInFlight(t *testing.T) {
+	t.Parallel()
+	w := newWorld()
+	w.addMinion(t, "a", standin.Config{Slots: 8})
+	a, b := w.addInstance(t, "a", time.Hour), w.addInstance(t, "b", time.Hour)
+	assert.Assert(t, eventually(func() bool { return a.pool.Free(testService) == 8 }))
+	slot := a.pool.Acquire(testService)
+	w.change(func() { w.owner["minion/m0"] = "b" })
+	assert.Assert(t, eventually(func() bool { return b.pool.Free(testService) > 0 }))
+	assert.Equal(t, b.pool.Free(testService), 7)
+	slot.Release()
+	assert.Assert(t, eventually(func() bool { return b.pool.Free(testService) == 8 }))
+}
+
+// TestFrozenOwnerKeepsItsMinion guards against a take-over after a mere timeout, which would use slots that a frozen
+// process still holds, and against a thawed process that goes on with its old view.
+func TestFrozenOwnerKeepsItsMinion(t *testing.T) {
+	t.Parallel()
+	w := newWorld()
+	w.addMinion(t, "a", standin.Config{Slots: 8})
+	a, b := w.addInstance(t, "a", time.Hour), w.addInstance(t, "b", time.Hour)
+	assert.Assert(t, eventually(func() bool { return a.pool.Slots(testService) == 8 }))
+	a.frozen.Store(true)
+	assert.Assert(t, a.pool.Acquire(testService) == nil, "nothing is dispatched with a view that is not fresh")
+	w.change(func() {
+		delete(w.handlers, "a")
+		w.owner["minion/m0"] = "b"
+	})
+	time.Sleep(700 * time.Millisecond)
+	assert.Equal(t, b.pool.Slots(testService), 0, "nothing shows that the process of the owner has gone")
+	w.change(func() { w.gone["a"] = true })
+	assert.Assert(t, eventually(func() bool { return b.pool.Slots(testService) == 8 }))
+}
+
+// TestPauseEndsOwnership guards against a process that goes on after a pause although another may have taken over.
+func TestPauseEndsOwnership(t *testing.T) {
+	t.Parallel()
+	w := newWorld()
+	w.addMinion(t, "a", standin.Config{Slots: 8})
+	a := w.addInstance(t, "a", time.Hour)
+	assert.Assert(t, eventually(func() bool { return a.pool.Slots(testService) == 8 }))
+	w.change(func() { w.entries["b"] = "dc" }) // an instance that does not answer
+	slot := a.pool.Acquire(testService)
+	a.pool.tick(time.Now().Add(2 * time.Hour)) // the first tick after a pause
+	result := slot.Run(context.Background(), Call{RequestID: "r", Deadline: time.Now().Add(time.Second)})
+	slot.Release()
+	assert.Equal(t, result.Outcome, structs.OutcomeNotRun)
+	assert.Equal(t, a.pool.Slots(testService), 0)
+}
+
+// TestInvariantLeavingMinionGetsNoNewWork guards against work for a minion later than 3 s after it said that it is
+// leaving, or after the list showed it: also when its status cannot be read, and when the list is down.
+func TestInvariantLeavingMinionGetsNoNewWork(t *testing.T) {
+	yes, no := true, false
+	slow := 300 * time.Millisecond
+	type fault = func(*world, *standin.Minion)
+	leave := func(_ *world, m *standin.Minion) { m.Apply(standin.Control{Leaving: &yes}) }
+	list := func(w *world, _ *standin.Minion) { w.change(func() { w.minions[0].State = platform.StateLeaving }) }
+	freeze := func(_ *world, m *standin.Minion) {
+		m.Apply(standin.Control{Frozen: &yes})
+		time.AfterFunc(2500*time.Millisecond, func() { m.Apply(standin.Control{Frozen: &no}) })
+	}
+	silent := func(_ *world, m *standin.Minion) { m.Apply(standin.Control{StatusSilent: &yes, AcceptLeaving: &yes}) }
+	delay := func(_ *world, m *standin.Minion) { m.Apply(standin.Control{Delay: &slow}) }
+	move := func(w *world, _ *standin.Minion) { w.change(func() { w.owner["minion/m0"] = "b" }) }
+	cases := map[string][]fault{
+		"minion says so, list is down":        {leave},
+		"minion says so, then freezes":        {leave, freeze},
+		"minion freezes, then says so":        {freeze, leave},
+		"answers are slow":                    {delay, leave},
+		"status is cut off":                   {silent, leave},
+		"status is cut off, answers are slow": {silent, delay, leave},
+		"owner changes":                       {leave, move},
+		"list shows it":                       {list, leave},
+		"list shows it and the owner changes": {list, move, leave},
+		"answers are slow, the owner changes": {delay, move, leave},
+		"minion freezes, the owner changes":   {freeze, move, leave},
+	}
+	for name, faults := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld()
+			m := w.addMinion(t, "a", standin.Config{Slots: 8, ServiceTime: 5 * time.Millisecond})
+			other := w.addMinion(t, "a", standin.Config{Slots: 8, ServiceTime: 5 * time.Millisecond})
+			ctx, cancel := context.WithCancel(context.Background())
+			var served atomic.Int64
+			for _, id := range []structs.InstanceID{"a", "b"} {
+				group := w.addInstance(t, id, time.Hour).load(ctx, 20, &served)
+				defer group.Wait()
+			}
+			defer cancel()
+			assert.Assert(t, eventually(func() bool { return len(m.Report().Runs) > 20 }))
+			for _, fault := range faults {
+				fault(w, m)
+			}
+			time.Sleep(3900 * time.Millisecond)
+			report := m.Report()
+			assert.Assert(t, report.LatestAfterLeaving < 3*time.Second, "offered %v after it began to leave", report.LatestAfterLeaving)
+			before := len(other.Report().Runs)
+			assert.Assert(t, eventually(func() bool { return len(other.Report().Runs) > before }), "the other minion is still used")
+		})
+	}
+}
--- a/internal/standin/minion/minion.go
+++ b/internal/standin/minion/minion.go
@@ -31,12 +31,14 @@
 
 // Control is the body of POST /control. Fields that are absent keep their value.
 type Control struct {
-	Leaving     *bool          `json:"leaving,omitempty"`
-	Frozen      *bool          `json:"frozen,omitempty"`       // answers nothing until it is thawed
-	Truncate    *float64       `json:"truncate,omitempty"`     // share of answers that are cut short, 0 to 1
-	Repeat      *float64       `json:"repeat,omitempty"`       // share of answers that are sent again for the connection's next request
-	Delay       *time.Duration `json:"delay,omitempty"`        // added after the run, before the answer, in nanoseconds
-	ServiceTime *time.Duration `json:"service_time,omitempty"` // in nanoseconds
+	Leaving       *bool          `json:"leaving,omitempty"`
+	Frozen        *bool          `json:"frozen,omitempty"`         // answers nothing until it is thawed
+	AcceptLeaving *bool          `json:"accept_leaving,omitempty"` // runs requests although it is leaving
+	StatusSilent  *bool          `json:"status_silent,omitempty"`  // GET /status is not answered, as if only it were cut off
+	Truncate      *float64       `json:"truncate,omitempty"`       // share of answers that are cut short, 0 to 1
+	Repeat        *float64       `json:"repeat,omitempty"`         // share of answers that are sent again for the connection's next request
+	Delay         *time.Duration `json:"delay,omitempty"`          // added after the run, before the answer, in nanoseconds
+	ServiceTime   *time.Duration `json:"service_time,omitempty"`   // in nanoseconds
 }
 
 // Run is the record of one request that ran.
@@ -51,7 +53,8 @@
 type Report struct {
 	HighestSlots       int `json:"highest_slots"`
 	HighestConnections int `json:"highest_connections"`
-	Refused            int `json:"refused"`
+	RefusedFull        int `json:"refused_full"`    // offered while all slots were busy
+	RefusedLeaving     int `json:"refused_leaving"` // offered while the minion was leaving
 	// LatestAfterLeaving is how long after the minion began to leave it was last offered a request.
 	LatestAfterLeaving time.Duration `json:"latest_after_leaving"`
 	Dropped            int           `json:"dropped"` // runs that exceeded the bound of the list
@@ -75,6 +78,8 @@
 
 // settings are the faults in force.
 type settings struct {
+	accept   bool
+	silent   bool
 	truncate float64
 	repeat   float64
 	delay    time.Duration
@@ -120,6 +125,7 @@
 		return
 	}
 	m.mu.Lock()
+	silent := m.control.silent
 	answer := platform.MinionStatus{
 		Slots:       m.cfg.Slots,
 		SlotsBusy:   m.busy,
@@ -127,6 +133,10 @@
 		Leaving:     !m.leavingSince.IsZero(),
 	}
 	m.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
 	writeJSON(w, answer)
 }
 
@@ -159,6 +169,8 @@
 func (m *Minion) Apply(control Control) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	set(control.AcceptLeaving, &m.control.accept)
+	set(control.StatusSilent, &m.control.silent)
 	set(control.Truncate, &m.control.truncate)
 	set(control.Repeat, &m.control.repeat)
 	set(control.Delay, &m.control.delay)
--- a/internal/standin/minion/run.go
+++ b/internal/standin/minion/run.go
@@ -40,11 +40,16 @@
 func (m *Minion) begin(r *http.Request) (*Run, time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.leavingSince.IsZero() {
+	leaving := !m.leavingSince.IsZero()
+	if leaving {
 		m.report.LatestAfterLeaving = time.Since(m.leavingSince)
 	}
-	if m.busy >= m.cfg.Slots || !m.leavingSince.IsZero() {
-		m.report.Refused++
+	switch {
+	case leaving && !m.control.accept:
+		m.report.RefusedLeaving++
+		return nil, 0
+	case m.busy >= m.cfg.Slots:
+		m.report.RefusedFull++
 		return nil, 0
 	}
 	m.busy++
