Add TestInvariantAnswerReachesItsCaller and TestInvariantRefusedNotRun

Cause: nothing showed that the router tells each caller the truth.

Change: two entry instances, three stand-in minions and 40 callers, without faults, under each of 8 faults alone and under every two at once (37 cases per test, 480 requests each); tests for the retry budget, the drain and keys. The stand-in minion now runs what it has received when it is thawed, whether its caller is still there or not.

--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,214 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	standin "dogwoodnotch.example/dogwoodnotch/internal/standin/minion"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// faults are what happens to a site while requests are served. They act on the first minion, and lift removes them.
+var faults = []struct {
+	name  string
+	apply func(*site)
+}{
+	{"truncated answers", func(s *site) { s.control(standin.Control{Truncate: pointer(0.3)}) }},
+	{"answers of other requests", func(s *site) { s.control(standin.Control{Repeat: pointer(0.3)}) }},
+	{"late answers", func(s *site) { s.control(standin.Control{Delay: pointer(60 * time.Millisecond)}) }},
+	{"minion frozen", func(s *site) { s.control(standin.Control{Frozen: pointer(true)}) }},
+	{"minion killed", func(s *site) { s.servers[0].Close() }},
+	{"minion leaving", func(s *site) { s.change(func() { s.rows[0].State = platform.StateLeaving }) }},
+	{"owner changes", func(s *site) { s.change(func() { s.owner["minion/m0"] = "y" }) }},
+	{"peers' answers lost", func(s *site) { s.change(func() { s.lose = true }) }},
+}
+
+func pointer[T any](value T) *T { return &value }
+
+func (s *site) control(c standin.Control) { s.minions[0].Apply(c) }
+
+// played is a request with its outcome.
+type played struct {
+	Request
+	Response
+}
+
+// play sends requests with distinct bodies to both instances of a site while the faults happen, more than there are
+// slots for. Some callers leave early and some give little time.
+func play(t *testing.T, apply ...func(*site)) ([]played, map[string]int) {
+	s := newSite(t)
+	entries := []*entry{s.addEntry("x"), s.addEntry("y")}
+	for _, owner := range []structs.InstanceID{"x", "x", "y"} {
+		s.addMinion(owner, 5*time.Millisecond)
+	}
+	assert.Assert(t, eventually(func() bool { return entries[0].pool.Free(raft) == 16 && entries[1].pool.Free(raft) == 8 }))
+	results := make([][]played, 40)
+	var callers sync.WaitGroup
+	for caller := range results {
+		random := rand.New(rand.NewPCG(7, uint64(caller)))
+		callers.Go(func() {
+			for n := range 12 {
+				if n == 3 && caller < len(apply) {
+					apply[caller](s)
+				}
+				request := requestOf(random, caller, n)
+				ctx, cancel := context.WithCancel(context.Background())
+				if random.IntN(8) == 0 {
+					time.AfterFunc(time.Duration(random.IntN(15))*time.Millisecond, cancel)
+				}
+				response := entries[random.IntN(2)].router.Do(ctx, request)
+				cancel()
+				results[caller] = append(results[caller], played{request, response})
+			}
+		})
+	}
+	callers.Wait()
+	s.control(standin.Control{Frozen: pointer(false)})
+	var all []played
+	for _, some := range results {
+		all = append(all, some...)
+	}
+	return all, s.runs()
+}
+
+func requestOf(random *rand.Rand, caller, n int) Request {
+	id := fmt.Sprintf("r%d-%d", caller, n)
+	request := Request{ID: id, Service: raft, Kind: "quote", Customer: "jetty", Caller: structs.Caller(fmt.Sprint(caller)),
+		Body: bytes.Repeat([]byte(id+" "), 1+random.IntN(3000)), Timeout: time.Duration(30+random.IntN(200)) * time.Millisecond}
+	if random.IntN(2) == 0 {
+		request.Kind = "book"
+		request.Key = []string{"x/", "y/"}[random.IntN(2)] + id
+	}
+	return request
+}
+
+// runs waits until nothing runs and returns how often each request ran.
+func (s *site) runs() map[string]int {
+	time.Sleep(100 * time.Millisecond)
+	runs := map[string]int{}
+	for _, m := range s.minions {
+		for _, run := range m.Report().Runs {
+			runs[run.RequestID]++
+		}
+	}
+	return runs
+}
+
+// underFaults runs a check without faults, under each fault alone and under two at once.
+func underFaults(t *testing.T, check func(t *testing.T, all []played, runs map[string]int)) {
+	run := func(name string, apply ...func(*site)) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			all, runs := play(t, apply...)
+			outcomes := map[structs.Outcome]int{}
+			for _, p := range all {
+				outcomes[p.Outcome]++
+			}
+			t.Log(outcomes)
+			assert.Assert(t, outcomes[structs.OutcomeAnswered] > len(all)/10, "%v", outcomes)
+			check(t, all, runs)
+		})
+	}
+	run("none")
+	for i, first := range faults {
+		run(first.name, first.apply)
+		for _, second := range faults[i+1:] {
+			run(first.name+" and "+second.name, first.apply, second.apply)
+		}
+	}
+}
+
+// TestInvariantAnswerReachesItsCaller guards against a caller that gets a part of an answer, or another caller's.
+func TestInvariantAnswerReachesItsCaller(t *testing.T) {
+	underFaults(t, func(t *testing.T, all []played, _ map[string]int) {
+		for _, p := range all {
+			if p.Outcome == structs.OutcomeAnswered {
+				assert.Assert(t, bytes.Equal(p.Answer.Body, p.Body), "%s got %d bytes of %d: %.20q", p.ID, len(p.Answer.Body), len(p.Body), p.Answer.Body)
+			}
+		}
+	})
+}
+
+// TestInvariantRefusedNotRun guards against the outcome not_run for a request that ran or still may. It also counts the
+// runs of requests that are not idempotent.
+func TestInvariantRefusedNotRun(t *testing.T) {
+	underFaults(t, func(t *testing.T, all []played, runs map[string]int) {
+		for _, p := range all {
+			assert.Assert(t, p.Outcome != structs.OutcomeNotRun || runs[p.ID] == 0, "%s was refused but ran: %v", p.ID, p.Err)
+			assert.Assert(t, p.Kind != "book" || runs[p.ID] <= 1, "%s ran %d times", p.ID, runs[p.ID])
+		}
+	})
+}
+
+// TestRetryBudget guards against retries that multiply the load when every answer is lost.
+func TestRetryBudget(t *testing.T) {
+	s := newSite(t)
+	e := s.addEntry("x")
+	m := s.addMinion("x", 0)
+	m.Apply(standin.Control{Truncate: pointer(1.0)})
+	assert.Assert(t, eventually(func() bool { return e.pool.Free(raft) == 8 }))
+	const requests = 300
+	for range requests {
+		response := e.router.Do(context.Background(), Request{ID: NewRequestID(), Service: raft, Kind: "quote", Customer: "jetty", Body: []byte("body")})
+		assert.Equal(t, response.Outcome, structs.OutcomeUnknown)
+	}
+	runs := len(m.Report().Runs)
+	t.Logf("requests=%d runs=%d", requests, runs)
+	assert.Assert(t, runs > requests && runs <= requests*11/10, "runs=%d", runs)
+}
+
+// TestDrain guards against a shutdown that cuts an accepted request short, waiting or running.
+func TestDrain(t *testing.T) {
+	s := newSite(t)
+	e := s.addEntry("x")
+	s.addMinion("x", 50*time.Millisecond)
+	assert.Assert(t, eventually(func() bool { return e.pool.Free(raft) == 8 }))
+	outcomes := make(chan Response, 24)
+	for n := range cap(outcomes) {
+		go func() {
+			outcomes <- e.router.Do(context.Background(), Request{ID: fmt.Sprint(n), Service: raft, Kind: "quote", Customer: "jetty"})
+		}()
+	}
+	assert.Assert(t, eventually(func() bool { st := e.router.Statuses(); return len(st) == 1 && st[0].Waiting == 16 }))
+	assert.NilError(t, e.router.Drain(context.Background()))
+	assert.NilError(t, e.pool.Drain(context.Background()))
+	for range cap(outcomes) {
+		response := <-outcomes
+		assert.Equal(t, response.Outcome, structs.OutcomeAnswered, "%v", response.Err)
+	}
+	refused := e.router.Do(context.Background(), Request{ID: "late", Service: raft, Kind: "quote", Customer: "jetty"})
+	assert.Equal(t, refused.Outcome, structs.OutcomeNotRun)
+}
+
+// TestKeys guards against a second run under a used key, at the issuer and elsewhere, and a run without a key.
+func TestKeys(t *testing.T) {
+	s := newSite(t)
+	x, y := s.addEntry("x"), s.addEntry("y")
+	s.addMinion("x", 0)
+	assert.Assert(t, eventually(func() bool { return x.pool.Free(raft) == 8 }))
+	request := Request{ID: "first", Service: raft, Kind: "book", Customer: "jetty", Body: []byte("one")}
+	response := y.router.Do(context.Background(), request)
+	assert.Assert(t, errkind.Is(response.Err, errkind.KeyRequired) && response.Outcome == structs.OutcomeNotRun)
+	request.Key = "x/1"
+	for n, at := range []*entry{y, x, y} {
+		request.ID = fmt.Sprint(n)
+		response = at.router.Do(context.Background(), request)
+		assert.Equal(t, response.Outcome, structs.OutcomeAnswered, "%v", response.Err)
+		assert.Equal(t, string(response.Answer.Body), "one")
+	}
+	assert.Equal(t, len(s.minions[0].Report().Runs), 1)
+	s.change(func() { s.lose = true })
+	request.Key = "x/2"
+	response = y.router.Do(context.Background(), request)
+	assert.Assert(t, response.Outcome == structs.OutcomeUnknown && !errors.Is(response.Err, errNotAttempted))
+}
--- a/internal/standin/minion/minion.go
+++ b/internal/standin/minion/minion.go
@@ -123,7 +123,7 @@
 }
 
 func (m *Minion) status(w http.ResponseWriter, r *http.Request) {
-	if !m.waitThawed(r) {
+	if !m.waitThawed(r.Context().Done()) {
 		return
 	}
 	m.mu.Lock()
@@ -211,8 +211,8 @@
 	}
 }
 
-// waitThawed waits until the minion is not frozen. It returns false when the caller has gone.
-func (m *Minion) waitThawed(r *http.Request) bool {
+// waitThawed waits until the minion is not frozen. It returns false when gone is closed first.
+func (m *Minion) waitThawed(gone <-chan struct{}) bool {
 	m.mu.Lock()
 	thawed := m.thawed
 	m.mu.Unlock()
@@ -222,7 +222,7 @@
 	select {
 	case <-thawed:
 		return true
-	case <-r.Context().Done():
+	case <-gone:
 		return false
 	}
 }
--- a/internal/standin/minion/run.go
+++ b/internal/standin/minion/run.go
@@ -16,13 +16,11 @@
 
 // run serves one request. The answer's body is the request's body, so a caller can see that the answer is its own.
 func (m *Minion) run(w http.ResponseWriter, r *http.Request) {
-	if !m.waitThawed(r) {
-		return
-	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, structs.MaxBodyBytes))
 	if err != nil {
 		return
 	}
+	m.waitThawed(nil) // what a frozen process has received runs when it is thawed, whether its caller is there or not
 	run, serviceTime := m.begin(r, body)
 	if run == nil {
 		w.Header().Set(structs.HeaderMinionOutcome, string(structs.OutcomeNotRun))
@@ -32,7 +30,7 @@
 	time.Sleep(serviceTime) // a run goes on when its caller gives up
 	fault, delay := m.finish(run)
 	time.Sleep(delay)
-	m.waitThawed(r)
+	m.waitThawed(nil)
 	m.answer(w, run.RequestID, body, fault)
 }
 
