--- /dev/null
+++ b/internal/cli/config.go
@@ -0,0 +1,235 @@
+package cli
+
+import (
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/api"
+	"dogwoodnotch.example/dogwoodnotch/internal/configuration"
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/settings"
+	"dogwoodnotch.example/dogwoodnotch/internal/spec"
+	"dogwoodnotch.example/dogwoodnotch/internal/spec/strict"
+)
+
+// checkCommand checks a file offline.
+type checkCommand struct {
+	File     string `arg:"" type:"path" help:"Specification, or settings file with --settings."`
+	Settings bool   `help:"The file holds the settings of an instance."`
+}
+
+// checkResult is the result of check in JSON.
+type checkResult struct {
+	Valid    bool             `json:"valid"`
+	Problems []strict.Problem `json:"problems"`
+}
+
+// Run reports every problem of the file.
+func (c *checkCommand) Run(a *app) error {
+	data, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	var problems []strict.Problem
+	if c.Settings {
+		_, problems = settings.Check(data)
+	} else {
+		_, problems = spec.Check(data)
+	}
+	result := checkResult{Valid: len(problems) == 0, Problems: append([]strict.Problem{}, problems...)}
+	err = a.print(result, func(w io.Writer) error {
+		for _, p := range problems {
+			fmt.Fprintf(w, "%s:%s\n", c.File, p)
+		}
+		if result.Valid {
+			fmt.Fprintf(w, "%s: valid\n", c.File)
+		}
+		return nil
+	})
+	if err == nil && !result.Valid {
+		err = errkind.New(errkind.Invalid, "correct each listed line", "%s has %d problem(s)", c.File, len(problems))
+	}
+	return err
+}
+
+// publishCommand publishes a specification.
+type publishCommand struct {
+	File      string `arg:"" type:"path" help:"Specification to publish."`
+	Base      int64  `default:"-1" help:"Version that the text follows; 0 for the first text. The default is the current version, which does not protect a change that another operator made since you read the text."`
+	Author    string `default:"${author}" help:"Who publishes."`
+	PublishID string `help:"Identifier of this publish; reuse it to repeat a publish whose outcome was unknown. Random by default."`
+}
+
+// Run checks the file, then publishes it and repeats the call until the outcome is known.
+func (c *publishCommand) Run(a *app) error {
+	data, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	if _, err := spec.Parse(data); err != nil {
+		return err
+	}
+	ctx, cancel := a.limited()
+	defer cancel()
+	defer a.progress("publishing")()
+	request := configuration.PublishRequest{PublishID: c.PublishID, Author: c.Author, Text: string(data)}
+	if request.PublishID == "" {
+		request.PublishID = rand.Text()
+	}
+	request.BaseVersion, err = c.base(a)
+	if err != nil {
+		return err
+	}
+	var result configuration.PublishResult
+	err = retry(ctx, func() error { return a.client.call(ctx, http.MethodPost, "/v1/config", request, &result) })
+	if errkind.Is(err, errkind.Unknown) {
+		return errkind.Wrap(err, errkind.Unknown, "repeat with --publish-id="+request.PublishID+" --base="+strconv.FormatUint(request.BaseVersion, 10),
+			"the outcome of the publish is not known")
+	}
+	if err != nil && result.Result == "" {
+		return err
+	}
+	printErr := a.print(result, func(w io.Writer) error {
+		if result.Result == configuration.Accepted {
+			fmt.Fprintf(w, "accepted as version %d\n", result.Version)
+			return nil
+		}
+		_, err := fmt.Fprint(w, result.Difference)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return printErr
+}
+
+func (c *publishCommand) base(a *app) (uint64, error) {
+	if c.Base >= 0 {
+		return uint64(c.Base), nil
+	}
+	ctx, cancel := a.limited()
+	defer cancel()
+	var current api.ConfigBody
+	err := retry(ctx, func() error { return a.client.call(ctx, http.MethodGet, "/v1/config", nil, &current) })
+	return current.Version, err
+}
+
+// showCommand shows a version.
+type showCommand struct {
+	Version uint64 `help:"Version to show. The default is the current one."`
+}
+
+// Run prints the text of the version.
+func (c *showCommand) Run(a *app) error {
+	body, err := a.version(c.Version)
+	if err != nil {
+		return err
+	}
+	return a.print(body, func(w io.Writer) error {
+		_, err := fmt.Fprint(w, body.Text)
+		return err
+	})
+}
+
+// version fetches a version, or the current one for 0.
+func (a *app) version(number uint64) (api.ConfigBody, error) {
+	ctx, cancel := a.limited()
+	defer cancel()
+	path := "/v1/config"
+	if number > 0 {
+		path = "/v1/config/versions/" + strconv.FormatUint(number, 10)
+	}
+	var body api.ConfigBody
+	err := a.client.call(ctx, http.MethodGet, path, nil, &body)
+	return body, err
+}
+
+// historyCommand lists publishes.
+type historyCommand struct{}
+
+// Run prints one publish a line.
+func (*historyCommand) Run(a *app) error {
+	ctx, cancel := a.limited()
+	defer cancel()
+	var body api.HistoryBody
+	if err := a.client.call(ctx, http.MethodGet, "/v1/config/history", nil, &body); err != nil {
+		return err
+	}
+	return a.print(body, func(w io.Writer) error {
+		table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(table, "VERSION\tRESULT\tBASE\tAUTHOR\tTIME\tPUBLISH ID")
+		for _, e := range body.Entries {
+			result := configuration.LostRace
+			if e.Accepted {
+				result = configuration.Accepted
+			}
+			fmt.Fprintf(table, "%d\t%s\t%d\t%s\t%s\t%s\n", e.Version, result, e.BaseVersion, e.Author, e.Time.Format(time.RFC3339), e.PublishID)
+		}
+		return table.Flush()
+	})
+}
+
+// diffCommand compares two texts.
+type diffCommand struct {
+	File string `arg:"" optional:"" type:"path" help:"File to compare with."`
+	From uint64 `help:"Older version. The default is the current one with a file, and otherwise the one before --to."`
+	To   uint64 `help:"Newer version, without a file. The default is the current one."`
+}
+
+// diffResult is the result of diff in JSON.
+type diffResult struct {
+	From       string `json:"from"`
+	To         string `json:"to"`
+	Difference string `json:"difference"`
+}
+
+// Run prints the difference in the unified format.
+func (c *diffCommand) Run(a *app) error {
+	older, newer, name, err := c.texts(a)
+	if err != nil {
+		return err
+	}
+	result := diffResult{From: fmt.Sprintf("version %d", older.Version), To: name}
+	result.Difference = spec.Diff(result.From, older.Text, result.To, newer)
+	return a.print(result, func(w io.Writer) error {
+		_, err := fmt.Fprint(w, result.Difference)
+		return err
+	})
+}
+
+func (c *diffCommand) texts(a *app) (older api.ConfigBody, newer, name string, err error) {
+	if c.File != "" {
+		data, err := readFile(c.File)
+		if err != nil {
+			return older, "", "", err
+		}
+		older, err = a.version(c.From)
+		return older, string(data), c.File, err
+	}
+	to, err := a.version(c.To)
+	if err != nil {
+		return older, "", "", err
+	}
+	from := c.From
+	if from == 0 && to.Version > 1 {
+		from = to.Version - 1
+	}
+	if from > 0 {
+		older, err = a.version(from)
+	}
+	return older, to.Text, fmt.Sprintf("version %d", to.Version), err
+}
+
+// defaultAuthor names the operator when --author is not given.
+func defaultAuthor() string {
+	if user := os.Getenv("USER"); user != "" {
+		return user
+	}
+	return "operator"
+}
