Close a gap in a stream when no instance is ahead

With a retention and an outage of one hour this needs only one append whose answer is lost.

Change: a reader in a gap for 3 s asks all other entry instances. An instance that does not answer may have shown a newer version, so the gap stays open until it answers or leaves the list.

Ruled out: passing over the gap without asking, which reverts the version that a cut-off instance shows.

What remains: when all instances restart in such an outage, no state is left, and the operators must move to a new stream.

--- a/internal/configuration/exchange.go
+++ b/internal/configuration/exchange.go
@@ -161,6 +161,15 @@
 	return count
 }
 
+// nobodyAhead asks every other entry instance. An instance that does not answer may be ahead.
+func (s *Store) nobodyAhead(ctx context.Context) bool {
+	before, _ := s.reader.Position()
+	others := s.otherEntries()
+	answered := s.fetchFrom(ctx, others)
+	after, _ := s.reader.Position()
+	return answered == len(others) && after == before
+}
+
 // fetch takes over a peer's state when the peer is ahead, and reports whether the peer is serving.
 func (s *Store) fetch(ctx context.Context, from structs.InstanceID) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
--- a/internal/configuration/invariant_test.go
+++ b/internal/configuration/invariant_test.go
@@ -213,7 +213,8 @@
 }
 
 // outage takes the log down for at most a third of the retention, with a restart in the middle. A record that took
-// effect before an outage of the whole retention, and that nobody read, is lost; see docs/invariants.md.
+// effect before an outage of the whole retention, and that nobody read, is lost; TestGapIsClosedOnlyWhenNobodyIsAhead
+// covers that.
 func (w *world) outage(s step) {
 	half := time.Duration(s.seconds%10+1) * time.Second
 	w.log.set(func() { w.log.down = true })
@@ -399,3 +400,50 @@
 		assert.NilError(t, w.run(nil))
 	})
 }
+
+// Guards against a stream that never goes on after retention dropped records that nobody had read, and against a gap that
+// is closed while an instance that has read them cannot be reached, which would revert what it showed.
+func TestGapIsClosedOnlyWhenNobodyIsAhead(t *testing.T) {
+	for _, ahead := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t)
+			time.Sleep(time.Second)
+			w.do(step{what: "publish"})
+			if ahead { // slot 2 alone reads version 2
+				w.net.mu.Lock()
+				w.net.cut = map[structs.InstanceID]bool{id(0): true, id(1): true}
+				w.net.mu.Unlock()
+				time.Sleep(2 * testPoll) // reads that were waiting have ended
+				w.do(step{what: "publish", slot: 2})
+			}
+			w.log.set(func() { w.log.down = true })
+			w.net.mu.Lock()
+			w.net.cut = map[structs.InstanceID]bool{id(2): ahead}
+			w.net.mu.Unlock()
+			if !ahead {
+				w.log.set(func() { w.log.take(w.log.all[0].Data) }) // took effect, but nobody read it
+			}
+			time.Sleep(testRetention + time.Second)
+			w.log.set(func() { w.log.down = false })
+			time.Sleep(20 * time.Second)
+			want := uint64(1)
+			if ahead {
+				assert.Equal(t, len(w.log.all), 2) // no snapshot was written without slot 2
+				want = 2
+			}
+			w.heal()
+			time.Sleep(10 * time.Second)
+			w.do(step{what: "publish", slot: 1})
+			time.Sleep(inForceBound)
+			for slot := range instances {
+				current, _ := w.stores[slot].Current()
+				assert.Check(t, current.Version == want+1, "slot %d shows %d", slot, current.Version)
+				w.stop(slot)
+			}
+			w.dismiss()
+			w.operators.Wait()
+			synctest.Wait()
+			assert.NilError(t, w.failure)
+		})
+	}
+}
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -58,17 +58,19 @@
 // New returns a store. Run makes it work.
 func New(options Options) *Store {
 	f := newFold(options.Events)
-	reader := stream.NewReader(stream.Options{
-		Stream:    StreamName,
-		Log:       options.Log,
-		Keys:      options.Keys,
-		Limiter:   options.Limiter,
-		Events:    options.Events,
-		Metrics:   options.Metrics,
-		Retention: options.Retention,
-		PollWait:  options.PollWait,
+	s := &Store{options: options, fold: f, hints: make(chan hint, maxHints)}
+	s.reader = stream.NewReader(stream.Options{
+		Stream:      StreamName,
+		Log:         options.Log,
+		Keys:        options.Keys,
+		Limiter:     options.Limiter,
+		Events:      options.Events,
+		Metrics:     options.Metrics,
+		Retention:   options.Retention,
+		PollWait:    options.PollWait,
+		NobodyAhead: s.nobodyAhead,
 	}, f)
-	return &Store{options: options, fold: f, reader: reader, hints: make(chan hint, maxHints)}
+	return s
 }
 
 // Run follows the log and the peers until ctx ends.
--- a/internal/configuration/stream/events.go
+++ b/internal/configuration/stream/events.go
@@ -29,4 +29,7 @@
 		"This instance wrote a snapshot of a stream.", "")
 	eventSnapshotFails = event.Define(1258, "snapshot not written", zerolog.WarnLevel,
 		"A due snapshot could not be written. It is tried again.", "Check the log service.")
+	eventGapClosed = event.Define(1259, "stream gap closed", zerolog.ErrorLevel,
+		"Records were dropped by retention before any instance read them, in an outage as long as the retention. The stream goes on without them; their senders were told that the outcome is unknown.",
+		"Repeat publishes and submissions whose outcome was unknown. Consider a longer retention of the log.")
 )
--- a/internal/configuration/stream/follow.go
+++ b/internal/configuration/stream/follow.go
@@ -62,11 +62,19 @@
 	if err != nil {
 		return err
 	}
-	if answer.Earliest > next {
+	if answer.Earliest <= next {
+		r.gapSince = time.Time{}
+		return r.foldAll(next, answer)
+	}
+	if r.gapSince.IsZero() {
+		r.gapSince = time.Now()
 		r.options.Events.Emit(eventGap, event.F("stream", r.options.Stream), event.F("next", next), event.F("earliest", answer.Earliest))
-		return r.place(ctx, limit)
 	}
-	return r.foldAll(next, answer)
+	err = r.place(ctx, limit)
+	if errors.Is(err, errNoSnapshot) && time.Since(r.gapSince) > gapPatience {
+		r.closeGap(ctx, next, answer.Earliest)
+	}
+	return err
 }
 
 // foldAll folds the records of one answer. from is the position at which they were read; when another state has been
--- a/internal/configuration/stream/reader.go
+++ b/internal/configuration/stream/reader.go
@@ -56,6 +56,9 @@
 	Metrics   tally.Scope
 	Retention time.Duration // how long the log keeps records
 	PollWait  time.Duration // how long a read waits for the next record
+	// NobodyAhead reports whether every other reader was asked and none has folded further. Only then may this reader close
+	// a gap, see closeGap. nil: gaps stay open.
+	NobodyAhead func(ctx context.Context) bool
 }
 
 // Reader follows one stream. Invariant: the fold's state is the fold of exactly the records below next.
@@ -71,6 +74,8 @@
 	lastRead time.Time // last successful read that left nothing to fold
 	changed  chan struct{}
 
+	gapSince time.Time // follow goroutine only: when the present gap was found; zero: none
+
 	halted  bool // follow goroutine only: the halt has been reported
 	failing bool // follow goroutine only: the outage has been reported
 }
--- a/internal/configuration/stream/snapshot.go
+++ b/internal/configuration/stream/snapshot.go
@@ -17,6 +17,8 @@
 	appendTimeout = 5 * time.Second
 	// maxReadAge is how old, beyond the long poll, the last read of the stream's end may be for a snapshot.
 	maxReadAge = 5 * time.Second
+	// gapPatience is how long a reader in a gap waits for a usable snapshot or a peer that is ahead.
+	gapPatience = 3 * time.Second
 )
 
 // coveredBy returns a time until Retention after which readers can surely start at the snapshot. When nothing lies
@@ -92,3 +94,28 @@
 	}
 	return &snapshotBody{AsOf: r.next - 1, AsOfTime: r.lastTime, State: state}, nil
 }
+
+// closeGap writes the own state as a snapshot that covers the records of the gap, so that the stream can go on. The gap
+// arises when records took effect before an outage of the log that lasted for the whole retention: nobody can ever read
+// them. When no reader has folded further, nobody has seen their effect, so leaving them out reverts nothing. Readers
+// that write at the same time have equal states, as they have equal offsets.
+func (r *Reader) closeGap(ctx context.Context, next, earliest uint64) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if r.options.NobodyAhead == nil || !r.options.NobodyAhead(ctx) {
+		return
+	}
+	body, err := r.snapshot()
+	if err == nil && body.AsOf+1 != next {
+		return // a peer's state was adopted meanwhile
+	}
+	if err == nil {
+		body.AsOf = earliest - 1
+		_, err = r.Append(ctx, KindSnapshot, body)
+	}
+	if err != nil {
+		r.options.Events.Emit(eventSnapshotFails, event.F("stream", r.options.Stream), event.F("error", err))
+		return
+	}
+	r.options.Events.Emit(eventGapClosed, event.F("stream", r.options.Stream), event.F("from", next), event.F("to", earliest-1))
+}
