Let the instances of a data centre hand on the job stream

Cause: an instance that started in a log outage had no jobs, and a gap in a job stream stayed open, since only the configuration was handed on between peers.

Change: the exchange moves from the configuration to the stream package; the job store uses it when Options.Peers is set. The configuration test decides by the faults, not by the store, whether a state could come from the log.

--- a/internal/configuration/events.go
+++ b/internal/configuration/events.go
@@ -15,9 +15,4 @@
 		"Publish a text that passes the checks of every running release, or upgrade the instance.")
 	eventInForce = event.Define(1202, "configuration in force", zerolog.InfoLevel,
 		"A new version of the text is in force at this instance.", "")
-	eventFetchFails = event.Define(1203, "configuration not fetched from peer", zerolog.DebugLevel,
-		"A peer that may be ahead did not hand on its state. Another one or the log is tried.", "")
-	eventServesFromPeers = event.Define(1204, "configuration taken from peers", zerolog.WarnLevel,
-		"The log could not be read at start, so the highest version that the peers hold is in force.",
-		"Check the log service.")
 )
--- a/internal/configuration/invariant_test.go
+++ b/internal/configuration/invariant_test.go
@@ -50,6 +50,7 @@
 	stops   [instances]func()
 	shown   [instances]uint64 // by the present incarnation
 	floor   [instances]uint64 // least version that it may show first
+	noLog   [instances]bool   // the log was out of its reach at times since it started
 	highest uint64            // ever shown
 	texts   map[uint64]string
 	results map[string]PublishResult
@@ -95,8 +96,10 @@
 	done := make(chan struct{})
 	go func() { _ = store.Run(ctx); close(done) }()
 	go w.watch(ctx, slot, store)
+	_, _, err := w.log.read(0, 0)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.noLog[slot] = err != nil || p.isCut(id(slot))
 	w.stores[slot], w.shown[slot], w.floor[slot] = store, 0, w.highest
 	w.stops[slot] = func() { cancel(); <-done }
 }
@@ -135,7 +138,7 @@
 		w.fail("%s showed version %d after version %d", id(slot), current.Version, w.shown[slot])
 	}
 	// Without the log, a new process can only know what the peers that it reaches hold; see TestStartWithoutLog.
-	fromPeers := current.UpToDate.IsZero() && store.serving.Load()
+	fromPeers := current.UpToDate.IsZero() && w.noLog[slot]
 	if w.shown[slot] == 0 && !fromPeers && current.Version < w.floor[slot] {
 		w.fail("%s started with version %d after version %d had been shown", id(slot), current.Version, w.floor[slot])
 	}
@@ -199,6 +202,9 @@
 	case "log down":
 		w.outage(s)
 	case "cut off":
+		w.mu.Lock()
+		w.noLog[s.slot] = true
+		w.mu.Unlock()
 		w.net.mu.Lock()
 		w.net.cut = map[structs.InstanceID]bool{id(s.slot): true}
 		w.net.mu.Unlock()
@@ -217,6 +223,9 @@
 // covers that.
 func (w *world) outage(s step) {
 	half := time.Duration(s.seconds%10+1) * time.Second
+	w.mu.Lock()
+	w.noLog = [instances]bool{true, true, true}
+	w.mu.Unlock()
 	w.log.set(func() { w.log.down = true })
 	time.Sleep(half)
 	if s.lose {
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -48,28 +47,32 @@
 
 // Store keeps the specification.
 type Store struct {
-	options Options
-	fold    *fold
-	reader  *stream.Reader
-	hints   chan hint
-	serving atomic.Bool // nothing is shown before the state is known to be as new as can be found out
+	options  Options
+	fold     *fold
+	reader   *stream.Reader
+	exchange *stream.Exchange
 }
 
 // New returns a store. Run makes it work.
 func New(options Options) *Store {
 	f := newFold(options.Events)
-	s := &Store{options: options, fold: f, hints: make(chan hint, maxHints)}
+	s := &Store{options: options, fold: f}
 	s.reader = stream.NewReader(stream.Options{
-		Stream:      StreamName,
-		Log:         options.Log,
-		Keys:        options.Keys,
-		Limiter:     options.Limiter,
-		Events:      options.Events,
-		Metrics:     options.Metrics,
-		Retention:   options.Retention,
-		PollWait:    options.PollWait,
-		NobodyAhead: s.nobodyAhead,
+		Stream:    StreamName,
+		Log:       options.Log,
+		Keys:      options.Keys,
+		Limiter:   options.Limiter,
+		Events:    options.Events,
+		Metrics:   options.Metrics,
+		Retention: options.Retention,
+		PollWait:  options.PollWait,
 	}, f)
+	s.exchange = stream.NewExchange(stream.ExchangeOptions{
+		Self:    options.Self,
+		Kind:    CallFetch,
+		Caller:  options.Peers,
+		Entries: s.entries,
+	}, s.reader)
 	return s
 }
 
@@ -77,14 +80,14 @@
 func (s *Store) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.reader.Run(ctx) })
-	group.Go(func() error { return s.exchange(ctx) })
+	group.Go(func() error { return s.exchange.Run(ctx) })
 	group.Go(func() error { return s.announce(ctx) })
 	return group.Wait()
 }
 
 // Current returns the specification in force. ok is false when the instance has none, and so is not ready.
 func (s *Store) Current() (current Current, ok bool) {
-	if !s.isServing() {
+	if !s.exchange.Serving() {
 		return Current{}, false
 	}
 	upToDate := s.reader.UpToDate() // before the fold's lock, which is always taken after the reader's
@@ -102,7 +105,7 @@
 
 // Text returns the text in force, nil when there is none.
 func (s *Store) Text() *spec.Text {
-	if !s.isServing() {
+	if !s.exchange.Serving() {
 		return nil
 	}
 	text, _ := s.fold.inForce()
@@ -112,7 +115,7 @@
 // Position returns what heartbeats tell peers: the version, and the offset of the first record that is not folded.
 // Both are 0 while the store shows nothing.
 func (s *Store) Position() (version, next uint64) {
-	if !s.isServing() {
+	if !s.exchange.Serving() {
 		return 0, 0
 	}
 	next, _ = s.reader.Position()
@@ -154,19 +157,6 @@
 	return publish.Text, nil
 }
 
-// isServing reports whether the state may be shown: the log has been read to its end once, or it could not be read and
-// the peers have been asked. Before that, an instance that restarts would show versions older than it has shown before.
-func (s *Store) isServing() bool {
-	if s.serving.Load() {
-		return true
-	}
-	if s.reader.UpToDate().IsZero() {
-		return false
-	}
-	s.serving.Store(true)
-	return true
-}
-
 // announce writes an event for every version that comes into force.
 func (s *Store) announce(ctx context.Context) error {
 	last := uint64(0)
--- a/internal/configuration/stream/events.go
+++ b/internal/configuration/stream/events.go
@@ -32,4 +32,9 @@
 	eventGapClosed = event.Define(1259, "stream gap closed", zerolog.ErrorLevel,
 		"Records were dropped by retention before any instance read them, in an outage as long as the retention. The stream goes on without them; their senders were told that the outcome is unknown.",
 		"Repeat publishes and submissions whose outcome was unknown. Consider a longer retention of the log.")
+	eventFetchFails = event.Define(1260, "stream state not fetched from peer", zerolog.DebugLevel,
+		"A peer that may be ahead did not hand on its state. Another one or the log is tried.", "")
+	eventServesFromPeers = event.Define(1261, "stream state taken from peers", zerolog.WarnLevel,
+		"The log could not be read at start, so the newest state that the peers hold is used.",
+		"Check the log service.")
 )
--- a/internal/configuration/stream/reader.go
+++ b/internal/configuration/stream/reader.go
@@ -56,9 +56,6 @@
 	Metrics   tally.Scope
 	Retention time.Duration // how long the log keeps records
 	PollWait  time.Duration // how long a read waits for the next record
-	// NobodyAhead reports whether every other reader was asked and none has folded further. Only then may this reader close
-	// a gap, see closeGap. nil: gaps stay open.
-	NobodyAhead func(ctx context.Context) bool
 }
 
 // Reader follows one stream. Invariant: the fold's state is the fold of exactly the records below next.
@@ -74,6 +71,10 @@
 	lastRead time.Time // last successful read that left nothing to fold
 	changed  chan struct{}
 
+	// nobodyAhead reports whether every other reader was asked and none has folded further. Only then may this reader close
+	// a gap, see closeGap. nil: gaps stay open. NewExchange sets it before the reader runs.
+	nobodyAhead func(ctx context.Context) bool
+
 	gapSince time.Time // follow goroutine only: when the present gap was found; zero: none
 
 	halted  bool // follow goroutine only: the halt has been reported
--- a/internal/configuration/stream/snapshot.go
+++ b/internal/configuration/stream/snapshot.go
@@ -102,7 +102,7 @@
 func (r *Reader) closeGap(ctx context.Context, next, earliest uint64) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	if r.options.NobodyAhead == nil || !r.options.NobodyAhead(ctx) {
+	if r.nobodyAhead == nil || !r.nobodyAhead(ctx) {
 		return
 	}
 	body, err := r.snapshot()
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -13,6 +13,7 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/configuration/stream"
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/peer"
 	"dogwoodnotch.example/dogwoodnotch/internal/settings"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
@@ -20,7 +21,11 @@
 // StreamPrefix and the data centre's name make the name of its stream.
 const StreamPrefix = "jobs."
 
-// Options configures a store. All fields but Limiter are required.
+// CallFetch is the kind of the call by which an instance takes over the state of a peer that is ahead. Its answer can
+// have several MiB, so it belongs to the calls that get connections of their own.
+const CallFetch = "jobstore.fetch"
+
+// Options configures a store. All fields but Limiter, and Peers with Self and Entries, are required.
 type Options struct {
 	DataCentre structs.DataCentre
 	Log        stream.Log
@@ -31,14 +36,21 @@
 	Retention  time.Duration // settings.Timing.LogRetention
 	PollWait   time.Duration // settings.Timing.ConfigPoll
 	MaxOpen    func() int    // limits.queued_jobs of the specification; 0: nothing is accepted
+
+	// Peers carries states between the instances of the data centre, so that one that starts in a log outage learns the
+	// jobs, and so that the stream goes on after an outage as long as the retention. nil: neither.
+	Peers   peer.Caller
+	Self    structs.InstanceID
+	Entries func() []structs.InstanceID // the data centre's known entry instances, suspected and leaving ones included
 }
 
 // Store keeps the jobs of one data centre.
 type Store struct {
-	options Options
-	fold    *fold
-	reader  *stream.Reader
-	queue   chan *write
+	options  Options
+	fold     *fold
+	reader   *stream.Reader
+	exchange *stream.Exchange // nil without peers
+	queue    chan *write
 }
 
 // New returns a store. Run makes it work.
@@ -54,7 +66,27 @@
 		Retention: options.Retention,
 		PollWait:  options.PollWait,
 	}, f)
-	return &Store{options: options, fold: f, reader: reader, queue: make(chan *write, maxQueuedWrites)}
+	s := &Store{options: options, fold: f, reader: reader, queue: make(chan *write, maxQueuedWrites)}
+	if options.Peers != nil {
+		s.exchange = stream.NewExchange(stream.ExchangeOptions{
+			Self: options.Self, Kind: CallFetch, Caller: options.Peers, Entries: options.Entries,
+		}, reader)
+	}
+	return s
+}
+
+// Register registers the handler of the fetch call. It does nothing without peers.
+func (s *Store) Register(registrar peer.Registrar) {
+	if s.exchange != nil {
+		s.exchange.Register(registrar)
+	}
+}
+
+// PeerAt tells the store how far a peer of the data centre is, as its heartbeat says. It never blocks.
+func (s *Store) PeerAt(from structs.InstanceID, next uint64) {
+	if s.exchange != nil {
+		s.exchange.PeerAt(from, next)
+	}
 }
 
 // Run follows the stream and writes to it until ctx ends.
@@ -62,6 +94,9 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.reader.Run(ctx) })
 	group.Go(func() error { return s.writeQueued(ctx) })
+	if s.exchange != nil {
+		group.Go(func() error { return s.exchange.Run(ctx) })
+	}
 	return group.Wait()
 }
 
--- a/internal/jobstore/store_test.go
+++ b/internal/jobstore/store_test.go
@@ -18,6 +18,7 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/configuration/stream"
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/peer"
 	"dogwoodnotch.example/dogwoodnotch/internal/platform"
 	"dogwoodnotch.example/dogwoodnotch/internal/settings"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
@@ -67,23 +68,67 @@
 	return len(l.records)
 }
 
+// peers carries calls to the one handler that is registered, unless the caller registers it itself.
+type peers struct{ handler peer.Handler }
+
+func (p *peers) Handle(_ string, handler peer.Handler) { p.handler = handler }
+
+func (p *peers) Call(ctx context.Context, _ structs.InstanceID, _ string, request, response any) error {
+	data, _ := msgpack.Marshal(request)
+	answer, err := p.handler(ctx, "peer", func(into any) error { return msgpack.Unmarshal(data, into) })
+	if err != nil {
+		return err
+	}
+	data, _ = msgpack.Marshal(answer)
+	return msgpack.Unmarshal(data, response)
+}
+
+func newStore(t *testing.T, log *fakeLog, self structs.InstanceID, net *peers) *Store {
+	keys, err := (&settings.Settings{PeerKeys: []settings.PeerKey{{ID: "a", Secret: settings.Secret(strings.Repeat("k", 32))}}}).
+		Keyring().Derive(settings.PurposeRecords)
+	assert.NilError(t, err)
+	return New(Options{
+		DataCentre: "a", Log: log, Keys: keys, Events: event.Discard(), Metrics: tally.NoopScope,
+		Retention: time.Hour, PollWait: time.Second, MaxOpen: func() int { return 6000 },
+		Peers: net, Self: self, Entries: func() []structs.InstanceID { return []structs.InstanceID{"one", "two"} },
+	})
+}
+
 // within runs a test with a running store under a fake clock.
-func within(t *testing.T, log *fakeLog, test func(t *testing.T, s *Store)) {
+func within(t *testing.T, log *fakeLog, test func(t *testing.T, s *Store, net *peers)) {
 	synctest.Test(t, func(t *testing.T) {
-		keys, err := (&settings.Settings{PeerKeys: []settings.PeerKey{{ID: "a", Secret: settings.Secret(strings.Repeat("k", 32))}}}).
-			Keyring().Derive(settings.PurposeRecords)
-		assert.NilError(t, err)
-		s := New(Options{
-			DataCentre: "a", Log: log, Keys: keys, Events: event.Discard(), Metrics: tally.NoopScope,
-			Retention: time.Hour, PollWait: time.Second, MaxOpen: func() int { return 6000 },
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { _ = s.Run(ctx); close(done) }()
+		net := &peers{}
+		s := newStore(t, log, "one", net)
+		s.Register(net)
+		stop := start(t, s)
 		time.Sleep(time.Second)
-		test(t, s)
-		cancel()
-		<-done
+		test(t, s, net)
+		stop()
+	})
+}
+
+func start(t *testing.T, s *Store) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { _ = s.Run(ctx); close(done) }()
+	return func() { cancel(); <-done }
+}
+
+// Guards against a scheduler without jobs when its instance starts while the log is down.
+func TestStartWithoutLog(t *testing.T) {
+	log := &fakeLog{}
+	within(t, log, func(t *testing.T, s *Store, net *peers) {
+		_, err := s.Submit(t.Context(), job(1))
+		assert.NilError(t, err)
+		log.mu.Lock()
+		log.down = true
+		log.mu.Unlock()
+		other := newStore(t, log, "two", net)
+		stop := start(t, other)
+		time.Sleep(3 * time.Second)
+		open, _ := other.Open()
+		assert.Equal(t, len(open), 1)
+		stop()
 	})
 }
 
@@ -94,7 +139,7 @@
 // Guards against a job that is accepted twice after a lost answer, and against another job under the same id.
 func TestSubmitIsIdempotent(t *testing.T) {
 	log := &fakeLog{lose: true}
-	within(t, log, func(t *testing.T, s *Store) {
+	within(t, log, func(t *testing.T, s *Store, _ *peers) {
 		first, err := s.Submit(t.Context(), job(1))
 		assert.NilError(t, err) // the record was seen in the stream
 		again, err := s.Submit(t.Context(), job(1))
@@ -112,7 +157,7 @@
 // while its change waits behind a slow append.
 func TestRefusedIsNeverWritten(t *testing.T) {
 	log := &fakeLog{slowness: 2 * time.Second}
-	within(t, log, func(t *testing.T, s *Store) {
+	within(t, log, func(t *testing.T, s *Store, _ *peers) {
 		go func() { _, _ = s.Submit(t.Context(), job(1)) }()
 		synctest.Wait()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -137,7 +182,7 @@
 // Guards against an outcome that is claimed although neither the log nor the stream confirmed it.
 func TestUnconfirmedIsUnknown(t *testing.T) {
 	log := &fakeLog{}
-	within(t, log, func(t *testing.T, s *Store) {
+	within(t, log, func(t *testing.T, s *Store, _ *peers) {
 		log.mu.Lock()
 		log.lose = true
 		log.unreadable = true
@@ -151,7 +196,7 @@
 func TestCancelWave(t *testing.T) {
 	const wave = 5000
 	log := &fakeLog{slowness: 10 * time.Millisecond}
-	within(t, log, func(t *testing.T, s *Store) {
+	within(t, log, func(t *testing.T, s *Store, _ *peers) {
 		var group sync.WaitGroup
 		for i := range wave {
 			group.Go(func() { _, err := s.Submit(t.Context(), job(i)); assert.Check(t, err) })
