queue, preemption: let waiting jobs overtake borrowers that had their turn

Cause: a gang waits until enough jobs end, while small jobs keep taking the free accelerators. Change: Request.Yields names borrowers of the same urgency that yield too; queue.Overtakes is the rule for it: the waiting job is past its start key, which comes first, and the running one had a turn of 10 min. The long declared times of wrongly declared jobs dominate what is left of the 99th percentile.

--- a/internal/placement/measure_test.go
+++ b/internal/placement/measure_test.go
@@ -332,8 +332,11 @@
 	return &ours{q: queue.New(queue.Policy{Accelerators: capacity})}
 }
 
-func (o *ours) submit(t *task) {
-	o.q.Requeue(queue.Entry{Job: t.Job, Guaranteed: t.Customer == "c0" || t.Customer == "c1", Attained: t.actual - t.left})
+func (o *ours) submit(t *task) { o.q.Requeue(o.entry(t)) }
+
+func (o *ours) entry(t *task) queue.Entry {
+	entitled := t.Customer == "c0" || t.Customer == "c1"
+	return queue.Entry{Job: t.Job, Guaranteed: entitled, Attained: t.actual - t.left}
 }
 
 func (o *ours) ended(t *task) { o.q.Charge(t.Customer, t.actual.Seconds()*float64(t.Accelerators)) }
@@ -359,6 +362,13 @@
 		r.Avoid = nil
 		p, err = preemption.Choose(l.c, r)
 	}
+	if err != nil {
+		r.Yields = func(id structs.JobID) bool {
+			running := l.tasks[id]
+			return queue.Overtakes(o.entry(t), o.entry(running), l.now.Sub(running.started), l.now)
+		}
+		p, err = preemption.Choose(l.c, r)
+	}
 	if err == nil {
 		o.q.Remove(t.ID)
 		l.start(t, p)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -43,6 +43,8 @@
 	maxDelay = 24 * time.Hour
 	// serviceHalfLife is the time in which the service that a customer received counts half.
 	serviceHalfLife = time.Hour
+	// shortestTurn is the time that a started job runs before another of its urgency may overtake it.
+	shortestTurn = 10 * time.Minute
 	// exceeded is the expected total run time, in units of the attained one, of a job that outran its declaration.
 	exceeded = 2
 )
@@ -196,3 +198,12 @@
 	expected := max(e.Job.RunTime, exceeded*e.Attained)
 	return e.Job.SubmittedAt.Add(min(maxDelay, stretch*min(expected, maxDelay)))
 }
+
+// Overtakes reports whether a waiting job may make a running borrower of the same urgency yield: the waiting job has
+// waited past its start key, which comes before that of the running one with the service it attained, and the running
+// one had its turn. ran is the time since its last start.
+func Overtakes(waiting, running Entry, ran time.Duration, now time.Time) bool {
+	running.Attained += ran
+	key := startKey(waiting)
+	return ran >= shortestTurn && now.After(key) && key.Before(startKey(running))
+}
