placement: revert HoldBack

Cause: holding workers back for a gang was to shorten its wait. Finding: with run times that are off by up to 10 times the workers drain much later than expected and stay idle.

--- a/internal/placement/measure_test.go
+++ b/internal/placement/measure_test.go
@@ -323,9 +323,7 @@
 
 // ours is queue, placement and preemption together.
 type ours struct {
-	q    *queue.Queue
-	gang structs.JobID
-	held map[structs.WorkerID]bool
+	q *queue.Queue
 }
 
 func newOurs(capacity int) *ours {
@@ -342,9 +340,6 @@
 func (o *ours) ended(t *task) { o.q.Charge(t.Customer, t.actual.Seconds()*float64(t.Accelerators)) }
 
 func (o *ours) decide(l *loop) {
-	if l.tasks[o.gang] == nil || l.waiting[o.gang] == nil {
-		o.gang, o.held = "", nil
-	}
 	view := queue.View{Now: l.now, Entitled: l.c.Entitled, Used: l.c.Used}
 	for _, e := range o.q.Next(view, 256) {
 		o.try(l, e)
@@ -354,12 +349,8 @@
 func (o *ours) try(l *loop, e queue.Entry) {
 	t := l.tasks[e.Job.ID]
 	r := placement.Request{Job: t.ID, Customer: t.Customer, Accelerators: t.Accelerators, Now: l.now}
-	if t.ID != o.gang {
-		r.Avoid = o.held
-	}
 	p, err := l.c.Place(r)
 	if err != nil && l.c.Entitled(t.Customer, t.Accelerators) {
-		r.Avoid = nil
 		p, err = preemption.Choose(l.c, r)
 	}
 	if err != nil {
@@ -377,16 +368,6 @@
 		}
 		return
 	}
-	if o.gang == "" && t.Accelerators > fleet.AcceleratorsPerWorker {
-		o.gang = t.ID
-		o.held = l.c.HoldBack(r, func(id structs.JobID) time.Duration { return l.tasks[id].remaining(l.now) })
-	}
-}
-
-// remaining is what a scheduler can expect: the declared rest, or as long again when that is over.
-func (t *task) remaining(now time.Time) time.Duration {
-	elapsed := now.Sub(t.started) + t.actual - t.left
-	return max(t.RunTime-elapsed, elapsed)
 }
 
 func mean(values []float64) float64 {
