--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -36,11 +36,10 @@
 }
 
 const (
-	// stretch is the delay per declared run time. A job that waits this often its own run time precedes a job that
-	// has just arrived, however short.
-	stretch = 4
-	// maxDelay bounds the delay for a job's own service, and that for its customer's, so that no job starves.
+	// maxDelay bounds the delay for the service of a job's customer, so that no job starves.
 	maxDelay = 24 * time.Hour
+	// declaredDelay bounds the delay for a job's own service. It is short since declared run times are unreliable.
+	declaredDelay = time.Hour
 	// serviceHalfLife is the time in which the service that a customer received counts half.
 	serviceHalfLife = time.Hour
 	// shortestTurn is the time that a started job runs before another of its urgency may overtake it.
@@ -196,7 +195,7 @@
 // startKey is the time from which a job precedes newly submitted ones.
 func startKey(e Entry) time.Time {
 	expected := max(e.Job.RunTime, exceeded*e.Attained)
-	return e.Job.SubmittedAt.Add(min(maxDelay, stretch*min(expected, maxDelay)))
+	return e.Job.SubmittedAt.Add(min(declaredDelay, expected))
 }
 
 // Overtakes reports whether a waiting job may make a running borrower of the same urgency yield: the waiting job has
