placement: let a borrowing gang evict over several racks

Cause: a gang that borrows could take several racks when they are free, but evict within one rack only.

--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -144,17 +144,26 @@
 	return 0
 }
 
+// inRacks chooses one rack; a borrower may take several when no single one can do.
 func (e *evictions) inRacks(yield func(Eviction) bool) {
+	found := false
 	for _, r := range e.order {
 		if e.size != nil && !e.allowsRack(r.openWhole) {
 			continue
 		}
 		e.victims = e.victims[:0]
 		parts, left := e.takeFrom([]*rack{r}, e.request.Accelerators)
-		if left == 0 && !yield(Eviction{e.victims, e.search, parts}) {
+		if left > 0 {
+			continue
+		}
+		found = true
+		if !yield(Eviction{e.victims, e.search, parts}) {
 			return
 		}
 	}
+	if !found && e.size == nil {
+		e.overRacks(yield)
+	}
 }
 
 // overRacks chooses runs of neighbouring racks that are long enough; for a guaranteed cell, whole open racks.
