queue: weigh attained service more than declared run times

Change: the delay is the declared run time up to 2 h, or twice the attained one up to 4 h; a waiting job may overtake as soon as its key comes first, not only when it is past it.

--- a/internal/placement/measure_test.go
+++ b/internal/placement/measure_test.go
@@ -356,7 +356,7 @@
 	if err != nil {
 		r.Yields = func(id structs.JobID) bool {
 			running := l.tasks[id]
-			return queue.Overtakes(o.entry(t), o.entry(running), l.now.Sub(running.started), l.now)
+			return queue.Overtakes(o.entry(t), o.entry(running), l.now.Sub(running.started))
 		}
 		p, err = preemption.Choose(l.c, r)
 	}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -38,14 +38,16 @@
 const (
 	// maxDelay bounds the delay for the service of a job's customer, so that no job starves.
 	maxDelay = 24 * time.Hour
-	// declaredDelay bounds the delay for a job's own service. It is short since declared run times are unreliable.
-	declaredDelay = time.Hour
+	// declaredDelay bounds the delay for a declared run time. It is short since declared run times are unreliable.
+	declaredDelay = 2 * time.Hour
+	// attainedDelay bounds the delay for attained service.
+	attainedDelay = 4 * time.Hour
 	// serviceHalfLife is the time in which the service that a customer received counts half.
 	serviceHalfLife = time.Hour
 	// shortestTurn is the time that a started job runs before another of its urgency may overtake it.
 	shortestTurn = 10 * time.Minute
-	// exceeded is the expected total run time, in units of the attained one, of a job that outran its declaration.
-	exceeded = 2
+	// attainedStretch is the delay per attained run time.
+	attainedStretch = 2
 )
 
 // Queue holds waiting jobs. Pushing, removing and reordering a job cost the logarithm of the number of its customer's
@@ -194,15 +196,15 @@
 
 // startKey is the time from which a job precedes newly submitted ones.
 func startKey(e Entry) time.Time {
-	expected := max(e.Job.RunTime, exceeded*e.Attained)
-	return e.Job.SubmittedAt.Add(min(declaredDelay, expected))
+	declared := min(declaredDelay, e.Job.RunTime)
+	attained := min(attainedDelay, attainedStretch*e.Attained)
+	return e.Job.SubmittedAt.Add(max(declared, attained))
 }
 
-// Overtakes reports whether a waiting job may make a running borrower of the same urgency yield: the waiting job has
-// waited past its start key, which comes before that of the running one with the service it attained, and the running
-// one had its turn. ran is the time since its last start.
-func Overtakes(waiting, running Entry, ran time.Duration, now time.Time) bool {
+// Overtakes reports whether a waiting job may make a running borrower of the same urgency yield: its start key comes
+// before that of the running one with the service it attained, and the running one had its turn. ran is the time since
+// the last start of the running one.
+func Overtakes(waiting, running Entry, ran time.Duration) bool {
 	running.Attained += ran
-	key := startKey(waiting)
-	return ran >= shortestTurn && now.After(key) && key.Before(startKey(running))
+	return ran >= shortestTurn && startKey(waiting).Before(startKey(running))
 }
