--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -49,7 +49,7 @@
 type Prefer func(a, b []Borrower) int
 
 // Evictions iterates over the choices that a request has when borrowers yield: all borrowers for a request with an
-// unused guaranteed cell, less urgent ones for any other. Within a rack the workers are chosen by prefer, one by one.
+// unused guaranteed cell, less urgent ones and those that Request.Yields names for any other. Within a rack the workers are chosen by prefer, one by one.
 // The error is that of Place for a request that could never run.
 func (c *Cluster) Evictions(r Request, prefer Prefer) (iter.Seq[Eviction], error) {
 	if err := c.checkRequest(r); err != nil {
@@ -88,7 +88,10 @@
 	if j.cell >= 0 {
 		return false
 	}
-	return e.size != nil || j.Urgency < e.request.Urgency
+	if e.size != nil || j.Urgency < e.request.Urgency {
+		return true
+	}
+	return j.Urgency == e.request.Urgency && e.request.Yields != nil && e.request.Yields(j.placement.Job)
 }
 
 // gather adds the users of the masked accelerators to the victims. It reports false when one may not yield.
@@ -141,17 +144,26 @@
 	return 0
 }
 
+// inRacks chooses one rack; a borrower may take several when no single one can do.
 func (e *evictions) inRacks(yield func(Eviction) bool) {
+	found := false
 	for _, r := range e.order {
 		if e.size != nil && !e.allowsRack(r.openWhole) {
 			continue
 		}
 		e.victims = e.victims[:0]
 		parts, left := e.takeFrom([]*rack{r}, e.request.Accelerators)
-		if left == 0 && !yield(Eviction{e.victims, e.search, parts}) {
+		if left > 0 {
+			continue
+		}
+		found = true
+		if !yield(Eviction{e.victims, e.search, parts}) {
 			return
 		}
 	}
+	if !found && e.size == nil {
+		e.overRacks(yield)
+	}
 }
 
 // overRacks chooses runs of neighbouring racks that are long enough; for a guaranteed cell, whole open racks.
