Use the cluster's placement, the queue and preemption in the scheduler

Cause: the scheduler ran on thin defaults, first fit and urgency before age.

Change: placements come from placement.Cluster, by preemption.Choose when nothing is free; waiting jobs live in queue.Queue, paused ones beside it until their pause ends. Guarantees, quotas and weights follow the specification, and an event names each guaranteed shape that cannot be formed. Excluded workers are lost to placement. The defaults and their interfaces are removed.

--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -54,8 +54,9 @@
 		w.lostAt = now
 		w.reported = false
 	}
-	if w.reachable && t.placer != nil {
-		t.placer.LoseWorker(w.id)
+	if w.reachable && t.cluster != nil {
+		t.cluster.LoseWorker(w.id)
+		t.checkMissing()
 	}
 	w.reachable = false
 	t.markJobs(w)
@@ -75,8 +76,9 @@
 	}
 	t.replace = true
 	t.markJobs(w)
-	if t.placer != nil {
-		t.placer.SetWorker(w.placement())
+	if t.cluster != nil && t.usable(w) {
+		t.cluster.SetWorker(w.placement())
+		t.checkMissing()
 	}
 }
 
@@ -311,10 +313,10 @@
 	return t.config.Timing.TaskLease * 16 / 10
 }
 
-// book links a placed job with its workers and counts what its customer uses.
+// book links a placed job with its workers.
 func (t *term) book(j *job) {
 	j.placed = true
-	t.used[j.info.Customer] += j.info.Accelerators
+	t.dequeue(j)
 	for _, m := range j.placement.Members {
 		t.worker(m.Worker).jobs[j.key] = true
 	}
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -32,4 +32,10 @@
 		"Borrowers are stopped after a checkpoint so that a guaranteed or more urgent job can start.", "")
 	eventStartFailed = event.Define(2013, "job start failed", zerolog.WarnLevel,
 		"A member could not be held or started; the job waits for another start.", "")
+	eventShapeMissing = event.Define(2014, "guaranteed shape missing", zerolog.ErrorLevel,
+		"Workers are lost and a customer's unused guarantee cannot be formed even by preemption.", "Repair or replace workers.")
+	eventGuaranteesRefused = event.Define(2015, "guarantees refused", zerolog.ErrorLevel,
+		"The guarantees of the specification do not form a chain; the earlier ones stay in force.", "Correct the specification.")
+	eventRestoreFailed = event.Define(2016, "booking inconsistent", zerolog.ErrorLevel,
+		"A running job could not be booked or unbooked in the placement view.", "Report this with the state dump of the instance.")
 )
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -52,10 +52,13 @@
 }
 
 func (t *term) waitingReason(j *job) (reason, remedy string) {
-	if j.reason == "" {
-		return "not tried yet", ""
+	if quota, remedy := t.overQuota(j); quota != "" {
+		return quota, remedy
 	}
 	reason = j.reason
+	if reason == "" {
+		reason = "other waiting jobs come first"
+	}
 	if j.blamed {
 		reason += fmt.Sprintf("; %d failures on %d workers are attributed to the job, last: %s",
 			j.failures, len(j.failedOn), j.lastError)
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -71,6 +71,7 @@
 // drop removes a job. The workers then forget its tasks.
 func (t *term) drop(j *job) {
 	t.unplace(j)
+	t.dequeue(j)
 	for seen := range j.seen {
 		t.orphan(seen, "")
 	}
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -294,6 +294,7 @@
 	}
 	fleet := standin.NewFleet(options, ids...)
 	r := &rig{t: t, timing: fast(), members: m, fleet: fleet, jobs: newStream(), log: event.Discard()}
+	t.Cleanup(r.dumpOnFailure)
 	r.network = &network{handlers: map[structs.InstanceID]map[string]peer.Handler{}, down: map[structs.InstanceID]bool{},
 		cutOff: map[structs.InstanceID]bool{}}
 	handler := fleet.Handler()
@@ -454,3 +455,16 @@
 )
 
 var finishedResult = scheduler.Result{State: structs.JobFinished, Attempts: 1}
+
+// dumpOnFailure prints the latest events of a failed test.
+func (r *rig) dumpOnFailure() {
+	if !r.t.Failed() {
+		return
+	}
+	events, _ := r.log.Since(0)
+	for _, e := range events[max(0, len(events)-eventsShown):] {
+		r.t.Log(e.Time.Format("05.000"), e.Name, e.Fields)
+	}
+}
+
+const eventsShown = 60
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -47,6 +47,7 @@
 	j.failures++
 	shift := min(j.failures-1, 10)
 	j.notBefore = now.Add(min(failurePause<<shift, longestPause))
+	j.avoidUntil = j.notBefore.Add(t.config.Probe)
 	limit := maxAttempts(t.text, j.info.Kind)
 	if j.failures < limit || j.origin == fromService {
 		return
@@ -113,6 +114,8 @@
 		}
 	}
 	t.replace = true
+	t.cluster.LoseWorker(w.id)
+	t.checkMissing()
 	t.config.Log.Emit(eventWorkerFailing, event.F("worker", w.id), event.F("failures", w.health.streak))
 	t.config.Metrics.Gauge("scheduler_excluded_workers").Update(float64(len(t.excluded)))
 }
@@ -149,6 +152,10 @@
 	delete(t.excluded, w.id)
 	w.health = health{}
 	t.replace = true
+	if w.reachable {
+		t.cluster.SetWorker(w.placement())
+		t.checkMissing()
+	}
 	t.config.Log.Emit(eventWorkerReadmitted, event.F("worker", w.id))
 	t.config.Metrics.Gauge("scheduler_excluded_workers").Update(float64(len(t.excluded)))
 }
--- a/internal/scheduler/interfaces.go
+++ b/internal/scheduler/interfaces.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"dogwoodnotch.example/dogwoodnotch/internal/placement"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
 
@@ -45,46 +44,6 @@
 	Changed() <-chan struct{}
 }
 
-// Request asks the Placer for accelerators.
-type Request struct {
-	Job          structs.JobID // qualified with the customer
-	Customer     structs.Customer
-	Accelerators int
-	Urgency      int
-	Avoid        map[structs.WorkerID]bool
-	Now          time.Time
-}
-
-// Placer chooses accelerators. Job ids are qualified with the customer.
-type Placer interface {
-	SetWorker(w placement.Worker)
-	LoseWorker(id structs.WorkerID)
-	// Place chooses accelerators, and the borrowers that must yield first. The error is typed and says what is missing;
-	// one of kind CannotRun means that waiting does not help.
-	Place(r Request) (placement.Placement, error)
-	// Commit books a placement. Its victims keep their booking until they are released.
-	Commit(p placement.Placement, r Request) error
-	// Restore books a job that was found running.
-	Restore(p placement.Placement, r Request) error
-	Release(id structs.JobID)
-	// SetSaved tells when a job last saved its work; its start counts.
-	SetSaved(id structs.JobID, at time.Time)
-}
-
-// Waiting is a job in the queue.
-type Waiting struct {
-	Key      structs.JobID // qualified with the customer
-	Job      structs.Job
-	Since    time.Time
-	Attained time.Duration // run time that it has had
-	Attempts int
-}
-
-// Order decides which waiting job is tried first.
-type Order interface {
-	Sort(waiting []Waiting, now time.Time)
-}
-
 // Key qualifies a job's id with its customer, so that it is unique in the data centre.
 func Key(customer structs.Customer, id structs.JobID) structs.JobID {
 	return structs.JobID(string(customer) + "/" + string(id))
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -69,6 +69,7 @@
 	failedOn     map[structs.WorkerID]int
 	blamed       bool
 	notBefore    time.Time // pause after a failure
+	avoidUntil   time.Time // end of the avoidance of the workers in failedOn
 	fenceUntil   time.Time // an earlier attempt may run until then
 	unseen       bool      // may run at a worker that was not reported since this scheduler attached
 	missing      int       // members of an adopted gang that were not reported yet
@@ -87,12 +88,6 @@
 	}
 }
 
-func (j *job) request(now time.Time) Request {
-	return Request{
-		Job: j.key, Customer: j.info.Customer, Accelerators: j.info.Accelerators, Urgency: j.info.Urgency, Now: now,
-	}
-}
-
 func (j *job) setState(state structs.JobState, now time.Time) {
 	j.state = state
 	j.since = now
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -2,21 +2,26 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"maps"
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/gang"
-	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	"dogwoodnotch.example/dogwoodnotch/internal/placement"
+	"dogwoodnotch.example/dogwoodnotch/internal/queue"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
 
 // placeBudget bounds the time that one step spends on placements.
 const placeBudget = 20 * time.Millisecond
 
+// triedAtOnce bounds the waiting jobs that one step tries.
+const triedAtOnce = 1024
+
+// stalePause is the time between two looks at a job that waits for the job stream or for a service.
+const stalePause = 100 * time.Millisecond
+
 // signature groups the waiting jobs that a placer treats alike: when one of them has no place, the next one of the
 // group has none either.
 type signature struct {
@@ -32,13 +37,15 @@
 		return
 	}
 	t.replace = false
-	t.retryAt = time.Time{}
-	waiting := t.waiting(now)
-	t.order.Sort(waiting, now)
+	t.endPauses(now)
+	view := queue.View{Now: now, Entitled: t.cluster.Entitled, Used: t.cluster.Used}
 	failed := map[signature]*job{}
 	begun := time.Now()
-	for _, candidate := range waiting {
-		j := t.jobs[candidate.Key]
+	for _, entry := range t.queue.Next(view, triedAtOnce) {
+		j := t.jobs[entry.Job.ID]
+		if j.cancelled || j.removed || j.busy || j.result != nil {
+			continue
+		}
 		group := signature{j.info.Customer, j.info.Accelerators, j.info.Urgency}
 		if like := failed[group]; like != nil && len(j.failedOn) == 0 {
 			j.reason, j.remedy = like.reason, like.remedy
@@ -54,34 +61,15 @@
 	}
 }
 
-// waiting collects the jobs that may be placed now and notes why the others may not.
-func (t *term) waiting(now time.Time) []Waiting {
-	var all []Waiting
-	for key, j := range t.jobs {
-		if j.state != structs.JobWaiting || j.busy || j.result != nil || j.cancelled || j.removed || j.origin == fromProbe {
-			continue
-		}
-		if until, reason := t.pause(j); now.Before(until) {
-			j.reason = reason
-			if t.retryAt.IsZero() || until.Before(t.retryAt) {
-				t.retryAt = until
-			}
-			continue
-		}
-		if !t.dependenciesUp(j) {
-			continue
-		}
-		all = append(all, Waiting{Key: key, Job: j.info, Since: j.info.SubmittedAt, Attained: j.attained, Attempts: j.starts})
-	}
-	return all
-}
-
 // pause returns until when a job must not start, and why.
-func (t *term) pause(j *job) (time.Time, string) {
+func (t *term) pause(j *job, now time.Time) (time.Time, string) {
 	stale := !j.forgotten.IsZero() && !t.config.Jobs.CurrentAsOf().After(j.forgotten)
+	dependency := t.dependencyDown(j)
 	switch {
 	case stale:
-		return time.Now().Add(recordRetry), "a worker has already forgotten the job; the job stream is read first"
+		return now.Add(stalePause), "a worker has already forgotten the job; the job stream is read first"
+	case dependency != "":
+		return now.Add(stalePause), dependency
 	case j.unseen && len(t.unseen) > 0 && t.unseenUntil.After(j.notBefore):
 		return t.unseenUntil, fmt.Sprintf("the job may run on one of %d workers that cannot be reached", len(t.unseen))
 	case j.fenceUntil.After(j.notBefore):
@@ -93,14 +81,17 @@
 
 // tryPlace places a job and begins to start it. It returns false when there is no place.
 func (t *term) tryPlace(ctx context.Context, j *job, now time.Time) bool {
-	if !t.withinQuota(j) {
+	request := placement.Request{
+		Job: j.key, Customer: j.info.Customer, Accelerators: j.info.Accelerators, Urgency: j.info.Urgency,
+		Avoid: j.avoid(now), Now: now,
+	}
+	if reason, remedy := t.overQuota(j); reason != "" {
+		j.reason, j.remedy = reason, remedy
 		return false
 	}
-	request := j.request(now)
-	request.Avoid = t.avoid(j)
-	p, err := t.placer.Place(request)
+	p, err := t.choose(request)
 	if err == nil {
-		err = t.placer.Commit(p, request)
+		err = t.cluster.Commit(p, attributes(j, now))
 	}
 	if err != nil {
 		t.notPlaced(j, err, now)
@@ -124,6 +115,9 @@
 	typed := errkind.As(err)
 	j.reason = typed.Message
 	j.remedy = typed.Remedy
+	if now.Before(j.avoidUntil) {
+		t.retryBy(j.avoidUntil)
+	}
 	if !errkind.Is(err, errkind.CannotRun) || j.origin != fromCustomer {
 		return
 	}
@@ -131,34 +125,41 @@
 	t.active[j.key] = true
 }
 
-// avoid returns the workers that must not be used: excluded ones and those where the job has failed, unless it has
-// failed in so many places that it is blamed itself.
-func (t *term) avoid(j *job) map[structs.WorkerID]bool {
-	if len(j.failedOn) == 0 || j.blamed {
-		return t.excluded
+// avoid returns the workers where the job has failed, for a while, unless it has failed in so many places that it is
+// blamed itself. Without the end of the avoidance a job that needs most of a small fleet would never start again.
+func (j *job) avoid(now time.Time) map[structs.WorkerID]bool {
+	if len(j.failedOn) == 0 || j.blamed || now.After(j.avoidUntil) {
+		return nil
 	}
-	all := maps.Clone(t.excluded)
+	all := map[structs.WorkerID]bool{}
 	for id := range j.failedOn {
 		all[id] = true
 	}
 	return all
 }
 
-func (t *term) withinQuota(j *job) bool {
+// retryBy makes the placements run again at a time at the latest.
+func (t *term) retryBy(at time.Time) {
+	if t.retryAt.IsZero() || at.Before(t.retryAt) {
+		t.retryAt = at
+	}
+}
+
+// overQuota tells why a job must wait for its customer's quota, "" when it need not.
+func (t *term) overQuota(j *job) (reason, remedy string) {
 	for i := range t.text.Customers {
 		c := &t.text.Customers[i]
 		if c.Name != j.info.Customer || c.Quota.Accelerators == 0 {
 			continue
 		}
-		used := t.used[c.Name]
+		used := t.cluster.Used(c.Name)
 		if used+j.info.Accelerators > c.Quota.Accelerators {
-			j.reason = fmt.Sprintf("customers.%s.quota.accelerators is %d, %d are used and the job needs %d",
+			reason = fmt.Sprintf("customers.%s.quota.accelerators is %d, %d are used and the job needs %d",
 				c.Name, c.Quota.Accelerators, used, j.info.Accelerators)
-			j.remedy = "wait until jobs of the customer end, or raise the quota"
-			return false
+			return reason, "wait until jobs of the customer end, or raise the quota"
 		}
 	}
-	return true
+	return "", ""
 }
 
 // yield stops a borrower in favour of a job, after a checkpoint.
@@ -191,6 +192,7 @@
 	j.reason = reason
 	j.setState(structs.JobWaiting, now)
 	t.active[j.key] = true
+	t.enqueue(j)
 }
 
 // settleStarting starts the gang once the accelerators are free.
@@ -261,10 +263,6 @@
 	}
 	j.lastError = first.Err.Error()
 	j.notBefore = now.Add(refusedPause)
-	var refused *platform.RefusedError
-	if !errors.As(first.Err, &refused) {
-		j.failedOn[first.Task.Worker] = max(1, j.failedOn[first.Task.Worker])
-	}
 	t.abandonStart(j, now, "start failed: "+j.lastError)
 	t.orphanSeen(j)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -23,9 +23,7 @@
 	View    membership.View
 	Text    func() *spec.Text // the specification in force, nil when there is none yet
 	Jobs    Jobs
-	Racks   func(ctx context.Context) rackowner.Racks         // makes a new attachment
-	Placer  func(dc *spec.DataCentre, text *spec.Text) Placer // nil: first fit
-	Order   func(text *spec.Text) Order                       // nil: urgency, then attained run time, then age
+	Racks   func(ctx context.Context) rackowner.Racks // makes a new attachment
 	Timing  rackowner.Timing
 	Grace   time.Duration // longest checkpoint, section 9
 	Tick    time.Duration // longest time between decisions, 0 means DefaultTick
@@ -58,12 +56,6 @@
 	if config.Probe == 0 {
 		config.Probe = DefaultProbe
 	}
-	if config.Placer == nil {
-		config.Placer = func(*spec.DataCentre, *spec.Text) Placer { return newFirstFit() }
-	}
-	if config.Order == nil {
-		config.Order = func(*spec.Text) Order { return byUrgency{} }
-	}
 	self, dc := config.View.Self()
 	return &Scheduler{config: config, self: self, dc: dc}
 }
--- a/internal/scheduler/services.go
+++ b/internal/scheduler/services.go
@@ -50,9 +50,10 @@
 			ID: bareID(task.Customer, key), Customer: task.Customer, DataCentre: t.dc, Accelerators: task.Accelerators,
 			Urgency: task.Urgency, Service: service.Name, SubmittedAt: now,
 		}
-		t.jobs[key] = newJob(key, info, fromService, now)
+		j := newJob(key, info, fromService, now)
+		t.jobs[key] = j
 		t.services[key] = true
-		t.replace = true
+		t.enqueue(j)
 	}
 }
 
@@ -95,10 +96,10 @@
 	}
 }
 
-// dependenciesUp reports whether the services that a service's task depends on are up, and notes the reason if not.
-func (t *term) dependenciesUp(j *job) bool {
+// dependencyDown tells why a service's task must wait for the services that its service depends on, "" when they are up.
+func (t *term) dependencyDown(j *job) string {
 	if j.origin != fromService {
-		return true
+		return ""
 	}
 	for i := range t.text.Services {
 		s := &t.text.Services[i]
@@ -107,10 +108,9 @@
 		}
 		for _, dependency := range s.DependsOn {
 			if cause, isDown := t.down[dependency]; isDown {
-				j.reason = fmt.Sprintf("services.%s.depends_on: %s is down because tasks of %s do not run", s.Name, dependency, cause)
-				return false
+				return fmt.Sprintf("services.%s.depends_on: %s is down because tasks of %s do not run", s.Name, dependency, cause)
 			}
 		}
 	}
-	return true
+	return ""
 }
--- a/internal/scheduler/settle.go
+++ b/internal/scheduler/settle.go
@@ -41,7 +41,7 @@
 		if j == nil {
 			j = newJob(key, a.Job, fromCustomer, now)
 			t.jobs[key] = j
-			t.replace = true
+			t.enqueue(j)
 		}
 		if a.Cancelled && !j.cancelled {
 			j.cancelled = true
@@ -323,7 +323,7 @@
 	j.members = nil
 	j.missing = 0
 	j.reason = "stopped: " + string(j.cause)
-	t.replace = true
+	t.enqueue(j)
 	t.config.Log.Emit(eventRequeued, event.F("job", j.key), event.F("cause", j.cause), event.F("attained", j.attained))
 }
 
@@ -334,9 +334,18 @@
 	}
 	j.placed = false
 	t.unbind(j)
-	t.used[j.info.Customer] -= j.info.Accelerators
 	if j.origin != fromProbe {
-		t.placer.Release(j.key)
+		t.release(j)
 	}
 	t.replace = true
 }
+
+// release gives a job's accelerators back to the cluster and charges its customer for their use.
+func (t *term) release(j *job) {
+	if err := t.cluster.Release(j.key); err != nil {
+		t.config.Log.Emit(eventRestoreFailed, event.F("job", j.key), event.F("cause", err))
+	}
+	if j.state != structs.JobStarting {
+		t.queue.Charge(j.info.Customer, j.ranFor().Seconds()*float64(j.info.Accelerators))
+	}
+}
--- a/internal/scheduler/term.go
+++ b/internal/scheduler/term.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
-	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/gang"
 	"dogwoodnotch.example/dogwoodnotch/internal/placement"
 	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	"dogwoodnotch.example/dogwoodnotch/internal/queue"
 	"dogwoodnotch.example/dogwoodnotch/internal/rackowner"
 	"dogwoodnotch.example/dogwoodnotch/internal/spec"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
@@ -25,13 +25,16 @@
 // term is one period in which this instance has the role. Its state belongs to the goroutine of run; other goroutines
 // reach it through post.
 type term struct {
-	config  Config
-	dc      structs.DataCentre
-	racks   rackowner.Racks
-	starter gang.Starter
-	text    *spec.Text
-	placer  Placer
-	order   Order
+	config    Config
+	dc        structs.DataCentre
+	racks     rackowner.Racks
+	starter   gang.Starter
+	text      *spec.Text
+	cluster   *placement.Cluster
+	racksSpec spec.Racks // that the cluster was made for
+	queue     *queue.Queue
+	paused    map[structs.JobID]bool     // waiting jobs that are not in the queue
+	missing   map[placement.Missing]bool // guaranteed shapes that cannot be formed
 
 	began       time.Time
 	synced      bool    // the report of the rack owners is complete
@@ -48,7 +51,6 @@
 	down        map[structs.ServiceName]structs.ServiceName // services that are down, with what is missing
 	services    map[structs.JobID]bool                      // jobs that the specification declares
 	excluded    map[structs.WorkerID]bool
-	used        map[structs.Customer]int  // accelerators of placed jobs
 	jobsSeen    <-chan struct{}           // of the fold that was taken over
 	unseen      map[structs.WorkerID]bool // listed workers that were not reported since the attachment
 	unseenUntil time.Time                 // when tasks there have lapsed
@@ -63,8 +65,8 @@
 func newTerm(config Config, dc structs.DataCentre, racks rackowner.Racks) *term {
 	t := &term{
 		config: config, dc: dc, racks: racks, began: time.Now(), jobs: map[structs.JobID]*job{},
-		workers: map[structs.WorkerID]*worker{}, dirty: map[structs.JobID]bool{}, active: map[structs.JobID]bool{},
-		unseen: map[structs.WorkerID]bool{}, services: map[structs.JobID]bool{}, excluded: map[structs.WorkerID]bool{}, used: map[structs.Customer]int{},
+		workers: map[structs.WorkerID]*worker{}, paused: map[structs.JobID]bool{}, dirty: map[structs.JobID]bool{}, active: map[structs.JobID]bool{},
+		unseen: map[structs.WorkerID]bool{}, services: map[structs.JobID]bool{}, excluded: map[structs.WorkerID]bool{},
 		orphans: map[sighting]time.Time{}, posted: make(chan func(), maxPosted),
 		operations: make(chan struct{}, maxOperations), done: make(chan struct{}),
 	}
@@ -149,40 +151,6 @@
 	t.sendWithheld(ctx)
 }
 
-// adoptText rebuilds the placer and the order when the specification has changed.
-func (t *term) adoptText() {
-	text := t.config.Text()
-	if text == t.text || text == nil {
-		return
-	}
-	dc := dataCentre(text, t.dc)
-	if dc == nil {
-		return
-	}
-	t.text = text
-	t.order = t.config.Order(text)
-	t.placer = t.config.Placer(dc, text)
-	t.replace = true
-	for _, w := range t.workers {
-		if w.reachable {
-			t.placer.SetWorker(w.placement())
-		}
-	}
-	for _, j := range t.jobs {
-		if j.placed {
-			t.restore(j)
-		}
-	}
-}
-
-// restore books a job's present placement.
-func (t *term) restore(j *job) {
-	err := t.placer.Restore(j.placement, j.request(time.Now()))
-	if err != nil {
-		t.config.Log.Emit(eventStartFailed, event.F("job", j.key), event.F("cause", err))
-	}
-}
-
 // spawn runs an operation beside the loop and posts what follows from it. It reports false when too many are under way.
 func (t *term) spawn(operation func() func()) bool {
 	select {
