--- a/internal/server/adapters.go
+++ b/internal/server/adapters.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/idempotency"
@@ -84,14 +83,6 @@
 	}
 }
 
-// keyIssuer issues keys unless the instance is draining.
-type keyIssuer struct{ server *Server }
-
-// Issue implements api.KeyIssuer.
-func (k keyIssuer) Issue(customer structs.Customer, service structs.ServiceName, count int) ([]string, time.Time, error) {
-	return k.server.keys.Issue(customer, service, count)
-}
-
 // freeSlots reads the free slots that the peers' heartbeats report.
 type freeSlots struct{ members *membership.Members }
 
--- a/internal/server/handlers.go
+++ b/internal/server/handlers.go
@@ -1,51 +1,65 @@
 package server
 
 import (
-	"encoding/json"
-	"net/http"
+	"context"
 
 	"github.com/gorilla/mux"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/api"
-	"dogwoodnotch.example/dogwoodnotch/internal/configuration"
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 )
 
-const maxPublishBytes = 2 << 20
-
+// handlers returns the routes of the HTTP interface.
 func (s *Server) handlers() *mux.Router {
 	routes := mux.NewRouter()
 	auth := &api.Authenticator{Text: s.text, OperatorTokensSHA256: s.settings.OperatorTokensSHA256}
-	(&api.Requests{Auth: auth, Router: s.router, Keys: keyIssuer{s}}).Register(routes)
+	(&api.Requests{Auth: auth, Router: s.router, Keys: s.keys}).Register(routes)
 	(&api.Jobs{Auth: auth, Gateway: s.gateway}).Register(routes)
-	routes.HandleFunc("/v1/config", func(w http.ResponseWriter, r *http.Request) {
-		if err := auth.Operator(r); err != nil {
-			api.WriteError(w, err, "", 0)
-			return
-		}
-		var request configuration.PublishRequest
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPublishBytes)).Decode(&request); err != nil {
-			api.WriteError(w, errkind.Wrap(err, errkind.Invalid, "send JSON", "cannot read the request"), "", 0)
-			return
-		}
-		result, err := s.config.Publish(r.Context(), request)
-		if err != nil {
-			api.WriteError(w, err, "", 0)
-			return
-		}
-		api.WriteJSON(w, http.StatusOK, result)
-	}).Methods(http.MethodPost)
-	routes.HandleFunc("/healthz/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	routes.HandleFunc("/healthz/ready", s.ready)
-	routes.Handle("/metrics", s.metrics)
+	(&api.Config{Auth: auth, Store: s.config}).Register(routes)
+	(&api.Status{
+		Auth:    auth,
+		Status:  s.statusSections(),
+		Dump:    s.dumpSections(),
+		Ready:   s.ready,
+		Events:  s.events,
+		Metrics: s.metrics,
+		Done:    s.stopping,
+	}).Register(routes)
 	return routes
 }
 
-// ready tells the balancer whether to send requests here.
-func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.draining.Load() || s.text() == nil || !s.members.Fresh() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+// ready tells the balancer whether to send requests here. The error is of kind Unavailable.
+func (s *Server) ready() error {
+	switch {
+	case s.draining.Load():
+		return errkind.New(errkind.Unavailable, "use another instance", "the instance is draining")
+	case s.text() == nil:
+		return errkind.New(errkind.Unavailable, "publish a specification, or check the log service and the peers", "no configuration is in force")
+	case !s.members.Fresh():
+		return errkind.New(errkind.Unavailable, "wait until the view is fresh", "the instance has just been paused")
+	default:
+		return nil
+	}
+}
+
+// statusSections are what operators see of the instance and of its data centre.
+func (s *Server) statusSections() []api.Section {
+	return []api.Section{
+		{Name: "instance", Collect: func(context.Context) any { return s.instanceStatus() }},
+		{Name: "configuration", Collect: func(context.Context) any { return s.configurationStatus() }},
+		{Name: "jobs", Collect: func(context.Context) any { return s.jobsStatus() }},
+		{Name: "services_down", Collect: func(context.Context) any { return s.servicesDown() }},
+		{Name: "queues", Collect: func(context.Context) any { return s.router.Statuses() }},
 	}
-	w.WriteHeader(http.StatusOK)
+}
+
+// dumpSections are the whole state of the process.
+func (s *Server) dumpSections() []api.Section {
+	return append(s.statusSections(),
+		api.Section{Name: "membership", Collect: func(context.Context) any { return s.membershipDump() }},
+		api.Section{Name: "minions", Collect: func(context.Context) any { return s.pool.Reports() }},
+		api.Section{Name: "request_keys_used", Collect: func(context.Context) any { return s.keys.Used() }},
+		api.Section{Name: "open_jobs", Collect: func(context.Context) any { return s.openJobs() }},
+		api.Section{Name: "settings", Collect: func(context.Context) any { return s.settings }},
+	)
 }
--- a/internal/server/run.go
+++ b/internal/server/run.go
@@ -90,6 +90,7 @@
 	defer cancel()
 	s.events.Emit(eventDraining, event.F("timeout", s.settings.Timing.DrainTimeout))
 	s.draining.Store(true)
+	close(s.stopping)
 	s.keys.StopIssuing()
 	leave, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
 	s.members.Leave(leave)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -35,6 +35,7 @@
 	metrics  http.Handler
 	closer   io.Closer
 	draining atomic.Bool
+	stopping chan struct{} // closed when the drain begins; ends the event streams
 
 	node      *peer.Node
 	members   *membership.Members
@@ -56,7 +57,7 @@
 func New(s *settings.Settings, logs io.Writer) (*Server, error) {
 	events := event.NewLog(logs, string(s.Instance))
 	scope, handler, closer := metrics.New(map[string]string{"instance": string(s.Instance)})
-	server := &Server{settings: s, events: events, scope: scope, metrics: handler, closer: closer}
+	server := &Server{settings: s, events: events, scope: scope, metrics: handler, closer: closer, stopping: make(chan struct{})}
 	ring, err := keyRing(s)
 	if err != nil {
 		return nil, err
