Do not run a gang again that finished while its preemption was on the way

Cause: make demo reported 'gang gang-09 finished 2 times'. The scheduler had sent the stop of a preemption when all members had just finished; the worker answered the stop of a finished task with success, and the scheduler took the members for stopped and queued the gang again. Change: a worker refuses to stop or release a finished task, and a job all of whose members finished is finished, whatever the stop's cause. Ruled out: waiting for the report after every stop, which delays a preemption by up to one renewal.

--- a/internal/scheduler/settle.go
+++ b/internal/scheduler/settle.go
@@ -298,8 +298,13 @@
 	t.dirty[j.key] = true
 }
 
-// stopped follows the end of the last member.
+// stopped follows the end of the last member. A job may finish while its stop is on the way; running it again would
+// double it.
 func (t *term) stopped(j *job, now time.Time) {
+	if j.missing == 0 && j.count(isPhase(platform.TaskFinished)) == len(j.members) {
+		t.succeeded(j)
+		j.result = t.finished(j, now)
+	}
 	j.attained = max(j.attained, j.savedWork())
 	if j.cause == causeFailed {
 		t.failed(j, now)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -191,6 +191,9 @@
 	if !known {
 		return nil
 	}
+	if t.status.Phase == platform.TaskFinished {
+		return m.refuse(now, "the task has finished") // the owner must not take it for stopped
+	}
 	if t.status.Phase == platform.TaskHeld {
 		m.change(t, platform.TaskStopped, "hold released")
 		return nil
@@ -202,6 +205,9 @@
 // stop ends a task, after a checkpoint when asked.
 func (m *machine) stop(command platform.TaskCommand, now time.Time) error {
 	t, known := m.tasks[commandKey(command)]
+	if known && t.status.Phase == platform.TaskFinished {
+		return m.refuse(now, "the task has finished") // the owner must not take it for stopped
+	}
 	if !known || t.status.Phase.Ended() || t.status.Phase == platform.TaskCheckpointing {
 		return nil
 	}
