Tell an instance that its peers had taken it for gone, whoever speaks first

Only answers said that the receiver had been taken for gone. When the peer's heartbeat arrived first after a freeze, the peer noted that the instance lives, and its later answers no longer said it, so with the list down the instance became fresh although its minions might have been taken over (TestEvictedInstance failed in one run of about ten). Each heartbeat now carries how often the sender took the receiver's process for gone, so that the news survives lost messages and any order. With the list down, a stale view now needs an answer from every instance of the data centre that is not gone, where one was enough before: another one may have taken the minions.

--- /dev/null
+++ b/internal/idempotency/bench_test.go
@@ -0,0 +1,140 @@
+package idempotency
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/time/rate"
+	"gotest.tools/v3/assert"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+)
+
+// Stand-in of the platform: a request and its answer take 1 ms each way, and the log accepts 400 appends a second.
+const (
+	oneWay           = time.Millisecond
+	appendsPerSecond = 400
+)
+
+// standIn serves the log's append and, in place of POST /v1/keys, the issuing of keys.
+func standIn(tb testing.TB, k *Keys) string {
+	var offset atomic.Uint64
+	appends := rate.NewLimiter(appendsPerSecond, 1)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /streams/{stream}/records", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(2 * oneWay)
+		if appends.Wait(r.Context()) == nil {
+			assert.Check(tb, json.NewEncoder(w).Encode(platform.AppendResponse{Offset: offset.Add(1)}))
+		}
+	})
+	mux.HandleFunc("POST /v1/keys", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(2 * oneWay)
+		count, _ := strconv.Atoi(r.URL.Query().Get("count"))
+		keys, _, err := k.Issue(customer, service, count)
+		assert.Check(tb, err)
+		assert.Check(tb, json.NewEncoder(w).Encode(keys))
+	})
+	server := httptest.NewServer(mux)
+	tb.Cleanup(server.Close)
+	return server.URL
+}
+
+// BenchmarkAtMostOnce compares what makes a request run at most once: a key out of a batch of 256, or one claim in the
+// log per request. It leaves out the run itself. Claims are measured without the read that tells who was first.
+func BenchmarkAtMostOnce(b *testing.B) {
+	for _, callers := range []int{1, 64} {
+		b.Run(fmt.Sprintf("keys/callers=%d", callers), func(b *testing.B) {
+			k := newKeys(b, func(c *Config) { c.MaxUsed = 1 << 30 })
+			base := standIn(b, k)
+			client := platform.NewHTTPClient()
+			b.Cleanup(client.CloseIdleConnections)
+			measure(b, callers, func() func() {
+				var batch []string
+				return func() {
+					if len(batch) == 0 {
+						response, err := client.Post(fmt.Sprintf("%s/v1/keys?count=%d", base, MaxBatch), "", nil)
+						assert.NilError(b, err)
+						assert.NilError(b, json.NewDecoder(response.Body).Decode(&batch))
+						response.Body.Close()
+					}
+					d, err := k.Begin(batch[0], customer, service)
+					assert.NilError(b, err)
+					d.Run.Answered(nil)
+					batch = batch[1:]
+				}
+			})
+		})
+		b.Run(fmt.Sprintf("claims/callers=%d", callers), func(b *testing.B) {
+			client := platform.NewHTTPClient()
+			b.Cleanup(client.CloseIdleConnections)
+			log := platform.NewLog(client, standIn(b, nil))
+			claim := make([]byte, 100)
+			measure(b, callers, func() func() {
+				return func() {
+					_, err := log.Append(b.Context(), "claims", claim)
+					assert.Check(b, err)
+				}
+			})
+		})
+	}
+}
+
+// measure runs b.N requests by concurrent callers and reports the distribution of their latency.
+func measure(b *testing.B, callers int, newCaller func() func()) {
+	latency := hdrhistogram.New(1, int64(time.Minute), 3)
+	var mu sync.Mutex
+	var started atomic.Int64
+	var group sync.WaitGroup
+	begin := time.Now()
+	for range callers {
+		request := newCaller()
+		group.Go(func() {
+			for started.Add(1) <= int64(b.N) {
+				at := time.Now()
+				request()
+				mu.Lock()
+				_ = latency.RecordValue(int64(time.Since(at)))
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	b.ReportMetric(float64(b.N)/time.Since(begin).Seconds(), "requests/s")
+	b.ReportMetric(latency.Mean()/1000, "mean-µs")
+	b.ReportMetric(float64(latency.ValueAtQuantile(50))/1000, "p50-µs")
+	b.ReportMetric(float64(latency.ValueAtQuantile(99))/1000, "p99-µs")
+}
+
+// BenchmarkIssue measures one call for a batch.
+func BenchmarkIssue(b *testing.B) {
+	k := newKeys(b, nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _, err := k.Issue(customer, service, MaxBatch)
+		assert.NilError(b, err)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/MaxBatch, "ns/key")
+	b.ReportMetric(float64(len(issue(b, k))), "key-bytes")
+}
+
+// BenchmarkBegin measures the decisions about a first request and its repeat.
+func BenchmarkBegin(b *testing.B) {
+	k := newKeys(b, func(c *Config) { c.MaxUsed = 1 << 30 })
+	var keys []string
+	for b.Loop() {
+		if len(keys) == 0 {
+			keys, _, _ = k.Issue(customer, service, MaxBatch)
+		}
+		begin(b, k, keys[0]).Run.Answered(&Response{Status: 200})
+		begin(b, k, keys[0])
+		keys = keys[1:]
+	}
+}
--- a/internal/membership/freshness.go
+++ b/internal/membership/freshness.go
@@ -20,8 +20,7 @@
 	since    time.Time // reads and heartbeats that began later refresh the view
 	list     time.Time // start of the last successful read of the list
 	listFail time.Time // start of the last failed one
-	peer     time.Time // start of the last heartbeat that a peer answered
-	evicted  time.Time // start of the last heartbeat whose answer said that the peer had taken this instance for gone
+	evicted  time.Time // when a peer last said that it had taken this instance for gone
 }
 
 // Fresh implements View. It compares both clocks: the monotonic one stands still while a virtual machine is suspended,
@@ -81,35 +80,50 @@
 	f.listFail = began
 }
 
-// peerAnswered notes an answer. A peer that had taken this instance for gone may have taken over its minions, so only
-// the list can then tell how things stand.
-func (f *freshness) peerAnswered(began time.Time, evicted bool) {
+// evict notes that a peer had taken this instance for gone. It may have taken over its minions, so only the list can
+// then tell how things stand.
+func (f *freshness) evict(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peer = began
-	if evicted {
-		f.evicted = began
-		f.stale.Store(true)
-	}
+	f.evicted = now
+	f.stale.Store(true)
 }
 
-// noticeRefresh ends staleness once the view is as new as it can be: the list has been read, or it is down and a peer
-// has answered.
+// noticeRefresh ends staleness once the view is as new as it can be: the list has been read, or it is down and every
+// instance of the own data centre that may still run has answered without having taken this one for gone.
 func (m *Members) noticeRefresh() {
 	if !m.fresh.stale.Load() || !m.refreshed() {
 		return
 	}
-	m.fresh.stale.Store(false)
 	m.config.Events.Emit(eventRefreshed)
 }
 
+// refreshed ends staleness if it can.
 func (m *Members) refreshed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	f := &m.fresh
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.list.IsZero() && !f.list.Before(f.since) && f.list.After(f.evicted) {
-		return true
-	}
+	byList := !f.list.IsZero() && !f.list.Before(f.since) && f.list.After(f.evicted)
 	evicted := !f.evicted.IsZero() && !f.list.After(f.evicted)
-	return !evicted && f.listFail.After(f.since) && f.peer.After(f.since)
+	byPeers := !evicted && f.listFail.After(f.since) && m.confirmedSince(f.since)
+	if byList || byPeers {
+		f.stale.Store(false)
+	}
+	return byList || byPeers
+}
+
+// confirmedSince reports whether every instance of the own data centre that is not gone has answered a heartbeat that
+// began after since. The instances of other data centres own none of its minions. m.mu is held.
+func (m *Members) confirmedSince(since time.Time) bool {
+	for _, r := range m.records {
+		if r.dc != m.config.DataCentre || r.gone(m.list.evidence) {
+			continue
+		}
+		if !r.confirmed.After(since) {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -23,10 +23,10 @@
 	Base        uint64      `msgpack:"b,omitempty"`
 	Version     uint64      `msgpack:"v"`
 	Ack         uint64      `msgpack:"a,omitempty"`
-	AckOf       uint64      `msgpack:"n,omitempty"` // incarnation of the receiver whose values Ack confirms
+	AckOf       uint64      `msgpack:"n,omitempty"` // incarnation of the receiver that Ack and Evictions are about
 	Identity    *identity   `msgpack:"d,omitempty"` // only when Base is 0
 	Topics      []topicBeat `msgpack:"t,omitempty"`
-	Evicted     bool        `msgpack:"e,omitempty"` // the sender took the receiver for gone until now
+	Evictions   uint32      `msgpack:"e,omitempty"` // how often the sender took this process of the receiver for gone
 }
 
 // identity introduces an instance that the receiver's list does not show yet.
@@ -48,27 +48,24 @@
 		return nil, err
 	}
 	now := m.config.Now()
-	evicted, err := m.receive(from, &received, now)
-	if err != nil {
+	if err := m.receive(from, &received, now); err != nil {
 		return nil, err
 	}
 	m.rebuild(now)
-	answer := m.compose(from)
-	answer.Evicted = evicted
-	return answer, nil
+	return m.compose(from), nil
 }
 
-// receive takes over a heartbeat or an answer. evicted reports whether the sender was taken for gone before.
-func (m *Members) receive(from structs.InstanceID, b *beat, now time.Time) (evicted bool, err error) {
+// receive takes over a heartbeat or an answer.
+func (m *Members) receive(from structs.InstanceID, b *beat, now time.Time) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r, err := m.introduce(from, b, now)
 	if err != nil {
-		return false, err
+		return err
 	}
-	evicted = r.gone(m.list.evidence)
-	if !r.heard(b.Incarnation, now) {
-		return evicted, errkind.New(errkind.LostRace, "stop this process", "a later process named %s is known", from)
+	wasGone := r.gone(m.list.evidence)
+	if !r.heard(b.Incarnation, now, wasGone) {
+		return errkind.New(errkind.LostRace, "stop this process", "a later process named %s is known", from)
 	}
 	r.state = max(r.state, b.State)
 	if b.AckOf == m.config.Incarnation {
@@ -79,7 +76,11 @@
 	if b.Version >= r.received && len(b.Topics) <= maxTopics {
 		m.adopt(r, b, now)
 	}
-	return evicted, nil
+	if b.AckOf == m.config.Incarnation && b.Evictions > r.evictedBy {
+		r.evictedBy = b.Evictions
+		m.fresh.evict(now)
+	}
+	return nil
 }
 
 // introduce returns the record of a sender. One that the list does not show yet introduces itself.
@@ -139,6 +140,10 @@
 		b.Base = r.acknowledged
 		b.Ack = r.received
 		b.AckOf = r.incarnation
+		b.Evictions = r.evictions
+		if r.gone(m.list.evidence) {
+			b.Evictions++
+		}
 		dc = r.dc
 	}
 	if b.Base == 0 {
@@ -157,15 +162,14 @@
 	var answer beat
 	err := m.config.Caller.Call(ctx, to, kindHeartbeat, m.compose(to), &answer)
 	if err == nil {
-		_, err = m.receive(to, &answer, m.config.Now())
-		m.fresh.peerAnswered(began, answer.Evicted)
+		err = m.receive(to, &answer, m.config.Now())
 	}
-	m.settle(to, err)
+	m.settle(to, began, err)
 	m.rebuild(m.config.Now())
 }
 
 // settle notes how a heartbeat ended.
-func (m *Members) settle(to structs.InstanceID, err error) {
+func (m *Members) settle(to structs.InstanceID, began time.Time, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r, known := m.records[to]
@@ -174,6 +178,7 @@
 	}
 	r.inFlight = false
 	if err == nil {
+		r.confirmed = began
 		return
 	}
 	m.failures.Inc(1)
@@ -185,12 +190,14 @@
 }
 
 // due returns the instances to send a heartbeat to, and notes that they are sent. An exchange tells both sides that the
-// other is alive, so whoever was heard within an interval needs none: each pair makes one exchange an interval.
+// other is alive, so whoever was heard within an interval needs none: each pair makes one exchange an interval. A stale
+// view needs answers to own heartbeats: one that was received may have been sent before the freeze.
 func (m *Members) due(now time.Time) []structs.InstanceID {
 	var ids []structs.InstanceID
 	for _, r := range m.targets() {
 		interval := m.interval(r)
-		if r.inFlight || now.Sub(r.lastSent) < interval || now.Sub(r.lastHeard) < interval {
+		heard := now.Sub(r.lastHeard) < interval && !m.fresh.stale.Load()
+		if r.inFlight || now.Sub(r.lastSent) < interval || heard {
 			continue
 		}
 		r.inFlight = true
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -111,6 +111,9 @@
 			if listDown {
 				c.pass(5 * time.Second)
 				assert.Assert(t, !sleeper.Fresh(), "neither the list nor a peer can be reached")
+				c.cut = func(a, b structs.InstanceID) bool { return a == "dc0-2" || b == "dc0-2" }
+				c.pass(5 * time.Second)
+				assert.Assert(t, !sleeper.Fresh(), "the peer that cannot be reached may have taken its minions")
 			}
 			c.cut = nil
 			c.pass(2 * time.Second)
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -49,7 +49,10 @@
 	acknowledged uint64 // version of the own values that it has in full
 	lastSent     time.Time
 	inFlight     bool
-	failures     int // heartbeats in a row that got no answer
+	failures     int       // heartbeats in a row that got no answer
+	confirmed    time.Time // start of the last own heartbeat that it answered
+	evictions    uint32    // how often its present process was taken for gone and heard again
+	evictedBy    uint32    // how often it has taken this process for gone, as it says
 }
 
 // value is the latest one of a topic.
@@ -60,11 +63,16 @@
 
 // heard notes a direct message of the given incarnation. It reports false for a message of an earlier process, which
 // was delayed.
-func (r *record) heard(incarnation uint64, now time.Time) bool {
+func (r *record) heard(incarnation uint64, now time.Time, wasGone bool) bool {
 	if incarnation < r.incarnation {
 		return false
 	}
+	if incarnation == r.incarnation && wasGone {
+		r.evictions++
+	}
 	if incarnation > r.incarnation {
+		r.evictions = 0
+		r.evictedBy = 0
 		r.incarnation = incarnation
 		r.state = stateLive
 		r.received = 0
--- a/internal/membership/values_test.go
+++ b/internal/membership/values_test.go
@@ -45,10 +45,10 @@
 	assert.Equal(t, read(t, restarted, "dc0-0", "near"), 2)
 
 	old := beat{Incarnation: 1, Version: 1, Topics: []topicBeat{{Name: "near", Data: []byte{1}}}}
-	_, err := restarted.receive("dc0-0", &old, c.now)
+	err := restarted.receive("dc0-0", &old, c.now)
 	assert.NilError(t, err)
 	assert.Equal(t, read(t, restarted, "dc0-0", "near"), 2)
-	_, err = sender.receive("dc0-1", &beat{Incarnation: 1, State: stateEnded}, c.now)
+	err = sender.receive("dc0-1", &beat{Incarnation: 1, State: stateEnded}, c.now)
 	assert.ErrorContains(t, err, "later process")
 	assert.Assert(t, !sender.Gone("dc0-1"))
 }
