--- a/internal/minion/member.go
+++ b/internal/minion/member.go
@@ -42,6 +42,7 @@
 	listLeave bool   // the instance list says that it is leaving
 	saidLeave bool   // the minion says that it is leaving
 	healthy   bool
+	refusing  bool               // it refused a request since its last status
 	statusAt  time.Time          // when its last good status was asked for
 	stop      context.CancelFunc // ends its status loop, nil when none runs
 	done      chan struct{}      // closed when its latest status loop has ended
@@ -74,7 +75,7 @@
 
 // usable reports whether the minion may get new work, apart from the age of its status.
 func (m *member) usable() bool {
-	return m.phase == phaseOwned && m.listed && !m.leaving() && m.healthy && !m.measuring
+	return m.phase == phaseOwned && m.listed && !m.leaving() && m.healthy && !m.refusing && !m.measuring
 }
 
 func (m *member) leaving() bool { return m.listLeave || m.saidLeave }
--- a/internal/minion/poll.go
+++ b/internal/minion/poll.go
@@ -105,6 +105,7 @@
 	recovered := !m.healthy
 	left := status.Leaving && !m.leaving()
 	m.healthy = true
+	m.refusing = false
 	m.statusAt = asked
 	m.saidLeave = status.Leaving
 	m.said = status.Slots
--- a/internal/minion/slot.go
+++ b/internal/minion/slot.go
@@ -100,6 +100,6 @@
 func (p *Pool) pauseUntilStatus(m *member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m.healthy = false
+	m.refusing = true
 	p.reindexLocked(m)
 }
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -17,6 +17,8 @@
 const (
 	// fullFor is how long a peer that refused a forwarded request is left out, the time until its next report.
 	fullFor = 250 * time.Millisecond
+	// reportAge is how long a list of the peers' free slots is used; they change with each heartbeat.
+	reportAge = 20 * time.Millisecond
 	// forwardGrace is how long after the deadline the peer's word on the outcome is waited for.
 	forwardGrace = 100 * time.Millisecond
 )
@@ -65,6 +67,8 @@
 type forwards struct {
 	outstanding map[structs.InstanceID]int
 	full        map[structs.InstanceID]time.Time // when a peer last refused
+	free        map[structs.InstanceID]int       // as reported
+	freeAsOf    time.Time
 }
 
 func newForwards() forwards {
@@ -76,7 +80,11 @@
 	var best structs.InstanceID
 	most := 0
 	now := time.Now()
-	for id, free := range s.router.cfg.Peers.FreeSlots(s.name) {
+	if now.Sub(s.forward.freeAsOf) > reportAge {
+		s.forward.free = s.router.cfg.Peers.FreeSlots(s.name)
+		s.forward.freeAsOf = now
+	}
+	for id, free := range s.forward.free {
 		free -= s.forward.outstanding[id]
 		if now.Sub(s.forward.full[id]) < fullFor || free < 1 {
 			continue
