--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -61,20 +61,24 @@
 	stopBegan time.Time
 	attained  time.Duration
 
-	cancelled  bool
-	removed    bool // not in the job stream, or not in the specification, any more
-	result     *Result
-	recorded   time.Time // last attempt to record the result
-	failures   int       // that count against max_attempts
-	failedOn   map[structs.WorkerID]int
-	blamed     bool
-	notBefore  time.Time // pause after a failure
-	fenceUntil time.Time // an earlier attempt may run until then
-	forgotten  time.Time // a worker reported that it forgot an attempt of the waiting job
-	reason     string    // why it waits
-	remedy     string
-	lastError  string
-	seen       map[sighting]bool
+	cancelled    bool
+	removed      bool // not in the job stream, or not in the specification, any more
+	result       *Result
+	recorded     time.Time // last attempt to record the result
+	failures     int       // that count against max_attempts
+	failedOn     map[structs.WorkerID]int
+	blamed       bool
+	notBefore    time.Time // pause after a failure
+	avoidUntil   time.Time // end of the avoidance of the workers in failedOn
+	fenceUntil   time.Time // an earlier attempt may run until then
+	unseen       bool      // may run at a worker that was not reported since this scheduler attached
+	missing      int       // members of an adopted gang that were not reported yet
+	missingSince time.Time
+	forgotten    time.Time // a worker reported that it forgot an attempt of the waiting job
+	reason       string    // why it waits
+	remedy       string
+	lastError    string
+	seen         map[sighting]bool
 }
 
 func newJob(key structs.JobID, info structs.Job, from origin, now time.Time) *job {
@@ -84,12 +88,6 @@
 	}
 }
 
-func (j *job) request(now time.Time) Request {
-	return Request{
-		Job: j.key, Customer: j.info.Customer, Accelerators: j.info.Accelerators, Urgency: j.info.Urgency, Now: now,
-	}
-}
-
 func (j *job) setState(state structs.JobState, now time.Time) {
 	j.state = state
 	j.since = now
--- a/internal/scheduler/settle.go
+++ b/internal/scheduler/settle.go
@@ -29,6 +29,10 @@
 		return
 	}
 	t.jobsSeen = changed
+	current := t.streamCurrent()
+	if !current {
+		t.jobsSeen = nil // looks again at every step until the fold is current
+	}
 	listed := map[structs.JobID]bool{}
 	for _, a := range t.config.Jobs.Unfinished() {
 		key := Key(a.Job.Customer, a.Job.ID)
@@ -37,7 +41,7 @@
 		if j == nil {
 			j = newJob(key, a.Job, fromCustomer, now)
 			t.jobs[key] = j
-			t.replace = true
+			t.enqueue(j)
 		}
 		if a.Cancelled && !j.cancelled {
 			j.cancelled = true
@@ -45,13 +49,23 @@
 		}
 	}
 	for key, j := range t.jobs {
-		if j.origin == fromCustomer && !listed[key] && !j.removed {
+		if j.origin == fromCustomer && !listed[key] && !j.removed && (current || t.ended(j)) {
 			j.removed = true
 			t.active[key] = true
 		}
 	}
 }
 
+// streamCurrent reports whether the fold has reached the end of the job stream since this term began. Before that it may
+// lack a job that runs: an instance that has just started once stopped running gangs for that reason.
+func (t *term) streamCurrent() bool { return t.config.Jobs.CurrentAsOf().After(t.began) }
+
+// ended reports whether the job stream has a result of the job.
+func (t *term) ended(j *job) bool {
+	_, result, known := t.config.Jobs.Find(j.info.Customer, j.info.ID)
+	return known && result != nil
+}
+
 // settleAll moves every job on that may have to.
 func (t *term) settleAll(ctx context.Context, now time.Time) {
 	for key := range t.dirty {
@@ -83,13 +97,17 @@
 	case structs.JobWaiting:
 		return true
 	case structs.JobRunning:
-		return !t.anyLost(j)
+		return !t.incomplete(j)
 	default:
 		return false
 	}
 }
 
-func (t *term) anyLost(j *job) bool {
+// incomplete reports whether a member of a running job is out of reach.
+func (t *term) incomplete(j *job) bool {
+	if j.missing > 0 {
+		return true
+	}
 	for _, m := range j.members {
 		if !t.worker(m.task.Worker).reachable {
 			return true
@@ -128,7 +146,7 @@
 	ended := j.count(platform.TaskPhase.Ended)
 	finished := j.count(isPhase(platform.TaskFinished))
 	switch {
-	case finished == len(j.members):
+	case finished == len(j.members) && j.missing == 0:
 		t.succeeded(j)
 		j.result = t.finished(j, now)
 	case j.removed:
@@ -137,6 +155,9 @@
 		t.stop(j, causeCancelled, now)
 	case j.count(isPhase(platform.TaskFailed)) > 0:
 		t.stop(j, causeFailed, now)
+	case j.missing > 0 && now.Sub(j.missingSince) > t.config.Timing.TaskLease/2:
+		j.fenceUntil = now.Add(t.lapse())
+		t.stop(j, causeLost, now)
 	case ended > finished || t.gangTorn(j, now):
 		t.stop(j, causeLost, now)
 	}
@@ -300,8 +321,9 @@
 func (t *term) requeue(j *job, now time.Time) {
 	j.setState(structs.JobWaiting, now)
 	j.members = nil
+	j.missing = 0
 	j.reason = "stopped: " + string(j.cause)
-	t.replace = true
+	t.enqueue(j)
 	t.config.Log.Emit(eventRequeued, event.F("job", j.key), event.F("cause", j.cause), event.F("attained", j.attained))
 }
 
@@ -312,9 +334,18 @@
 	}
 	j.placed = false
 	t.unbind(j)
-	t.used[j.info.Customer] -= j.info.Accelerators
 	if j.origin != fromProbe {
-		t.placer.Release(j.key)
+		t.release(j)
 	}
 	t.replace = true
 }
+
+// release gives a job's accelerators back to the cluster and charges its customer for their use.
+func (t *term) release(j *job) {
+	if err := t.cluster.Release(j.key); err != nil {
+		t.config.Log.Emit(eventRestoreFailed, event.F("job", j.key), event.F("cause", err))
+	}
+	if j.state != structs.JobStarting {
+		t.queue.Charge(j.info.Customer, j.ranFor().Seconds()*float64(j.info.Accelerators))
+	}
+}
