--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -17,6 +17,8 @@
 const (
 	// fullFor is how long a peer that refused a forwarded request is left out, the time until its next report.
 	fullFor = 250 * time.Millisecond
+	// reportAge is how long a list of the peers' free slots is used; they change with each heartbeat.
+	reportAge = 20 * time.Millisecond
 	// forwardGrace is how long after the deadline the peer's word on the outcome is waited for.
 	forwardGrace = 100 * time.Millisecond
 )
@@ -61,23 +63,17 @@
 	Remedy  string       `msgpack:"remedy"`
 }
 
-// forwards counts what this instance has sent to each peer for one service.
-type forwards struct {
-	outstanding map[structs.InstanceID]int
-	full        map[structs.InstanceID]time.Time // when a peer last refused
-}
-
-func newForwards() forwards {
-	return forwards{outstanding: map[structs.InstanceID]int{}, full: map[structs.InstanceID]time.Time{}}
-}
-
 // choosePeerLocked returns the peer with the most free slots, "" when none has any.
 func (s *service) choosePeerLocked() structs.InstanceID {
 	var best structs.InstanceID
 	most := 0
 	now := time.Now()
-	for id, free := range s.router.cfg.Peers.FreeSlots(s.name) {
-		free -= s.forward.outstanding[id]
+	if now.Sub(s.forward.freeAsOf) > reportAge {
+		s.forward.free = s.router.cfg.Peers.FreeSlots(s.name)
+		s.forward.freeAsOf = now
+	}
+	for id, free := range s.forward.free {
+		free -= s.forward.unseen(id, now)
 		if now.Sub(s.forward.full[id]) < fullFor || free < 1 {
 			continue
 		}
@@ -91,10 +87,7 @@
 func (s *service) forwardEnded(id structs.InstanceID, full bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.forward.outstanding[id]--
-	if s.forward.outstanding[id] <= 0 {
-		delete(s.forward.outstanding, id)
-	}
+	s.forward.end(id)
 	now := time.Now()
 	for other, at := range s.forward.full {
 		if now.Sub(at) >= fullFor {
