--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -49,7 +49,7 @@
 type Prefer func(a, b []Borrower) int
 
 // Evictions iterates over the choices that a request has when borrowers yield: all borrowers for a request with an
-// unused guaranteed cell, less urgent ones for any other. Within a rack the workers are chosen by prefer, one by one.
+// unused guaranteed cell, less urgent ones and those that Request.Yields names for any other. Within a rack the workers are chosen by prefer, one by one.
 // The error is that of Place for a request that could never run.
 func (c *Cluster) Evictions(r Request, prefer Prefer) (iter.Seq[Eviction], error) {
 	if err := c.checkRequest(r); err != nil {
@@ -88,7 +88,10 @@
 	if j.cell >= 0 {
 		return false
 	}
-	return e.size != nil || j.Urgency < e.request.Urgency
+	if e.size != nil || j.Urgency < e.request.Urgency {
+		return true
+	}
+	return j.Urgency == e.request.Urgency && e.request.Yields != nil && e.request.Yields(j.placement.Job)
 }
 
 // gather adds the users of the masked accelerators to the victims. It reports false when one may not yield.
@@ -140,89 +143,3 @@
 	}
 	return 0
 }
-
-func (e *evictions) inRacks(yield func(Eviction) bool) {
-	for _, r := range e.order {
-		if e.size != nil && !e.allowsRack(r.openWhole) {
-			continue
-		}
-		e.victims = e.victims[:0]
-		parts, left := e.takeFrom([]*rack{r}, e.request.Accelerators)
-		if left == 0 && !yield(Eviction{e.victims, e.search, parts}) {
-			return
-		}
-	}
-}
-
-// overRacks chooses runs of neighbouring racks that are long enough; for a guaranteed cell, whole open racks.
-func (e *evictions) overRacks(yield func(Eviction) bool) {
-	if e.size != nil && !e.allowsRacks(e.size.units) {
-		return
-	}
-	racks := e.candidateRacks()
-	for length := 1; length <= len(racks); length++ {
-		found := false
-		for first := 0; first+length <= len(racks); first++ {
-			e.victims = e.victims[:0]
-			parts, left := e.takeFrom(racks[first:first+length], e.request.Accelerators)
-			if left > 0 {
-				continue
-			}
-			found = true
-			if !yield(Eviction{e.victims, e.search, parts}) {
-				return
-			}
-		}
-		if found {
-			return
-		}
-	}
-}
-
-func (e *evictions) candidateRacks() []*rack {
-	if e.size == nil {
-		return e.order
-	}
-	var racks []*rack
-	for _, r := range e.order {
-		if r.openWhole >= e.geometry.workers {
-			racks = append(racks, r)
-		}
-	}
-	return racks
-}
-
-// takeFrom takes workers of the racks until n accelerators are found, those whose users yield most easily first. It
-// returns how many are lacking.
-func (e *evictions) takeFrom(racks []*rack, n int) ([]part, int) {
-	type choice struct {
-		worker  *worker
-		victims []Borrower
-	}
-	var choices []choice
-	for _, r := range racks {
-		for _, w := range r.workers {
-			usable := w.count == e.geometry.accelerators && !w.lost && !e.request.Avoid[w.id]
-			if !usable || e.size != nil && !e.wholeOpen(w) {
-				continue
-			}
-			e.victims = nil
-			if e.gather(w, w.all()) {
-				choices = append(choices, choice{w, e.victims})
-			}
-		}
-	}
-	slices.SortStableFunc(choices, func(a, b choice) int { return e.prefer(a.victims, b.victims) })
-	e.victims = nil
-	var parts []part
-	for _, chosen := range choices {
-		if n == 0 {
-			break
-		}
-		count := min(n, chosen.worker.count)
-		parts = append(parts, part{chosen.worker, run(0, count)})
-		e.gather(chosen.worker, run(0, count))
-		n -= count
-	}
-	return parts, n
-}
--- a/internal/scheduler/settle.go
+++ b/internal/scheduler/settle.go
@@ -41,7 +41,7 @@
 		if j == nil {
 			j = newJob(key, a.Job, fromCustomer, now)
 			t.jobs[key] = j
-			t.replace = true
+			t.enqueue(j)
 		}
 		if a.Cancelled && !j.cancelled {
 			j.cancelled = true
@@ -298,8 +298,13 @@
 	t.dirty[j.key] = true
 }
 
-// stopped follows the end of the last member.
+// stopped follows the end of the last member. A job may finish while its stop is on the way; running it again would
+// double it.
 func (t *term) stopped(j *job, now time.Time) {
+	if j.missing == 0 && j.count(isPhase(platform.TaskFinished)) == len(j.members) {
+		t.succeeded(j)
+		j.result = t.finished(j, now)
+	}
 	j.attained = max(j.attained, j.savedWork())
 	if j.cause == causeFailed {
 		t.failed(j, now)
@@ -323,7 +328,7 @@
 	j.members = nil
 	j.missing = 0
 	j.reason = "stopped: " + string(j.cause)
-	t.replace = true
+	t.enqueue(j)
 	t.config.Log.Emit(eventRequeued, event.F("job", j.key), event.F("cause", j.cause), event.F("attained", j.attained))
 }
 
@@ -334,9 +339,18 @@
 	}
 	j.placed = false
 	t.unbind(j)
-	t.used[j.info.Customer] -= j.info.Accelerators
 	if j.origin != fromProbe {
-		t.placer.Release(j.key)
+		t.release(j)
 	}
 	t.replace = true
 }
+
+// release gives a job's accelerators back to the cluster and charges its customer for their use.
+func (t *term) release(j *job) {
+	if err := t.cluster.Release(j.key); err != nil {
+		t.config.Log.Emit(eventRestoreFailed, event.F("job", j.key), event.F("cause", err))
+	}
+	if j.state != structs.JobStarting {
+		t.queue.Charge(j.info.Customer, j.ranFor().Seconds()*float64(j.info.Accelerators))
+	}
+}
