jobstore: keep the open jobs in order of acceptance

Cause: Open searched and sorted all jobs, and the scheduler calls it at every change of the stream.

Change: the fold keeps the order of submissions and cleans it when ended jobs are the majority.

Ruled out: a cached sorted slice, which every change would invalidate.

--- a/internal/jobstore/fold.go
+++ b/internal/jobstore/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	maxFinal = 65536
 	// changesKept is how many changes a subscriber may fall behind before it must read all jobs again.
 	changesKept = 8192
+	// minOrder keeps short lists from being cleaned at every submission.
+	minOrder = 1024
 )
 
 const kindBatch = "batch"
@@ -78,6 +81,12 @@
 	At  time.Time `msgpack:"at"`
 }
 
+// orderMark names one submission of an id. The id can be submitted again after its final job has been forgotten.
+type orderMark struct {
+	ref    Ref
+	offset uint64
+}
+
 type state struct {
 	Jobs   []Entry     `msgpack:"jobs"`   // by offset, then by customer and id
 	Finals []finalMark `msgpack:"finals"` // in the order of their records
@@ -88,9 +97,10 @@
 	mu       sync.RWMutex
 	jobs     map[Ref]Entry
 	finals   []finalMark
-	waiting  int
-	sequence uint64 // number of changes so far in this process
-	changes  []Ref  // the latest changes, the last one is number sequence
+	waiting  int         // jobs that have not ended
+	order    []orderMark // jobs that have not ended, in order of acceptance, among others that have
+	sequence uint64      // number of changes so far in this process
+	changes  []Ref       // the latest changes, the last one is number sequence
 	changed  chan struct{}
 }
 
@@ -119,7 +129,7 @@
 	switch {
 	case o.Kind == opSubmit && !known && o.Job != nil:
 		f.jobs[o.Ref] = Entry{Job: *o.Job, Offset: record.Offset}
-		f.waiting++
+		f.addOpen(o.Ref, record.Offset)
 	case o.Kind == opCancel && known && !entry.Final():
 		f.end(entry, o.Ref, Result{State: structs.JobCancelled, EndedAt: record.Time}, record.Time)
 	case o.Kind == opFinish && known && !entry.Final() && o.Result != nil:
@@ -130,6 +140,21 @@
 	f.noteChange(o.Ref)
 }
 
+// addOpen notes a job that has not ended. Marks of ended jobs are removed when they are the majority, so that Open needs
+// neither a search nor a sort of all jobs.
+func (f *fold) addOpen(ref Ref, offset uint64) {
+	f.waiting++
+	f.order = append(f.order, orderMark{ref: ref, offset: offset})
+	if len(f.order) > 2*f.waiting+minOrder {
+		f.order = slices.DeleteFunc(f.order, func(m orderMark) bool { return !f.isOpen(m) })
+	}
+}
+
+func (f *fold) isOpen(m orderMark) bool {
+	entry, known := f.jobs[m.ref]
+	return known && entry.Offset == m.offset && !entry.Final()
+}
+
 func (f *fold) end(entry Entry, ref Ref, result Result, at time.Time) {
 	entry.Result = &result
 	f.jobs[ref] = entry
@@ -159,7 +184,8 @@
 func (f *fold) State() ([]byte, error) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	return msgpack.Marshal(&state{Jobs: f.sorted(func(Entry) bool { return true }), Finals: f.finals})
+	jobs := slices.SortedFunc(maps.Values(f.jobs), compareEntries)
+	return msgpack.Marshal(&state{Jobs: jobs, Finals: f.finals})
 }
 
 // Restore replaces the state. The jobs of a data centre have no version; the reader only ever moves to a later offset.
@@ -169,19 +195,20 @@
 		return err
 	}
 	jobs := make(map[Ref]Entry, len(restored.Jobs))
-	waiting := 0
 	for _, entry := range restored.Jobs {
 		jobs[RefOf(entry.Job)] = entry
-		if !entry.Final() {
-			waiting++
-		}
 	}
 	if len(jobs) != len(restored.Jobs) {
 		return errors.New("the snapshot has a job twice")
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.jobs, f.finals, f.waiting = jobs, restored.Finals, waiting
+	f.jobs, f.finals, f.waiting, f.order = jobs, restored.Finals, 0, nil
+	for _, entry := range restored.Jobs {
+		if !entry.Final() {
+			f.addOpen(RefOf(entry.Job), entry.Offset)
+		}
+	}
 	f.sequence += changesKept + 1 // every subscriber reads all jobs again
 	f.changes = nil
 	close(f.changed)
@@ -202,16 +229,17 @@
 	return f.waiting
 }
 
-// sorted returns the chosen jobs in order of acceptance. The caller holds mu.
-func (f *fold) sorted(choose func(Entry) bool) []Entry {
-	var chosen []Entry
-	for _, entry := range f.jobs {
-		if choose(entry) {
-			chosen = append(chosen, entry)
+// openJobs returns the jobs that have not ended, in order of acceptance, and the number of the last change.
+func (f *fold) openJobs() ([]Entry, uint64) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	open := make([]Entry, 0, f.waiting)
+	for _, m := range f.order {
+		if entry, known := f.jobs[m.ref]; known && entry.Offset == m.offset && !entry.Final() {
+			open = append(open, entry)
 		}
 	}
-	slices.SortFunc(chosen, compareEntries)
-	return chosen
+	return open, f.sequence
 }
 
 // since returns the jobs that changed after a sequence number, each once. complete is false when the number is too old.
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -104,11 +104,7 @@
 func (s *Store) Get(ref Ref) (entry Entry, found bool) { return s.fold.get(ref) }
 
 // Open returns all jobs that have not ended, in order of acceptance, and the sequence number for Since.
-func (s *Store) Open() ([]Entry, uint64) {
-	s.fold.mu.RLock()
-	defer s.fold.mu.RUnlock()
-	return s.fold.sorted(func(e Entry) bool { return !e.Final() }), s.fold.sequence
-}
+func (s *Store) Open() ([]Entry, uint64) { return s.fold.openJobs() }
 
 // Count returns how many jobs have not ended.
 func (s *Store) Count() int { return s.fold.open() }
--- a/internal/jobstore/store_test.go
+++ b/internal/jobstore/store_test.go
@@ -253,5 +253,9 @@
 		got, _ := restored.State()
 		assert.DeepEqual(t, got, want)
 		assert.Equal(t, restored.waiting, whole.waiting)
+		wantOpen, _ := whole.openJobs()
+		gotOpen, _ := restored.openJobs()
+		assert.DeepEqual(t, gotOpen, wantOpen)
+		assert.Equal(t, len(wantOpen), whole.waiting)
 	})
 }
