--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -94,7 +94,9 @@
 		}
 		api.WriteJSON(w, http.StatusOK, scheduler.JobStatus{ID: "j", State: state})
 	})
-	f.Server = httptest.NewServer(router)
+	f.Server = httptest.NewUnstartedServer(router)
+	f.Config.ReadTimeout = 100 * time.Millisecond // shorter than the calls that wait and follow
+	f.Start()
 	t.Cleanup(f.Close)
 	return f
 }
@@ -176,7 +178,7 @@
 	f.events.Emit(definition, event.F("n", 1))
 	f.events.Emit(definition, event.F("n", 2))
 	go func() {
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(400 * time.Millisecond)
 		f.events.Emit(definition, event.F("n", 3))
 		time.Sleep(50 * time.Millisecond)
 		close(f.done)
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -1,5 +1,3 @@
-// Package configuration keeps the specification in force: the fold of the log stream config, publishing by
-// compare-and-set, and the exchange with peers while the log cannot be read.
 package configuration
 
 import (
