cli: show whole numbers of status and dump as whole numbers

Cause: in a trial with one instance and stand-ins, status printed version: 2.0: the JSON answer was decoded to floating point before it was written as YAML.

Change: the answer is converted without decoding it.

Conclusion: go test ./internal/cli passes; its rows for status and dump ask for the whole number.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -43,15 +43,15 @@
 func (a *app) show(target *client, path string) error {
 	ctx, cancel := a.limited()
 	defer cancel()
-	var body map[string]any
+	var body json.RawMessage // decoding to any would turn whole numbers into floating point
 	if err := target.call(ctx, http.MethodGet, path, nil, &body); err != nil {
 		return err
 	}
 	return a.print(body, func(w io.Writer) error { return writeYAML(w, body) })
 }
 
-func writeYAML(w io.Writer, value any) error {
-	data, err := yaml.Marshal(value)
+func writeYAML(w io.Writer, body json.RawMessage) error {
+	data, err := yaml.JSONToYAML(body)
 	if err != nil {
 		return errkind.Wrap(err, errkind.Internal, "use --output=json", "cannot format the answer")
 	}
