Provoke freezes, outages and lost answers in the demonstration, two at once

Cause: the whole path was only shown under a kill and a drain, one after the other. Change: faults are options that overlap: kill, drain, rolling, freeze (17 s, past every lease), log outage, lost answers, list outage, list lag. Callers repeat a call that takes longer than 12 s; with one attempt of 15 s, 20 requests at the frozen instance had no outcome, which was the client's fault: an instance that stands still cannot answer. Partitions between data centres are not provoked here, since loopback has none; the peer tests cut connections in one process.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -13,16 +13,19 @@
 
 func main() {
 	var flags struct {
-		Daemon    string `required:"" type:"existingfile" help:"Path of the dogwoodnotch binary."`
-		Standin   string `required:"" type:"existingfile" help:"Path of the standin binary."`
-		Text      string `required:"" type:"existingfile" help:"Path of the specification."`
-		Rolling   bool   `help:"Replace all entry instances one after the other instead of killing one and draining one."`
-		Directory string `type:"path" help:"Directory for settings and logs; a temporary one when empty."`
+		Daemon    string       `required:"" type:"existingfile" help:"Path of the dogwoodnotch binary."`
+		Standin   string       `required:"" type:"existingfile" help:"Path of the standin binary."`
+		Text      string       `required:"" type:"existingfile" help:"Path of the specification."`
+		Fault     []demo.Fault `help:"What goes wrong while the load runs: kill, drain, rolling, freeze, log-outage, lost-answers, list-outage, list-lag. The default is kill and drain."`
+		Directory string       `type:"path" help:"Directory for settings and logs; a temporary one when empty."`
 	}
 	kong.Parse(&flags, kong.Description("Runs the whole path with stand-ins and counts what happened."))
+	if len(flags.Fault) == 0 {
+		flags.Fault = demo.DefaultFaults
+	}
 	if err := runDemo(demo.Options{
 		Daemon: flags.Daemon, Standin: flags.Standin, Text: flags.Text, Directory: flags.Directory,
-		Progress: os.Stdout, Rolling: flags.Rolling,
+		Progress: os.Stdout, Faults: flags.Fault,
 	}); err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
 		os.Exit(1)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	stop := context.AfterFunc(ctx, func() { server.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -22,8 +22,6 @@
 	maxRequests    = 40_000
 	concurrency    = 48
 	gangs          = 20
-	killAfter      = 2 * time.Second
-	drainAfter     = 4 * time.Second
 	listLag        = time.Second // time until the platform notices a killed instance
 	startTimeout   = 20 * time.Second
 	publishTimeout = 10 * time.Second
@@ -37,9 +35,7 @@
 	Text      string    // path of the specification
 	Directory string    // for settings and logs; kept when the demonstration fails
 	Progress  io.Writer // one line for each step
-	// Rolling replaces all entry instances one after the other, in place of killing one and draining another. The gangs
-	// then run long enough to see several replacements.
-	Rolling bool
+	Faults    []Fault
 }
 
 // run is a demonstration under way.
@@ -203,7 +199,7 @@
 		return err
 	}
 	r.verdict.judgeRequests(requestResults, runs)
-	if r.options.Rolling {
+	if r.has(FaultRolling) {
 		r.verdict.judgeAnswered(requestResults)
 	}
 	return r.judgeGangs(ctx, gangResults)
@@ -313,7 +309,7 @@
 		all = append(all, runs...)
 	}
 	r.verdict.judgeGangs(results, all)
-	if r.options.Rolling {
+	if r.has(FaultRolling) {
 		r.verdict.judgeUntouched(all)
 	}
 	return nil
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -1,14 +1,47 @@
 package demo
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
 	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/instancelist"
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/logservice"
+)
+
+// Fault is something that goes wrong while the load runs. Several of them overlap.
+type Fault string
+
+// Faults of a demonstration.
+const (
+	FaultKill        Fault = "kill"         // one entry instance ends with SIGKILL
+	FaultDrain       Fault = "drain"        // another one is drained
+	FaultRolling     Fault = "rolling"      // all entry instances are replaced, one after the other
+	FaultFreeze      Fault = "freeze"       // one entry instance stands still past every lease
+	FaultLogOutage   Fault = "log-outage"   // the log fails every call
+	FaultLostAnswers Fault = "lost-answers" // the log loses half of its answers after the write
+	FaultListOutage  Fault = "list-outage"  // the instance list fails every call
+	FaultListLag     Fault = "list-lag"     // the instance list is 3 s old
 )
 
-// Runtimes of the gangs, and the pace of a rolling replacement.
+// DefaultFaults are those of make demo.
+var DefaultFaults = []Fault{FaultKill, FaultDrain}
+
+// Times of the faults, and the pace of the gangs.
 const (
+	firstFault         = 2 * time.Second
+	drainAfter         = 4 * time.Second
+	freezeTime         = 17 * time.Second // longer than a task lease
+	outageTime         = 6 * time.Second
+	listLagMS          = 3000
+	lostAnswers        = 0.5
 	gangRunTime        = 1500 * time.Millisecond
 	gangPace           = 300 * time.Millisecond // between two submissions
 	rollingGangRunTime = 8 * time.Second
@@ -16,41 +49,120 @@
 	replacementReady   = 10 * time.Second
 )
 
+func (r *run) has(f Fault) bool { return slices.Contains(r.options.Faults, f) }
+
 func (r *run) gangRunTime() time.Duration {
-	if r.options.Rolling {
+	if r.has(FaultRolling) {
 		return rollingGangRunTime
 	}
 	return gangRunTime
 }
 
 func (r *run) gangPace() time.Duration {
-	if r.options.Rolling {
+	if r.has(FaultRolling) {
 		return rollingGangPace
 	}
 	return gangPace
 }
 
-// injectFaults does to the entry instances what the options ask for while the load runs.
+// injectFaults does what the options ask for, all at once, while the load runs.
 func (r *run) injectFaults(ctx context.Context) error {
-	if r.options.Rolling {
-		return r.replaceAll(ctx)
+	faults := map[Fault]func(context.Context) error{
+		FaultKill:        r.killOne,
+		FaultDrain:       r.drainOne,
+		FaultRolling:     r.replaceAll,
+		FaultFreeze:      r.freezeOne,
+		FaultLogOutage:   r.logFault(logservice.Faults{Outage: true}),
+		FaultLostAnswers: r.logFault(logservice.Faults{LoseAnswers: lostAnswers}),
+		FaultListOutage:  r.listFault(instancelist.Faults{Outage: true}),
+		FaultListLag:     r.listFault(instancelist.Faults{LagMS: listLagMS}),
+	}
+	errs := make([]error, len(r.options.Faults))
+	var group sync.WaitGroup
+	for i, f := range r.options.Faults {
+		inject := faults[f]
+		if inject == nil {
+			return fmt.Errorf("there is no fault %q", f)
+		}
+		group.Go(func() { errs[i] = inject(ctx) })
 	}
-	return r.killAndDrain(ctx)
+	group.Wait()
+	return errors.Join(errs...)
 }
 
-// killAndDrain kills one entry instance and drains another, in different data centres when there are several.
-func (r *run) killAndDrain(ctx context.Context) error {
-	pause(ctx, killAfter)
+func (r *run) killOne(ctx context.Context) error {
+	pause(ctx, firstFault)
 	victim := r.fleet.entries[1]
 	victim.killed.Store(true)
 	r.processes[victim.id].kill()
 	r.say("killed %s with SIGKILL", victim.id)
 	pause(ctx, listLag)
-	if err := r.fleet.deleteInstance(ctx, r.client, victim.id); err != nil {
+	return r.fleet.deleteInstance(ctx, r.client, victim.id)
+}
+
+func (r *run) drainOne(ctx context.Context) error {
+	pause(ctx, drainAfter)
+	return r.drain(ctx, r.fleet.entries[2])
+}
+
+// freezeOne stops an entry instance with SIGSTOP and lets it go on later. The list shows it all the time.
+func (r *run) freezeOne(ctx context.Context) error {
+	pause(ctx, firstFault)
+	victim := r.fleet.entries[0]
+	child := r.processes[victim.id].command.Process
+	if err := child.Signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
-	pause(ctx, drainAfter-killAfter-listLag)
-	return r.drain(ctx, r.fleet.entries[2])
+	r.say("froze %s for %v", victim.id, freezeTime)
+	pause(ctx, freezeTime)
+	if err := child.Signal(syscall.SIGCONT); err != nil {
+		return err
+	}
+	pause(ctx, firstFault) // the load goes on for a while
+	return nil
+}
+
+func (r *run) logFault(f logservice.Faults) func(context.Context) error {
+	return func(ctx context.Context) error {
+		return r.platformFault(ctx, "/control/log", f, logservice.Faults{})
+	}
+}
+
+func (r *run) listFault(f instancelist.Faults) func(context.Context) error {
+	return func(ctx context.Context) error {
+		return r.platformFault(ctx, "/control/list", f, instancelist.Faults{})
+	}
+}
+
+// platformFault switches a fault of the platform's stand-in on for a while.
+func (r *run) platformFault(ctx context.Context, path string, on, off any) error {
+	pause(ctx, firstFault)
+	if err := r.control(ctx, path, on); err != nil {
+		return err
+	}
+	r.say("%s %+v for %v", path, on, outageTime)
+	pause(ctx, outageTime)
+	return r.control(ctx, path, off)
+}
+
+func (r *run) control(ctx context.Context, path string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.fleet.platformAddress+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return err
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("%s answered status %d", path, response.StatusCode)
+	}
+	return nil
 }
 
 // drain stops one entry instance as the platform does: it is shown as leaving, asked to end, and taken off the list.
@@ -69,7 +181,7 @@
 // replaceAll replaces every entry instance, one after the other: the replacement has a new name and new addresses, and the
 // old instance is drained once the replacement is ready.
 func (r *run) replaceAll(ctx context.Context) error {
-	pause(ctx, killAfter)
+	pause(ctx, firstFault)
 	originals := r.balancer.all()
 	for i, old := range originals {
 		replacement, err := r.addEntry(ctx, len(originals)+i, old.dataCentre)
--- a/internal/demo/process.go
+++ b/internal/demo/process.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer logFile.Close()
+	defer func() { _ = logFile.Close() }()    // the child has its own descriptor
 	command := exec.Command(program, args...) //nolint:noctx // a process outlives the call; stop ends it
 	command.Stdout = logFile
 	command.Stderr = logFile
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	requestPatience = 15 * time.Second // a caller gives up after this time
+	requestPatience = 30 * time.Second // a caller gives up after this time
+	attemptTimeout  = 12 * time.Second // a caller repeats a call that takes longer
 	repeatPause     = 100 * time.Millisecond
 	keyBatch        = 64
 	payloadPadding  = 2048 // bytes, at most, after a request's identifier
@@ -82,6 +83,8 @@
 
 // attempt sends the request once and reports whether its outcome is final.
 func (c *requestClient) attempt(ctx context.Context, kind kindOfRequest, who caller, key string, payload []byte, result *requestResult) bool {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
 	e := c.balancer.pick()
 	if e == nil {
 		return false
