Show gone instances in AllEntries

The interface says every known entry instance, and the minion pool settles the requests in flight of gone instances by walking over AllEntries and asking Gone. They now stay for the 15 minutes for which Gone answers true.

--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -163,11 +163,11 @@
 	reports := m.reports(now)
 	for id, r := range m.records {
 		s.peers[id] = r.peerAddress
+		s.all[id] = r.dc
 		if r.gone(m.list.evidence) {
 			s.gone[id] = true
 			continue
 		}
-		s.all[id] = r.dc
 		if r.willing(m.list.evidence) && !m.suspected(r, reports[r.dc], now) {
 			s.entries[r.dc] = append(s.entries[r.dc], id)
 		}
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -59,6 +59,8 @@
 	c.nodes["dc0-2"].dead = true // its host refuses connections
 	c.pass(500 * time.Millisecond)
 	assert.Assert(t, watcher.Gone("dc0-2"))
+	_, known = watcher.AllEntries()["dc0-2"]
+	assert.Assert(t, known, "what it held cannot be settled")
 	assert.DeepEqual(t, watcher.Entries("dc0"), []structs.InstanceID{"dc0-0"})
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -16,7 +16,8 @@
 	Self() (structs.InstanceID, structs.DataCentre)
 	// Entries returns the entry instances of a data centre that take part in ownership: live, not leaving, not suspected.
 	Entries(dc structs.DataCentre) []structs.InstanceID
-	// AllEntries returns every known entry instance of the deployment that is not gone, with its data centre.
+	// AllEntries returns every known entry instance of the deployment, with its data centre. It includes instances that
+	// are gone, for 15 minutes, so that what they held can be settled.
 	AllEntries() map[structs.InstanceID]structs.DataCentre
 	// Owner returns the rendezvous winner for key among Entries(dc), "" when there is none.
 	Owner(dc structs.DataCentre, key string) structs.InstanceID
