--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -100,25 +100,6 @@
 	return answer, nil
 }
 
-// List is a client of the instance list.
-type List struct {
-	client *http.Client
-	base   string
-}
-
-// NewList returns a client of the instance list at base, a URL.
-func NewList(client *http.Client, base string) *List { return &List{client: client, base: base} }
-
-// Get returns the present list.
-func (l *List) Get(ctx context.Context) (InstanceList, error) {
-	var answer InstanceList
-	_, err := call(ctx, l.client, callTimeout, http.MethodGet, l.base+"/instances", nil, &answer)
-	if err != nil {
-		return InstanceList{}, errkind.Wrap(err, errkind.Unavailable, "check the instance list", "cannot read the instance list")
-	}
-	return answer, nil
-}
-
 // Worker is a client of one worker.
 type Worker struct {
 	client *http.Client
