--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -38,6 +38,7 @@
 	handler peer.Handler
 	frozen  bool
 	dead    bool
+	copied  platform.InstanceList // the last list that was read, returned while the revision is the same
 }
 
 func newCluster(t testing.TB, dcs, each int) *cluster {
@@ -111,9 +112,15 @@
 	if list.AsOf.IsZero() {
 		list.AsOf = n.cluster.now
 	}
-	return list, nil
+	if n.copied.Revision != list.Revision || list.AsOf.Before(n.copied.AsOf) {
+		n.copied = list
+	}
+	return n.copied, nil
 }
 
+// Forget implements the reading of a new AsOf.
+func (n *node) Forget() { n.copied = platform.InstanceList{} }
+
 // Call implements peer.Caller.
 func (n *node) Call(ctx context.Context, to structs.InstanceID, _ string, request, response any) error {
 	c := n.cluster
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -54,6 +54,12 @@
 	Get(ctx context.Context) (platform.InstanceList, error)
 }
 
+// forgetter is a ListReader that returns its last copy while the list is unchanged, without a new AsOf.
+type forgetter interface {
+	// Forget makes the next Get bring a new AsOf.
+	Forget()
+}
+
 // Config is what Members needs.
 type Config struct {
 	Self        structs.InstanceID
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -78,11 +78,19 @@
 	}
 	if b.AckOf == m.config.Incarnation && b.Evictions > r.evictedBy {
 		r.evictedBy = b.Evictions
-		m.fresh.evict(now)
+		m.evicted(r, now)
 	}
 	return nil
 }
 
+// evicted acts on the news that a peer took this process for gone. Only those of the own data centre can have taken
+// over its minions.
+func (m *Members) evicted(r *record, now time.Time) {
+	if r.dc == m.config.DataCentre {
+		m.fresh.evict(now)
+	}
+}
+
 // introduce returns the record of a sender. One that the list does not show yet introduces itself.
 func (m *Members) introduce(from structs.InstanceID, b *beat, now time.Time) (*record, error) {
 	if r, known := m.records[from]; known {
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -55,6 +55,22 @@
 	}
 	m.fresh.listRead(began)
 	m.rebuild(m.config.Now())
+	if reader, caches := m.config.List.(forgetter); caches && m.lacksEvidence() {
+		reader.Forget()
+	}
+}
+
+// lacksEvidence reports whether an instance that the list no longer shows was heard too late for the list's AsOf to
+// prove that it has ended.
+func (m *Members) lacksEvidence() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.records {
+		if r.listing.dropped() && !r.gone(m.list.evidence) {
+			return true
+		}
+	}
+	return false
 }
 
 func (m *Members) noteListHealth(err error) {
--- a/internal/peer/hostile_test.go
+++ b/internal/peer/hostile_test.go
@@ -7,7 +7,9 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -330,3 +332,70 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 }
+
+// Guards against "not sent" for a request that ran, and against a request that runs twice, when connections break at
+// any byte.
+func TestNotSentMeansNotRun(t *testing.T) {
+	server, client, address := pair(t, usual)
+	var ran sync.Map
+	server.Handle("count", func(_ context.Context, _ structs.InstanceID, decode func(any) error) (any, error) {
+		var id int
+		err := decode(&id)
+		times, _ := ran.LoadOrStore(id, &atomic.Int64{})
+		times.(*atomic.Int64).Add(1)
+		return id, err
+	})
+	target := address.Load().(string)
+	relay, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer relay.Close()
+	address.Store(relay.Addr().String())
+	random := rand.New(rand.NewPCG(1, 2))
+	go func() {
+		for {
+			in, err := relay.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				return
+			}
+			toServer, toClient := random.Int64N(6000), random.Int64N(6000)
+			go func() { _, _ = io.CopyN(out, in, toServer); out.Close(); in.Close() }()
+			go func() { _, _ = io.CopyN(in, out, toClient); out.Close(); in.Close() }()
+		}
+	}()
+	var group sync.WaitGroup
+	var notSent, answered, open atomic.Int64
+	for worker := range 8 {
+		group.Go(func() {
+			for i := range 150 {
+				id := worker*1000 + i
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				var answer int
+				err := client.Call(ctx, "server", "count", id, &answer)
+				cancel()
+				var count int64
+				if times, has := ran.Load(id); has {
+					count = times.(*atomic.Int64).Load()
+				}
+				switch {
+				case err == nil:
+					answered.Add(1)
+					assert.Check(t, answer == id && count == 1, "%d ran %d times and was answered %d", id, count, answer)
+				case errors.Is(err, ErrNotSent):
+					notSent.Add(1)
+					time.Sleep(10 * time.Millisecond) // lets redialPause pass, so that more connections are tried
+					assert.Check(t, count == 0, "%d ran although it was not sent", id)
+				default:
+					open.Add(1)
+					assert.Check(t, count <= 1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	t.Logf("%d answered, %d not sent, %d left open", answered.Load(), notSent.Load(), open.Load())
+	assert.Assert(t, answered.Load() > 0 && notSent.Load() > 0 && open.Load() > 0)
+}
