--- a/internal/fairqueue/queue_test.go
+++ b/internal/fairqueue/queue_test.go
@@ -341,3 +341,30 @@
 	assert.Equal(t, len(queue.Expire(third.LatestStart())), 1)
 	assert.Equal(t, queue.Len(), 0)
 }
+
+// BenchmarkQueue shows the cost of a push, a pop and an end together as the number of waiting callers grows.
+func BenchmarkQueue(b *testing.B) {
+	for _, callers := range []int{100, 1000, 10000, 100000} {
+		b.Run(fmt.Sprint(callers), func(b *testing.B) {
+			cfg := testConfig(2 * callers)
+			cfg.Callers = 2 * callers
+			queue := New(cfg)
+			queue.SetSlots(8)
+			push := func(caller int) {
+				item := &Item{Kind: "quote", Customer: "a", Caller: structs.Caller(fmt.Sprint(caller)), Deadline: start.Add(100 * time.Hour)}
+				_, err := queue.Push(item, start)
+				assert.NilError(b, err)
+			}
+			for caller := range callers {
+				push(caller)
+			}
+			n := 0
+			for b.Loop() {
+				push(n % callers)
+				item, _ := queue.Pop(start)
+				queue.Done(item, time.Millisecond)
+				n++
+			}
+		})
+	}
+}
