Find failing workers within 10 tasks and keep services' dependants waiting

The test of service tasks showed that a service still counted as up while its only worker was lost, and that a dependant could be placed on a stale view.

Change: a worker with failures gets no task until its present ones have ended or a minute has passed, and then one at a time until one succeeds. A service's task at a worker out of reach counts for half a task lease. Which services are up is determined again right before placements.

The stand-in worker can make single jobs fail everywhere.

--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -265,6 +265,7 @@
 	fleet   *standin.Fleet
 	jobs    *stream
 	text    *spec.Text
+	changed atomic.Pointer[spec.Text] // replaces text while instances run
 	network *network
 	front   atomic.Pointer[func(http.Handler) http.Handler] // wraps the workers' handler
 	probe   time.Duration
@@ -319,6 +320,15 @@
 	return r
 }
 
+func (r *rig) currentText() *spec.Text {
+	if changed := r.changed.Load(); changed != nil {
+		return changed
+	}
+	return r.text
+}
+
+func (r *rig) setText(text *spec.Text) { r.changed.Store(text) }
+
 // instance is an entry instance of a rig.
 type instance struct {
 	id     structs.InstanceID
@@ -343,7 +353,7 @@
 		return rackowner.NewRemote(ctx, i.view, i.port, r.timing, r.log)
 	}
 	i.sched = scheduler.New(scheduler.Config{
-		View: i.view, Text: func() *spec.Text { return r.text }, Jobs: r.jobs, Racks: racks, Timing: r.timing,
+		View: i.view, Text: r.currentText, Jobs: r.jobs, Racks: racks, Timing: r.timing,
 		Grace: r.timing.TaskLease / 3, Tick: r.timing.Renew / 6, Probe: r.probe, Log: r.log, Metrics: tally.NoopScope,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -17,19 +17,21 @@
 	excludeJobs    = 3 // different jobs among them
 	blameWorkers   = 3 // workers on which a job failed before the failures are its own
 	probesToReturn = 2
+	suspectFor     = time.Minute
 	probeRunTime   = 200 * time.Millisecond
 	longestProbe   = 10 * time.Minute
 )
 
 // health is what the failures on a worker say about it.
 type health struct {
-	streak    int
-	failed    map[structs.JobID]int // failures of the streak by job
-	nextProbe time.Time
-	probeWait time.Duration
-	probing   bool
-	succeeded int // probes in a row
-	probes    int
+	streak       int
+	suspectUntil time.Time
+	failed       map[structs.JobID]int // failures of the streak by job
+	nextProbe    time.Time
+	probeWait    time.Duration
+	probing      bool
+	succeeded    int // probes in a row
+	probes       int
 }
 
 // failed attributes the failure of an attempt to the job or to the worker, and ends a job that failed too often.
@@ -75,11 +77,40 @@
 	}
 	h.streak++
 	h.failed[j.key]++
+	t.suspect(w, now)
 	if h.streak >= excludeStreak && len(h.failed) >= excludeJobs {
 		t.exclude(w, now)
 	}
 }
 
+// suspect keeps further tasks off a worker with failures until its present ones have ended or some time has passed.
+// From then on it gets one at a time until one succeeds. Without this a worker was given new tasks while the rest of the
+// first ones were still failing, 11 in all where 10 are allowed.
+func (t *term) suspect(w *worker, now time.Time) {
+	w.health.suspectUntil = now.Add(suspectFor)
+	t.suspects[w.id] = true
+}
+
+// endSuspicions lets suspected workers have their next task.
+func (t *term) endSuspicions(now time.Time) {
+	for id := range t.suspects {
+		w := t.worker(id)
+		if w.health.streak <= 0 || len(w.jobs) == 0 || now.After(w.health.suspectUntil) || t.excluded[id] {
+			delete(t.suspects, id)
+			t.replace = true
+		}
+	}
+}
+
+// suspectAgain follows a placement: a worker that has not yet redeemed itself gets no second task.
+func (t *term) suspectAgain(j *job, now time.Time) {
+	for _, m := range j.placement.Members {
+		if w := t.worker(m.Worker); w.health.streak > 0 {
+			t.suspect(w, now)
+		}
+	}
+}
+
 // healthyFailures is the number of workers that are not excluded and on which the job failed.
 func (t *term) healthyFailures(j *job) int {
 	n := 0
@@ -208,6 +239,7 @@
 
 // checkWorkers reports workers that stay out of reach and moves their jobs on.
 func (t *term) checkWorkers(now time.Time) {
+	t.endSuspicions(now)
 	for _, w := range t.workers {
 		if w.reachable || w.reported || now.Sub(w.lostAt) < t.config.Timing.TaskLease/2 {
 			continue
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
@@ -37,6 +38,7 @@
 		return
 	}
 	t.replace = false
+	t.refreshDown(now)
 	t.endPauses(now)
 	view := queue.View{Now: now, Entitled: t.cluster.Entitled, Used: t.cluster.Used}
 	failed := map[signature]*job{}
@@ -83,7 +85,7 @@
 func (t *term) tryPlace(ctx context.Context, j *job, now time.Time) bool {
 	request := placement.Request{
 		Job: j.key, Customer: j.info.Customer, Accelerators: j.info.Accelerators, Urgency: j.info.Urgency,
-		Avoid: j.avoid(now), Now: now,
+		Avoid: t.avoid(j, now), Now: now,
 	}
 	if reason, remedy := t.overQuota(j); reason != "" {
 		j.reason, j.remedy = reason, remedy
@@ -100,6 +102,7 @@
 	j.placement = p
 	j.reason = ""
 	t.book(j)
+	t.suspectAgain(j, now)
 	j.setState(structs.JobStarting, now)
 	j.victims = map[structs.JobID]bool{}
 	for _, key := range p.Victims {
@@ -125,13 +128,13 @@
 	t.active[j.key] = true
 }
 
-// avoid returns the workers where the job has failed, for a while, unless it has failed in so many places that it is
-// blamed itself. Without the end of the avoidance a job that needs most of a small fleet would never start again.
-func (j *job) avoid(now time.Time) map[structs.WorkerID]bool {
+// avoid returns the suspected workers and those where the job has failed. The latter are avoided for a while only, since
+// a job that needs most of a small fleet would never start again, and not by a job that is blamed itself.
+func (t *term) avoid(j *job, now time.Time) map[structs.WorkerID]bool {
 	if len(j.failedOn) == 0 || j.blamed || now.After(j.avoidUntil) {
-		return nil
+		return t.suspects
 	}
-	all := map[structs.WorkerID]bool{}
+	all := maps.Clone(t.suspects)
 	for id := range j.failedOn {
 		all[id] = true
 	}
--- a/internal/scheduler/services.go
+++ b/internal/scheduler/services.go
@@ -29,7 +29,12 @@
 			t.active[key] = true
 		}
 	}
-	down := t.findDown()
+	t.refreshDown(now)
+}
+
+// refreshDown notes which services are up. Their dependants may start, or must wait, when that has changed.
+func (t *term) refreshDown(now time.Time) {
+	down := t.findDown(now)
 	if len(down) != len(t.down) {
 		t.replace = true
 	}
@@ -63,10 +68,10 @@
 }
 
 // findDown returns the services that are down here, with the service whose tasks are missing.
-func (t *term) findDown() map[structs.ServiceName]structs.ServiceName {
+func (t *term) findDown(now time.Time) map[structs.ServiceName]structs.ServiceName {
 	missing := map[structs.ServiceName]bool{}
 	for key := range t.services {
-		if j := t.jobs[key]; j != nil && j.state != structs.JobRunning {
+		if j := t.jobs[key]; j != nil && !t.serves(j, now) {
 			missing[j.info.Service] = true
 		}
 	}
@@ -83,6 +88,21 @@
 	return down
 }
 
+// serves reports whether a service's task runs. A task at a worker that is out of reach counts for half a task lease,
+// in which a change of its rack owner is over.
+func (t *term) serves(j *job, now time.Time) bool {
+	if j.state != structs.JobRunning {
+		return false
+	}
+	for _, m := range j.members {
+		w := t.worker(m.task.Worker)
+		if !w.reachable && now.Sub(w.lostAt) > t.config.Timing.TaskLease/2 {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *term) markDown(s *spec.Service, missing map[structs.ServiceName]bool, down map[structs.ServiceName]structs.ServiceName) {
 	if missing[s.Name] {
 		down[s.Name] = s.Name
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -32,7 +32,8 @@
 	RunTimeFactor    func(structs.Job) float64 // real run time over declared run time; nil means 1
 	CheckpointFactor float64                   // real checkpoint time over the declared longest one; 0 means 1
 	UsageLag         time.Duration
-	FailAfter        time.Duration // how long a task runs on a worker that fails everything
+	FailAfter        time.Duration          // how long a task that will fail runs
+	FailJob          func(structs.Job) bool // jobs that fail everywhere; nil means none
 }
 
 // taskKey identifies a task on its worker.
@@ -165,7 +166,7 @@
 	t.started = now
 	t.endsAt = now.Add(m.runTime(t.status.Task))
 	t.lease = now.Add(milliseconds(command.TaskLeaseMS))
-	if m.failing {
+	if m.failing || (m.options.FailJob != nil && m.options.FailJob(t.status.Task.Job)) {
 		t.failsAt = now.Add(m.options.FailAfter)
 	}
 	m.change(t, platform.TaskRunning, "")
@@ -273,7 +274,7 @@
 		message string
 	}
 	all := []due{
-		{t.failsAt, platform.TaskFailed, "worker fails every task"},
+		{t.failsAt, platform.TaskFailed, "exit status 1"},
 		{t.endsAt, platform.TaskFinished, ""},
 		{t.lease, platform.TaskLapsed, "lease lapsed"},
 		{t.savedAt, platform.TaskStopped, "checkpoint saved"},
