placement: take the order again after a preemption in the measure

Cause: victims waited for the next event even when another place was free for them. Change: the event loop decides again, at most 4 times, as the scheduler's loop should.

--- a/internal/placement/measure_test.go
+++ b/internal/placement/measure_test.go
@@ -341,8 +341,14 @@
 
 func (o *ours) decide(l *loop) {
 	view := queue.View{Now: l.now, Entitled: l.c.Entitled, Used: l.c.Used}
-	for _, e := range o.q.Next(view, 256) {
-		o.try(l, e)
+	for again := 0; again < 4; again++ {
+		before := l.preempted
+		for _, e := range o.q.Next(view, 256) {
+			o.try(l, e)
+		}
+		if l.preempted == before {
+			return
+		}
 	}
 }
 
