Hand on the job stream between the instances of a data centre

Cause: an instance that starts in a log outage knew no jobs; the job store can take its state over from peers, and nothing connected the two. Change: the store gets its peers, and heartbeats carry how far each one has read.

--- a/internal/server/run.go
+++ b/internal/server/run.go
@@ -76,7 +76,7 @@
 	group.Go(func() error { return ignoreEnd(s.node.Serve(ctx, peerListener)) })
 	parts := []func(context.Context) error{
 		s.members.Run, s.config.Run, s.jobs.Run, s.keys.Run, s.successors, s.pool.Run, s.router.Run,
-		s.racks.Run, s.scheduler.Run, s.services.Run, s.followConfiguration,
+		s.racks.Run, s.scheduler.Run, s.services.Run, s.followConfiguration, s.followJobs,
 	}
 	for _, run := range parts {
 		group.Go(func() error { return ignoreEnd(run(ctx)) })
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -92,7 +92,7 @@
 		Self:      s.settings.Instance,
 		Keys:      ring,
 		Resolve:   func(id structs.InstanceID) (string, bool) { return s.members.PeerAddress(id) },
-		BulkKinds: []string{configuration.CallFetch, router.CallForward},
+		BulkKinds: []string{configuration.CallFetch, jobstore.CallFetch, router.CallForward},
 		Events:    s.events,
 		Scope:     s.scope.SubScope("peer"),
 	})
@@ -152,10 +152,25 @@
 		Retention:  timing.LogRetention,
 		PollWait:   timing.ConfigPoll,
 		MaxOpen:    s.maxOpenJobs,
+		Peers:      s.node,
+		Self:       s.settings.Instance,
+		Entries:    s.entriesHere,
 	})
 	return nil
 }
 
+// entriesHere returns every known entry instance of the own data centre, suspected and leaving ones included.
+func (s *Server) entriesHere() []structs.InstanceID {
+	_, here := s.members.Self()
+	var ids []structs.InstanceID
+	for id, dc := range s.members.AllEntries() {
+		if dc == here {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (s *Server) text() *spec.Text { return s.config.Text() }
 
 func (s *Server) maxOpenJobs() int {
@@ -205,6 +220,7 @@
 func (s *Server) registerCalls() {
 	s.members.Register(s.node)
 	s.config.Register(s.node)
+	s.jobs.Register(s.node)
 	s.keys.Register(s.node)
 	s.pool.Register(s.node)
 	s.router.Register(s.node)
--- a/internal/server/values.go
+++ b/internal/server/values.go
@@ -11,6 +11,7 @@
 const (
 	topicFreeSlots     = "free_slots"
 	topicConfiguration = "configuration"
+	topicJobs          = "jobs"
 )
 
 // configurationPosition is the value of topicConfiguration.
@@ -25,6 +26,7 @@
 		version, next := s.config.Position()
 		return configurationPosition{Version: version, Next: next}
 	})
+	s.members.Attach(topicJobs, membership.SameDataCentre, func() any { return s.jobs.Position() })
 	s.successors = s.keys.ExchangeSuccessors(s.members, s.members)
 }
 
@@ -43,6 +45,25 @@
 	return free
 }
 
+// followJobs tells the job store how far its peers of the data centre are, until ctx ends.
+func (s *Server) followJobs(ctx context.Context) error {
+	for {
+		changed := s.members.Watch(topicJobs)
+		for _, id := range s.entriesHere() {
+			var next uint64
+			_, found, err := s.members.Value(id, topicJobs, &next)
+			if found && err == nil {
+				s.jobs.PeerAt(id, next)
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // followConfiguration tells the configuration store how far its peers are, until ctx ends.
 func (s *Server) followConfiguration(ctx context.Context) error {
 	for {
