--- a/internal/peer/hostile_test.go
+++ b/internal/peer/hostile_test.go
@@ -24,7 +24,7 @@
 var testKey = SharedKey{ID: "a", Secret: []byte("0123456789abcdef")}
 
 // pair starts a server, whose address it returns, and a client that resolves every instance to address.
-func pair(t testing.TB, limits timeouts) (server, client *Node, address *atomic.Value) {
+func pair(t testing.TB, limits timeouts, setup ...func(server *Node)) (server, client *Node, address *atomic.Value) {
 	t.Helper()
 	address = &atomic.Value{}
 	for _, n := range []struct {
@@ -45,6 +45,9 @@
 		var value any
 		return value, decode(&value)
 	})
+	for _, f := range setup {
+		f(server)
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	address.Store(listener.Addr().String())
@@ -209,19 +212,16 @@
 	}
 }
 
-// Guards against calls that stay on a connection which a partition has cut: TCP would send on it again only after
-// minutes.
-func TestCallsResumeAfterPartition(t *testing.T) {
-	_, client, address := pair(t, usual)
+// relay puts a relay in front of address; each of its connections is joined to one to the old address by join.
+func relay(t *testing.T, address *atomic.Value, join func(in, out net.Conn)) {
 	target := address.Load().(string)
-	relay, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer relay.Close()
-	var first atomic.Bool
-	var cut atomic.Bool
+	t.Cleanup(func() { listener.Close() })
+	address.Store(listener.Addr().String())
 	go func() {
 		for {
-			in, err := relay.Accept()
+			in, err := listener.Accept()
 			if err != nil {
 				return
 			}
@@ -229,15 +229,24 @@
 			if err != nil {
 				return
 			}
-			gate := &gated{Conn: out, cut: &cut, applies: first.CompareAndSwap(false, true)}
-			go func() { _, _ = io.Copy(gate, in); out.Close() }()
-			go func() { _, _ = io.Copy(in, out); in.Close() }()
+			join(in, out)
 		}
 	}()
-	address.Store(relay.Addr().String())
+}
+
+// Guards against calls that stay on a connection which a partition has cut: TCP would send on it again only after
+// minutes.
+func TestCallsResumeAfterPartition(t *testing.T) {
+	_, client, address := pair(t, usual)
+	var first, cut atomic.Bool
+	relay(t, address, func(in, out net.Conn) {
+		gate := &gated{Conn: out, cut: &cut, applies: first.CompareAndSwap(false, true)}
+		go func() { _, _ = io.Copy(gate, in); out.Close() }()
+		go func() { _, _ = io.Copy(in, out); in.Close() }()
+	})
 	assert.NilError(t, call(t, client, time.Second))
 	cut.Store(true)
-	err = call(t, client, silenceLimit+100*time.Millisecond)
+	err := call(t, client, silenceLimit+100*time.Millisecond)
 	assert.Assert(t, errkind.Is(err, errkind.Deadline) && !errors.Is(err, ErrNotSent), "%v", err)
 	assert.NilError(t, call(t, client, time.Second), "a new connection is not cut")
 }
@@ -336,36 +345,21 @@
 // Guards against "not sent" for a request that ran, and against a request that runs twice, when connections break at
 // any byte.
 func TestNotSentMeansNotRun(t *testing.T) {
-	server, client, address := pair(t, usual)
 	var ran sync.Map
-	server.Handle("count", func(_ context.Context, _ structs.InstanceID, decode func(any) error) (any, error) {
+	count := func(_ context.Context, _ structs.InstanceID, decode func(any) error) (any, error) {
 		var id int
 		err := decode(&id)
 		times, _ := ran.LoadOrStore(id, &atomic.Int64{})
 		times.(*atomic.Int64).Add(1)
 		return id, err
-	})
-	target := address.Load().(string)
-	relay, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer relay.Close()
-	address.Store(relay.Addr().String())
+	}
+	_, client, address := pair(t, usual, func(server *Node) { server.Handle("count", count) })
 	random := rand.New(rand.NewPCG(1, 2))
-	go func() {
-		for {
-			in, err := relay.Accept()
-			if err != nil {
-				return
-			}
-			out, err := net.Dial("tcp", target)
-			if err != nil {
-				return
-			}
-			toServer, toClient := random.Int64N(6000), random.Int64N(6000)
-			go func() { _, _ = io.CopyN(out, in, toServer); out.Close(); in.Close() }()
-			go func() { _, _ = io.CopyN(in, out, toClient); out.Close(); in.Close() }()
-		}
-	}()
+	relay(t, address, func(in, out net.Conn) {
+		toServer, toClient := random.Int64N(6000), random.Int64N(6000)
+		go func() { _, _ = io.CopyN(out, in, toServer); out.Close(); in.Close() }()
+		go func() { _, _ = io.CopyN(in, out, toClient); out.Close(); in.Close() }()
+	})
 	var group sync.WaitGroup
 	var notSent, answered, open atomic.Int64
 	for worker := range 8 {
