Let a minion settle before its busy slots are believed

A request that had timed out was still on its way when the minion's status was read with no request in flight, so its slot was taken for free.

Change: a slot whose request nobody waits for any more is given back only after a status that was asked for at least 250 ms after the request was given up, after the minion was taken over, or after the minion answered late or not at all.

Ruled out: an exact count by request ids, which the status does not have. The window stays open in theory: a request that takes more than 250 ms from the network to its slot. The minion then refuses the excess request as not run.

A take-over costs 250 ms more.

--- a/internal/minion/claim.go
+++ b/internal/minion/claim.go
@@ -183,6 +183,7 @@
 		switch {
 		case gone && waited > 0:
 			m.orphans += waited
+			m.settledAt = time.Now().Add(settle)
 			delete(m.foreignBy, other)
 		case gone:
 		case m.phase == phaseClaiming && !m.cleared[other], m.phase != phaseClaiming && waited > 0:
@@ -259,6 +260,7 @@
 	m.statusAt = time.Time{}
 	m.healthy = false
 	m.orphans = m.limit()
+	m.settledAt = time.Now().Add(settle)
 	m.done = make(chan struct{})
 	go func() {
 		defer close(m.done)
--- a/internal/minion/member.go
+++ b/internal/minion/member.go
@@ -33,6 +33,9 @@
 	cleared   map[structs.InstanceID]bool // instances that said that they do not use it
 	foreignBy map[structs.InstanceID]int  // requests of earlier owners that they still wait for
 	orphans   int                         // busy slots whose requests nobody waits for
+	settledAt time.Time                   // from then on the minion's status shows all that was sent to it before
+	unread    bool                        // the latest status could not be read
+	slow      bool                        // the latest status took longer than settle
 	measuring bool                        // gets no work until its orphans have been counted
 	inFlight  int
 	starts    uint64 // slots taken so far
--- a/internal/minion/poll.go
+++ b/internal/minion/poll.go
@@ -8,6 +8,10 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/platform"
 )
 
+// settle is how long a request that nobody waits for any more may be on its way to the minion's count of busy slots: in
+// buffers of the network, or received and not yet begun. A status that was asked for earlier may miss it.
+const settle = 250 * time.Millisecond
+
 // ticksPerFreeze is how often per freeze threshold the pool checks that this process still runs.
 const ticksPerFreeze = 20
 
@@ -47,18 +51,30 @@
 
 // statusLoop asks an owned minion for its status until ctx ends.
 func (p *Pool) statusLoop(ctx context.Context, m *member) {
-	ticker := time.NewTicker(p.cfg.Poll)
-	defer ticker.Stop()
 	defer m.closeConnections()
 	for {
 		p.pollStatus(ctx, m)
+		timer := time.NewTimer(p.nextStatus(m))
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-m.poke:
 		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// nextStatus returns the time until the next status, earlier when slots wait for the minion to settle.
+func (p *Pool) nextStatus(m *member) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if left := time.Until(m.settledAt); m.orphans > 0 && left > 0 {
+		return min(left, p.cfg.Poll)
 	}
+	return p.cfg.Poll
 }
 
 func (p *Pool) pollStatus(ctx context.Context, m *member) {
@@ -87,12 +103,15 @@
 // statusFailed takes the minion out of use when its process has gone. After other failures it is used until its
 // last status is too old.
 func (p *Pool) statusFailed(m *member, err error) {
+	p.mu.Lock()
+	m.unread = true
+	if connectionRefused(err) {
+		m.orphans = 0 // they ended with the process
+	}
+	p.mu.Unlock()
 	if !connectionRefused(err) {
 		return
 	}
-	p.mu.Lock()
-	m.orphans = 0 // they ended with the process
-	p.mu.Unlock()
 	p.markUnhealthy(m, err)
 }
 
@@ -109,7 +128,10 @@
 	m.statusAt = asked
 	m.saidLeave = status.Leaving
 	m.said = status.Slots
-	m.countOrphans(status.SlotsBusy, quiet && m.starts == starts)
+	m.noteDelay(time.Now(), asked)
+	if !asked.Before(m.settledAt) {
+		m.countOrphans(status.SlotsBusy, quiet && m.starts == starts)
+	}
 	free := p.reindexLocked(m)
 	p.mu.Unlock()
 	p.emitStatus(m, recovered, left)
@@ -127,6 +149,17 @@
 	}
 }
 
+// noteDelay lets a minion settle anew after it did not answer, or answered late: what it received meanwhile may begin only
+// now. A minion that is always late is believed from the second late status on.
+func (m *member) noteDelay(now, asked time.Time) {
+	slow := now.Sub(asked) > settle
+	if m.unread || (slow && !m.slow) {
+		m.settledAt = now.Add(settle)
+	}
+	m.unread = false
+	m.slow = slow
+}
+
 // countOrphans updates the number of busy slots whose requests nobody waits for. The minion's count contains this
 // instance's own requests, so it is exact only when none was in flight while the status was read. While orphans remain,
 // the minion gets no work until such a reading is possible.
--- a/internal/minion/slot.go
+++ b/internal/minion/slot.go
@@ -66,6 +66,7 @@
 	m.inFlight--
 	if s.orphan {
 		m.orphans++
+		m.settledAt = time.Now().Add(settle)
 		m.askStatus()
 	}
 	if m.inFlight == 0 && m.measuring {
