--- a/internal/configuration/invariant_test.go
+++ b/internal/configuration/invariant_test.go
@@ -50,6 +50,7 @@
 	stops   [instances]func()
 	shown   [instances]uint64 // by the present incarnation
 	floor   [instances]uint64 // least version that it may show first
+	noLog   [instances]bool   // the log was out of its reach at times since it started
 	highest uint64            // ever shown
 	texts   map[uint64]string
 	results map[string]PublishResult
@@ -95,8 +96,10 @@
 	done := make(chan struct{})
 	go func() { _ = store.Run(ctx); close(done) }()
 	go w.watch(ctx, slot, store)
+	_, _, err := w.log.read(0, 0)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.noLog[slot] = err != nil || p.isCut(id(slot))
 	w.stores[slot], w.shown[slot], w.floor[slot] = store, 0, w.highest
 	w.stops[slot] = func() { cancel(); <-done }
 }
@@ -135,7 +138,7 @@
 		w.fail("%s showed version %d after version %d", id(slot), current.Version, w.shown[slot])
 	}
 	// Without the log, a new process can only know what the peers that it reaches hold; see TestStartWithoutLog.
-	fromPeers := current.UpToDate.IsZero() && store.serving.Load()
+	fromPeers := current.UpToDate.IsZero() && w.noLog[slot]
 	if w.shown[slot] == 0 && !fromPeers && current.Version < w.floor[slot] {
 		w.fail("%s started with version %d after version %d had been shown", id(slot), current.Version, w.floor[slot])
 	}
@@ -199,6 +202,9 @@
 	case "log down":
 		w.outage(s)
 	case "cut off":
+		w.mu.Lock()
+		w.noLog[s.slot] = true
+		w.mu.Unlock()
 		w.net.mu.Lock()
 		w.net.cut = map[structs.InstanceID]bool{id(s.slot): true}
 		w.net.mu.Unlock()
@@ -213,9 +219,13 @@
 }
 
 // outage takes the log down for at most a third of the retention, with a restart in the middle. A record that took
-// effect before an outage of the whole retention, and that nobody read, is lost; see docs/invariants.md.
+// effect before an outage of the whole retention, and that nobody read, is lost; TestGapIsClosedOnlyWhenNobodyIsAhead
+// covers that.
 func (w *world) outage(s step) {
 	half := time.Duration(s.seconds%10+1) * time.Second
+	w.mu.Lock()
+	w.noLog = [instances]bool{true, true, true}
+	w.mu.Unlock()
 	w.log.set(func() { w.log.down = true })
 	time.Sleep(half)
 	if s.lose {
@@ -399,3 +409,50 @@
 		assert.NilError(t, w.run(nil))
 	})
 }
+
+// Guards against a stream that never goes on after retention dropped records that nobody had read, and against a gap that
+// is closed while an instance that has read them cannot be reached, which would revert what it showed.
+func TestGapIsClosedOnlyWhenNobodyIsAhead(t *testing.T) {
+	for _, ahead := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t)
+			time.Sleep(time.Second)
+			w.do(step{what: "publish"})
+			if ahead { // slot 2 alone reads version 2
+				w.net.mu.Lock()
+				w.net.cut = map[structs.InstanceID]bool{id(0): true, id(1): true}
+				w.net.mu.Unlock()
+				time.Sleep(2 * testPoll) // reads that were waiting have ended
+				w.do(step{what: "publish", slot: 2})
+			}
+			w.log.set(func() { w.log.down = true })
+			w.net.mu.Lock()
+			w.net.cut = map[structs.InstanceID]bool{id(2): ahead}
+			w.net.mu.Unlock()
+			if !ahead {
+				w.log.set(func() { w.log.take(w.log.all[0].Data) }) // took effect, but nobody read it
+			}
+			time.Sleep(testRetention + time.Second)
+			w.log.set(func() { w.log.down = false })
+			time.Sleep(20 * time.Second)
+			want := uint64(1)
+			if ahead {
+				assert.Equal(t, len(w.log.all), 2) // no snapshot was written without slot 2
+				want = 2
+			}
+			w.heal()
+			time.Sleep(10 * time.Second)
+			w.do(step{what: "publish", slot: 1})
+			time.Sleep(inForceBound)
+			for slot := range instances {
+				current, _ := w.stores[slot].Current()
+				assert.Check(t, current.Version == want+1, "slot %d shows %d", slot, current.Version)
+				w.stop(slot)
+			}
+			w.dismiss()
+			w.operators.Wait()
+			synctest.Wait()
+			assert.NilError(t, w.failure)
+		})
+	}
+}
--- a/internal/configuration/stream/reader.go
+++ b/internal/configuration/stream/reader.go
@@ -71,6 +71,12 @@
 	lastRead time.Time // last successful read that left nothing to fold
 	changed  chan struct{}
 
+	// nobodyAhead reports whether every other reader was asked and none has folded further. Only then may this reader close
+	// a gap, see closeGap. nil: gaps stay open. NewExchange sets it before the reader runs.
+	nobodyAhead func(ctx context.Context) bool
+
+	gapSince time.Time // follow goroutine only: when the present gap was found; zero: none
+
 	halted  bool // follow goroutine only: the halt has been reported
 	failing bool // follow goroutine only: the outage has been reported
 }
