Keep minions that have no owner

Cause: the last entry instance of a data centre is no longer in the ownership once it is leaving, so it released its minions before its accepted requests had run.

Change: a minion without any owner stays with the instance that has it, until another one asks.

--- a/internal/minion/pool_test.go
+++ b/internal/minion/pool_test.go
@@ -163,6 +163,23 @@
 	assert.Assert(t, eventually(func() bool { return b.pool.Free(testService) == 8 }))
 }
 
+// TestLastInstanceKeepsItsMinions guards against a shutdown of a data centre's only instance that leaves its accepted
+// requests without slots, and against one that keeps a minion from a successor.
+func TestLastInstanceKeepsItsMinions(t *testing.T) {
+	t.Parallel()
+	s := site.New(testService)
+	addMinion(t, s, "a", 0)
+	a := addInstance(t, s, "a")
+	assert.Assert(t, eventually(func() bool { return a.pool.Free(testService) == 8 }))
+	s.SetOwner(0, "")
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, a.pool.Free(testService), 8)
+	b := addInstance(t, s, "b")
+	s.SetOwner(0, "b")
+	assert.Assert(t, eventually(func() bool { return b.pool.Free(testService) == 8 }))
+	assert.Equal(t, a.pool.Free(testService), 0)
+}
+
 // TestFrozenOwnerKeepsItsMinion guards against a take-over after a mere timeout, which would use slots that a frozen
 // process still holds, and against a thawed process that goes on with its old view.
 func TestFrozenOwnerKeepsItsMinion(t *testing.T) {
--- a/internal/minion/reconcile.go
+++ b/internal/minion/reconcile.go
@@ -50,7 +50,8 @@
 // follow updates one listed minion.
 func (p *Pool) follow(service structs.ServiceName, instance platform.Instance, slots int) {
 	id := structs.MinionID(instance.ID)
-	owner := p.owns(id)
+	ownerID := p.cfg.View.Owner(p.centre, ownerKey(id))
+	owner := ownerID == p.self
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.members[id]
@@ -65,10 +66,14 @@
 		m = newMember(id, service, instance.Address, slots)
 		p.members[id] = m
 	}
-	p.followOwnerLocked(m, owner)
+	if ownerID != "" {
+		p.followOwnerLocked(m, owner)
+	}
 	p.followStateLocked(m, instance.State == platform.StateLeaving, slots)
 }
 
+// followOwnerLocked is not called while a minion has no owner: the last instance of a data centre takes no part in the
+// ownership any more once it is leaving, and finishes its requests at the minions that it has.
 func (p *Pool) followOwnerLocked(m *member, owner bool) {
 	switch {
 	case !owner:
