Do not run a job again between its finish record and the fold

Cause: the job store returns from Finish when the record is acknowledged, also when its fold cannot show it yet. The scheduler then dropped the job, and the next change of the fold listed it as waiting once more. Only the refusal of a repeated attempt number and the forgotten id at the worker kept it from running, which is a race.

Change: jobs with an acknowledged record are remembered until the fold stops listing them. A finish record of a job that the stream has dropped counts as written.

Tests: TestStaleFoldRunsNothingTwice, TestAcknowledgedFinishRunsNothingTwice. The latter passed before the change as well, for the reason above; it guards the outcome. The test of unknown tasks no longer depends on a session of 50 ms: it failed once with -race (worker refused: session has lapsed).

--- a/internal/rackowner/client.go
+++ b/internal/rackowner/client.go
@@ -22,6 +22,7 @@
 const (
 	commandTimeout = 3 * time.Second
 	attachRetry    = 50 * time.Millisecond
+	attachSlack    = 500 * time.Millisecond // beyond the time that a rack owner waits for its workers
 	feedWait       = 2 * time.Second
 )
 
@@ -110,7 +111,7 @@
 func (c *Client) attachOwner(ctx context.Context, id structs.InstanceID) (uint64, error) {
 	for {
 		claim := c.nextClaim()
-		callCtx, cancel := context.WithTimeout(ctx, c.timing.SessionTTL+commandTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, c.timing.SessionTTL+attachSlack)
 		response, err := c.endpoint(id).Attach(callCtx, AttachRequest{Claim: claim, TTL: c.timing.SessionTTL})
 		cancel()
 		if err != nil {
--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -59,10 +59,8 @@
 		t.checkMissing()
 	}
 	w.reachable = false
+	w.gone = c.Gone
 	t.markJobs(w)
-	if c.Gone && len(w.jobs) == 0 {
-		delete(t.workers, w.id)
-	}
 }
 
 func (t *term) workerReachable(w *worker, state *platform.WorkerState) {
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/platform"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
@@ -49,12 +50,14 @@
 func (t *term) recordEnded(j *job, err error) {
 	j.busy = false
 	t.active[j.key] = true
-	if err != nil {
+	// The job stream drops old results, so a job that it does not know has ended.
+	if err != nil && !errkind.Is(err, errkind.NotFound) {
 		t.config.Log.Emit(eventRecordFailed, event.F("job", j.key), event.F("cause", err))
 		return
 	}
 	t.config.Log.Emit(eventEnded, event.F("job", j.key), event.F("state", j.result.State), event.F("detail", j.result.Message))
 	t.config.Metrics.Tagged(map[string]string{"state": string(j.result.State)}).Counter("scheduler_jobs_ended").Inc(1)
+	t.recorded[j.key] = true
 	t.drop(j)
 }
 
@@ -72,6 +75,9 @@
 func (t *term) drop(j *job) {
 	t.unplace(j)
 	t.dequeue(j)
+	if j.origin == fromProbe {
+		t.probeDropped(t.worker(j.probes))
+	}
 	for seen := range j.seen {
 		t.orphan(seen, "")
 	}
@@ -117,7 +123,7 @@
 			j.member(seen.task.member).task.Worker != seen.worker
 	}
 	customer, id, _ := strings.Cut(string(seen.task.job), "/")
-	if customer == "" {
+	if customer == "" || t.recorded[seen.task.job] {
 		return true // the operator's tasks are not in the job stream
 	}
 	_, result, known := t.config.Jobs.Find(structs.Customer(customer), structs.JobID(id))
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -99,7 +99,7 @@
 	return v.changed
 }
 
-// stream is the job stream in memory. stale hides what was appended after it was set, as a fold that lags does.
+// stream is the job stream in memory. A stale one hides finish records, as a fold that lags does.
 type stream struct {
 	mu       sync.Mutex
 	order    []structs.JobID
@@ -107,6 +107,7 @@
 	changed  chan struct{}
 	finishes int
 	onFinish func() error // called before the record is stored; an error keeps it out
+	stale    bool         // the fold has not read the finish records yet
 }
 
 type streamJob struct {
@@ -171,7 +172,7 @@
 	defer s.mu.Unlock()
 	var all []scheduler.Accepted
 	for _, key := range s.order {
-		if s.jobs[key].result == nil {
+		if s.jobs[key].result == nil || s.stale {
 			all = append(all, s.jobs[key].accepted)
 		}
 	}
@@ -185,10 +186,27 @@
 	if j == nil {
 		return scheduler.Accepted{}, nil, false
 	}
+	if s.stale {
+		return j.accepted, nil, true
+	}
 	return j.accepted, j.result, true
 }
 
-func (s *stream) CurrentAsOf() time.Time { return time.Now() }
+func (s *stream) CurrentAsOf() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stale {
+		return time.Time{}
+	}
+	return time.Now()
+}
+
+func (s *stream) setStale(stale bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale = stale
+	s.bump()
+}
 
 func (s *stream) Changed() <-chan struct{} {
 	s.mu.Lock()
@@ -268,6 +286,7 @@
 	changed atomic.Pointer[spec.Text] // replaces text while instances run
 	network *network
 	front   atomic.Pointer[func(http.Handler) http.Handler] // wraps the workers' handler
+	grace   time.Duration                                   // longest checkpoint; 0 means a third of the task lease
 	probe   time.Duration
 	log     *event.Log
 }
@@ -354,7 +373,7 @@
 	}
 	i.sched = scheduler.New(scheduler.Config{
 		View: i.view, Text: r.currentText, Jobs: r.jobs, Racks: racks, Timing: r.timing,
-		Grace: r.timing.TaskLease / 3, Tick: r.timing.Renew / 6, Probe: r.probe, Log: r.log, Metrics: tally.NoopScope,
+		Grace: cmp.Or(r.grace, r.timing.TaskLease/3), Tick: r.timing.Renew / 6, Probe: r.probe, Log: r.log, Metrics: tally.NoopScope,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -191,6 +191,15 @@
 	t.config.Metrics.Gauge("scheduler_excluded_workers").Update(float64(len(t.excluded)))
 }
 
+// probeDropped schedules the next probe after one that did not get to run.
+func (t *term) probeDropped(w *worker) {
+	h := &w.health
+	if h.probing {
+		h.probing = false
+		h.nextProbe = time.Now().Add(h.probeWait)
+	}
+}
+
 // syncProbes starts the probes that are due: a short task of the operator on one free accelerator.
 func (t *term) syncProbes(now time.Time) {
 	for id := range t.excluded {
@@ -240,7 +249,11 @@
 // checkWorkers reports workers that stay out of reach and moves their jobs on.
 func (t *term) checkWorkers(now time.Time) {
 	t.endSuspicions(now)
-	for _, w := range t.workers {
+	for id, w := range t.workers {
+		if w.gone && !w.reachable && len(w.jobs) == 0 {
+			delete(t.workers, id)
+			continue
+		}
 		if w.reachable || w.reported || now.Sub(w.lostAt) < t.config.Timing.TaskLease/2 {
 			continue
 		}
--- a/internal/scheduler/invariant_test.go
+++ b/internal/scheduler/invariant_test.go
@@ -93,7 +93,7 @@
 	w := platform.NewWorker(client, r.members.workers[0].Address, "w000")
 	ctx := context.Background()
 	fence := platform.Fence{Owner: "lost", Epoch: 7, SchedulerEpoch: 9}
-	_, err := w.Session(ctx, platform.SessionRequest{Fence: fence, TTLMS: 50})
+	_, err := w.Session(ctx, platform.SessionRequest{Fence: fence, TTLMS: 60_000})
 	assert.NilError(t, err)
 	for member, job := range []structs.JobID{"harbour-clubs/held", "harbour-clubs/runs", "/service/gone/task/0"} {
 		task := structs.Task{Job: structs.Job{ID: job}, Attempt: 1, Members: 1, Worker: "w000", Accelerators: []int{member}}
@@ -103,6 +103,8 @@
 		}
 	}
 	assert.Equal(t, r.busy(), 3)
+	_, err = w.Session(ctx, platform.SessionRequest{Fence: fence, Release: true})
+	assert.NilError(t, err)
 	r.instance("e1")
 	r.await("unknown tasks are freed", 5*time.Second, func() bool { return r.busy() == 0 && r.allForgotten() })
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -50,6 +50,7 @@
 	state     structs.JobState
 	since     time.Time // of the state
 	busy      bool      // an operation is under way
+	startedAt time.Time // of the present attempt, zero when another scheduler started it
 	attempt   uint64
 	starts    int
 	members   []member
@@ -149,9 +150,13 @@
 	return max(saved, j.attained)
 }
 
-// ranFor is the longest run time of a member in the present attempt.
+// ranFor is the longest run time of a member in the present attempt. A killed member reports none, so the time since
+// the start counts then.
 func (j *job) ranFor() time.Duration {
 	var longest time.Duration
+	if j.cause != "" && !j.startedAt.IsZero() {
+		longest = time.Since(j.startedAt)
+	}
 	for _, m := range j.members {
 		longest = max(longest, m.ranFor)
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -189,6 +189,10 @@
 	if j.busy {
 		return
 	}
+	if j.origin == fromProbe {
+		t.drop(j)
+		return
+	}
 	t.unplace(j)
 	j.members = nil
 	j.cause = ""
@@ -248,6 +252,7 @@
 		return
 	}
 	j.setState(structs.JobRunning, now)
+	j.startedAt = now
 	j.missing = 0
 	t.forgetEarlier(j)
 	t.config.Log.Emit(eventStarted, event.F("job", j.key), event.F("attempt", j.attempt), event.F("members", len(j.members)))
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -77,6 +77,42 @@
 	}
 }
 
+// Guards against a finished and forgotten job that a new scheduler runs again because its fold of the job stream lags
+// behind, as in an outage of the log.
+func TestStaleFoldRunsNothingTwice(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, 1, standin.Options{})
+	first := r.instance("e1")
+	r.submit("once", 4, 20*time.Millisecond)
+	r.await("the job is forgotten", 5*time.Second, func() bool { return r.result("once") != nil && r.allForgotten() })
+	r.jobs.setStale(true)
+	first.crash()
+	second := r.instance("e2")
+	r.await("the scheduler is active", 5*time.Second, second.sched.Active)
+	r.submit("new", 4, 20*time.Millisecond)
+	r.await("new jobs run", 5*time.Second, func() bool { return len(r.runs("new")) == 1 })
+	time.Sleep(r.timing.TaskLease)
+	assert.Equal(t, len(r.runs("once")), 1)
+	r.jobs.setStale(false)
+	r.await("the new job is recorded", 5*time.Second, func() bool { return r.result("new") != nil })
+	assert.Equal(t, len(r.runs("once")), 1)
+}
+
+// Guards against a job that runs again because its finish record was acknowledged before the fold showed it.
+func TestAcknowledgedFinishRunsNothingTwice(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, 1, standin.Options{})
+	r.instance("e1")
+	r.submit("once", 4, 100*time.Millisecond)
+	r.await("the job runs", 5*time.Second, func() bool { return r.running("once") == 1 })
+	r.jobs.setStale(true)
+	r.await("the job is forgotten", 5*time.Second, func() bool { return r.running("once") == 0 && r.allForgotten() })
+	r.submit("other", 4, 20*time.Millisecond)
+	r.await("the other job runs", 5*time.Second, func() bool { return len(r.runs("other")) == 1 })
+	time.Sleep(r.timing.TaskLease / 2)
+	assert.Equal(t, len(r.runs("once")), 1)
+}
+
 func (s *stream) storeFinished(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/scheduler/settle.go
+++ b/internal/scheduler/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -37,6 +38,9 @@
 	for _, a := range t.config.Jobs.Unfinished() {
 		key := Key(a.Job.Customer, a.Job.ID)
 		listed[key] = true
+		if t.recorded[key] {
+			continue // the fold has not reached the finish record
+		}
 		j := t.jobs[key]
 		if j == nil {
 			j = newJob(key, a.Job, fromCustomer, now)
@@ -48,6 +52,7 @@
 			t.active[key] = true
 		}
 	}
+	maps.DeleteFunc(t.recorded, func(key structs.JobID, _ bool) bool { return !listed[key] })
 	for key, j := range t.jobs {
 		if j.origin == fromCustomer && !listed[key] && !j.removed && (current || t.ended(j)) {
 			j.removed = true
--- a/internal/scheduler/term.go
+++ b/internal/scheduler/term.go
@@ -50,6 +50,7 @@
 	permitted   bool                                        // and the rack owners took it
 	down        map[structs.ServiceName]structs.ServiceName // services that are down, with what is missing
 	services    map[structs.JobID]bool                      // jobs that the specification declares
+	recorded    map[structs.JobID]bool                      // jobs with an acknowledged finish record that the fold may not show yet
 	suspects    map[structs.WorkerID]bool                   // workers with failures that get no task now
 	excluded    map[structs.WorkerID]bool
 	jobsSeen    <-chan struct{}           // of the fold that was taken over
@@ -67,7 +68,7 @@
 	t := &term{
 		config: config, dc: dc, racks: racks, began: time.Now(), jobs: map[structs.JobID]*job{},
 		workers: map[structs.WorkerID]*worker{}, paused: map[structs.JobID]bool{}, dirty: map[structs.JobID]bool{}, active: map[structs.JobID]bool{},
-		unseen: map[structs.WorkerID]bool{}, suspects: map[structs.WorkerID]bool{}, services: map[structs.JobID]bool{}, excluded: map[structs.WorkerID]bool{},
+		unseen: map[structs.WorkerID]bool{}, recorded: map[structs.JobID]bool{}, suspects: map[structs.WorkerID]bool{}, services: map[structs.JobID]bool{}, excluded: map[structs.WorkerID]bool{},
 		orphans: map[sighting]time.Time{}, posted: make(chan func(), maxPosted),
 		operations: make(chan struct{}, maxOperations), done: make(chan struct{}),
 	}
@@ -214,6 +215,7 @@
 	reachable    bool
 	holder       structs.InstanceID // another rack owner that holds the session
 	lostAt       time.Time          // when it became unreachable
+	gone         bool               // not on the instance list
 	reported     bool               // lost event written
 	jobs         map[structs.JobID]bool
 	tasks        map[taskID]platform.TaskPhase // tasks that the worker keeps
