Let no attempt start while a task of an aborted one may run

Cause: TestInvariantGangAllOrNothing/hold/two_owners failed in 1 of 4 runs with -race: 'attempt 1: member 4 on w004 ran 1.1s without the rest, 900ms is allowed'. The scheduler's view shrank to itself between start and release, so three members started, could not be released and were reported as uncertain. When it attached to their rack owner again, its renew_gangs permitted the extension of their leases, one failed release was repeated only after a second, and the fence of 1.1 task leases was shorter than the 1.5 that a rack owner without a scheduler may take.

Change: a waiting job with a left-over running task stays withheld and paused until the task is gone; a failed release is repeated after 100 ms; the fence is 1.6 task leases; a single task that may have started at a worker of another rack owner holds its job back until that owner is heard.

--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -17,6 +17,7 @@
 	recordTimeout = 5 * time.Second
 	recordRetry   = time.Second
 	orphanRetry   = time.Second
+	orphanFailed  = 100 * time.Millisecond
 	orphansAtOnce = 256
 )
 
@@ -130,6 +131,28 @@
 	return known && result != nil || t.streamCurrent()
 }
 
+// orphanSent repeats a command that failed sooner than one whose effect has yet to be reported.
+func (t *term) orphanSent(seen sighting, err error) {
+	if last, known := t.orphans[seen]; known && err != nil {
+		t.orphans[seen] = last.Add(orphanFailed - orphanRetry)
+	}
+}
+
+// runsElsewhere reports whether a task of an earlier attempt still holds accelerators, as far as is known.
+func (t *term) runsElsewhere(j *job) bool {
+	for seen := range j.seen {
+		if _, orphaned := t.orphans[seen]; orphaned && t.runs(seen) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *term) runs(seen sighting) bool {
+	w := t.workers[seen.worker]
+	return w != nil && w.tasks[seen.task] != "" && !w.tasks[seen.task].Ended()
+}
+
 func (t *term) freeOrphan(ctx context.Context, seen sighting, phase platform.TaskPhase) {
 	task := structs.Task{Worker: seen.worker, Attempt: seen.task.attempt, Member: seen.task.member}
 	task.Job.ID = seen.task.job
@@ -138,8 +161,8 @@
 		if phase.Ended() {
 			command = t.racks.Forget
 		}
-		_ = command(ctx, task) // repeated until the worker reports the effect
-		return func() {}
+		err := command(ctx, task)
+		return func() { t.orphanSent(seen, err) }
 	})
 	if !phase.Ended() {
 		t.config.Log.Emit(eventFreed, event.F("job", seen.task.job), event.F("worker", seen.worker), event.F("phase", phase))
@@ -159,7 +182,8 @@
 	}
 }
 
-// sendWithheld tells the rack owners which jobs must not be extended. The first call after a rebuild also permits the extension of all others.
+// sendWithheld tells the rack owners which jobs must not be extended, among them waiting jobs with a task left over from
+// an aborted start. The first call after a rebuild also permits the extension of all others.
 func (t *term) sendWithheld(ctx context.Context) {
 	var jobs []structs.JobID
 	for key := range t.active {
@@ -168,7 +192,14 @@
 			jobs = append(jobs, key)
 		}
 	}
+	for seen := range t.orphans {
+		j := t.jobs[seen.task.job]
+		if j != nil && j.state == structs.JobWaiting && t.runs(seen) {
+			jobs = append(jobs, j.key)
+		}
+	}
 	slices.Sort(jobs)
+	jobs = slices.Compact(jobs)
 	var text strings.Builder
 	for _, key := range jobs {
 		text.WriteString("|" + string(key))
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -69,11 +69,12 @@
 	failures     int       // that count against max_attempts
 	failedOn     map[structs.WorkerID]int
 	blamed       bool
-	notBefore    time.Time // pause after a failure
-	avoidUntil   time.Time // end of the avoidance of the workers in failedOn
-	fenceUntil   time.Time // an earlier attempt may run until then
-	unseen       bool      // may run at a worker that was not reported since this scheduler attached
-	missing      int       // members of an adopted gang that were not reported yet
+	notBefore    time.Time          // pause after a failure
+	avoidUntil   time.Time          // end of the avoidance of the workers in failedOn
+	uncertain    []structs.WorkerID // where an aborted attempt may have started
+	fenceUntil   time.Time          // an earlier attempt may run until then
+	unseen       bool               // may run at a worker that was not reported since this scheduler attached
+	missing      int                // members of an adopted gang that were not reported yet
 	missingSince time.Time
 	forgotten    time.Time // a worker reported that it forgot an attempt of the waiting job
 	reason       string    // why it waits
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -70,10 +70,14 @@
 	switch {
 	case stale:
 		return now.Add(stalePause), "a worker has already forgotten the job; the job stream is read first"
+	case t.runsElsewhere(j):
+		return now.Add(stalePause), "a task of an earlier attempt has yet to be released"
 	case dependency != "":
 		return now.Add(stalePause), dependency
 	case j.unseen && len(t.unseen) > 0 && t.unseenUntil.After(j.notBefore):
 		return t.unseenUntil, fmt.Sprintf("the job may run on one of %d workers that cannot be reached", len(t.unseen))
+	case t.heldElsewhere(j):
+		return now.Add(stalePause), "an earlier attempt may run at a worker that another rack owner holds"
 	case j.fenceUntil.After(j.notBefore):
 		return j.fenceUntil, "an earlier attempt may still run at a worker that cannot be reached"
 	default:
@@ -81,6 +85,17 @@
 	}
 }
 
+// heldElsewhere reports whether a single task may have started at a worker whose rack owner is out of reach and extends
+// its lease. Members of a gang lapse there.
+func (t *term) heldElsewhere(j *job) bool {
+	for _, id := range j.uncertain {
+		if w := t.worker(id); len(j.placement.Members) == 1 && !w.reachable && w.holder != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // tryPlace places a job and begins to start it. It returns false when there is no place.
 func (t *term) tryPlace(ctx context.Context, j *job, now time.Time) bool {
 	request := placement.Request{
@@ -253,6 +268,7 @@
 	}
 	j.setState(structs.JobRunning, now)
 	j.startedAt = now
+	j.uncertain = nil
 	j.missing = 0
 	t.forgetEarlier(j)
 	t.config.Log.Emit(eventStarted, event.F("job", j.key), event.F("attempt", j.attempt), event.F("members", len(j.members)))
@@ -267,7 +283,8 @@
 	t.config.Log.Emit(eventStartFailed, event.F("job", j.key), event.F("worker", first.Task.Worker), event.F("cause", first.Err))
 	for _, uncertain := range result.Uncertain {
 		j.seen[sighting{uncertain.Worker, idOf(uncertain)}] = true
-		j.fenceUntil = now.Add(t.config.Timing.TaskLease + t.config.Timing.TaskLease/10)
+		j.fenceUntil = now.Add(t.lapse())
+		j.uncertain = append(j.uncertain, uncertain.Worker)
 	}
 	j.lastError = first.Err.Error()
 	j.notBefore = now.Add(refusedPause)
