--- a/internal/scheduler/invariant_test.go
+++ b/internal/scheduler/invariant_test.go
@@ -133,6 +133,7 @@
 
 // Guards against members that keep accelerators after their gang was cancelled, while one of them cannot be reached.
 func TestInvariantGangAllOrNothingCancelled(t *testing.T) {
+	t.Parallel()
 	for _, action := range []string{"", "freeze", "kill", "drop"} {
 		t.Run("cancelled_"+action, func(t *testing.T) {
 			t.Parallel()
@@ -162,6 +163,7 @@
 // in each phase, rack owners and the scheduler cut off between the phases, and two owners that both believe in
 // themselves; each fault alone, and pairs of them. A member may run past the end of another for 1.5 task leases.
 func TestInvariantGangAllOrNothing(t *testing.T) {
+	t.Parallel()
 	random := rand.New(rand.NewPCG(1, 2))
 	for _, path := range []string{"hold", "start", "renew"} {
 		for _, first := range gangFaults {
