--- a/internal/configuration/stream/reader.go
+++ b/internal/configuration/stream/reader.go
@@ -71,6 +71,12 @@
 	lastRead time.Time // last successful read that left nothing to fold
 	changed  chan struct{}
 
+	// nobodyAhead reports whether every other reader was asked and none has folded further. Only then may this reader close
+	// a gap, see closeGap. nil: gaps stay open. NewExchange sets it before the reader runs.
+	nobodyAhead func(ctx context.Context) bool
+
+	gapSince time.Time // follow goroutine only: when the present gap was found; zero: none
+
 	halted  bool // follow goroutine only: the halt has been reported
 	failing bool // follow goroutine only: the outage has been reported
 }
@@ -201,7 +207,7 @@
 }
 
 func (r *Reader) openRecord(record platform.LogRecord) (Record, error) {
-	kind, body, err := open(r.options.Stream, r.options.Keys, record.Data)
+	kind, body, err := Open(r.options.Stream, r.options.Keys, record.Data)
 	if err != nil {
 		return Record{}, fmt.Errorf("offset %d: %w", record.Offset, err)
 	}
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -59,6 +59,8 @@
 	c.nodes["dc0-2"].dead = true // its host refuses connections
 	c.pass(500 * time.Millisecond)
 	assert.Assert(t, watcher.Gone("dc0-2"))
+	_, known = watcher.AllEntries()["dc0-2"]
+	assert.Assert(t, known, "what it held cannot be settled")
 	assert.DeepEqual(t, watcher.Entries("dc0"), []structs.InstanceID{"dc0-0"})
 }
 
@@ -111,6 +113,9 @@
 			if listDown {
 				c.pass(5 * time.Second)
 				assert.Assert(t, !sleeper.Fresh(), "neither the list nor a peer can be reached")
+				c.cut = func(a, b structs.InstanceID) bool { return a == "dc0-2" || b == "dc0-2" }
+				c.pass(5 * time.Second)
+				assert.Assert(t, !sleeper.Fresh(), "the peer that cannot be reached may have taken its minions")
 			}
 			c.cut = nil
 			c.pass(2 * time.Second)
@@ -132,6 +137,10 @@
 	assert.Assert(t, c.nodes["dc0-1"].Gone("dc0-0"))
 	c.down = true
 	sleeper.frozen = false
+	c.lose = true
+	sleeper.exchange(t.Context(), "dc0-1")
+	sleeper.exchange(t.Context(), "dc0-2")
+	c.lose = false
 	c.pass(10 * time.Second)
 	assert.Assert(t, !sleeper.Fresh(), "peers had taken it for gone and the list is down")
 	c.down = false
--- a/internal/server/run.go
+++ b/internal/server/run.go
@@ -76,7 +76,7 @@
 	group.Go(func() error { return ignoreEnd(s.node.Serve(ctx, peerListener)) })
 	parts := []func(context.Context) error{
 		s.members.Run, s.config.Run, s.jobs.Run, s.keys.Run, s.successors, s.pool.Run, s.router.Run,
-		s.racks.Run, s.scheduler.Run, s.services.Run, s.followConfiguration,
+		s.racks.Run, s.scheduler.Run, s.services.Run, s.followConfiguration, s.followJobs,
 	}
 	for _, run := range parts {
 		group.Go(func() error { return ignoreEnd(run(ctx)) })
@@ -90,22 +90,35 @@
 	defer cancel()
 	s.events.Emit(eventDraining, event.F("timeout", s.settings.Timing.DrainTimeout))
 	s.draining.Store(true)
+	close(s.stopping)
 	s.keys.StopIssuing()
 	leave, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
 	s.members.Leave(leave)
 	cancelLeave()
 	wait(ctx, balancerNotice)
 	errs := []error{s.router.Drain(ctx)}
-	if successor, err := s.keys.Handover(ctx, s.successorCandidates()); err != nil {
+	successor, err := s.keys.Handover(ctx, s.successorCandidates())
+	if err != nil {
 		s.events.Emit(eventKeysNotHandedOver, event.F("successor", successor), event.F("error", err))
 	}
+	handedOver := time.Now()
 	errs = append(errs, s.pool.Drain(ctx), front.Shutdown(ctx))
+	if err == nil {
+		wait(ctx, s.successionNotice()-time.Since(handedOver))
+	}
 	end, cancelEnd := context.WithTimeout(ctx, endTimeout)
 	s.members.End(end)
 	cancelEnd()
 	return errors.Join(errs...)
 }
 
+// successionNotice is how long an instance that has handed over its request keys still answers its peers: a succession
+// passes one heartbeat to the partners in each other data centre and one more from them to the rest. An instance that
+// had ended before that made peers answer unknown for keys that the successor holds.
+func (s *Server) successionNotice() time.Duration {
+	return 2 * (s.settings.Timing.HeartbeatRemote + s.settings.Timing.Heartbeat)
+}
+
 // successorCandidates returns the instances that may take over the request keys: those of the own data centre, or all
 // others when there are none.
 func (s *Server) successorCandidates() []structs.InstanceID {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -35,6 +35,7 @@
 	metrics  http.Handler
 	closer   io.Closer
 	draining atomic.Bool
+	stopping chan struct{} // closed when the drain begins; ends the event streams
 
 	node      *peer.Node
 	members   *membership.Members
@@ -56,7 +57,7 @@
 func New(s *settings.Settings, logs io.Writer) (*Server, error) {
 	events := event.NewLog(logs, string(s.Instance))
 	scope, handler, closer := metrics.New(map[string]string{"instance": string(s.Instance)})
-	server := &Server{settings: s, events: events, scope: scope, metrics: handler, closer: closer}
+	server := &Server{settings: s, events: events, scope: scope, metrics: handler, closer: closer, stopping: make(chan struct{})}
 	ring, err := keyRing(s)
 	if err != nil {
 		return nil, err
@@ -91,7 +92,7 @@
 		Self:      s.settings.Instance,
 		Keys:      ring,
 		Resolve:   func(id structs.InstanceID) (string, bool) { return s.members.PeerAddress(id) },
-		BulkKinds: []string{configuration.CallFetch, router.CallForward},
+		BulkKinds: []string{configuration.CallFetch, jobstore.CallFetch, router.CallForward},
 		Events:    s.events,
 		Scope:     s.scope.SubScope("peer"),
 	})
@@ -151,10 +152,25 @@
 		Retention:  timing.LogRetention,
 		PollWait:   timing.ConfigPoll,
 		MaxOpen:    s.maxOpenJobs,
+		Peers:      s.node,
+		Self:       s.settings.Instance,
+		Entries:    s.entriesHere,
 	})
 	return nil
 }
 
+// entriesHere returns every known entry instance of the own data centre, suspected and leaving ones included.
+func (s *Server) entriesHere() []structs.InstanceID {
+	_, here := s.members.Self()
+	var ids []structs.InstanceID
+	for id, dc := range s.members.AllEntries() {
+		if dc == here {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (s *Server) text() *spec.Text { return s.config.Text() }
 
 func (s *Server) maxOpenJobs() int {
@@ -204,6 +220,7 @@
 func (s *Server) registerCalls() {
 	s.members.Register(s.node)
 	s.config.Register(s.node)
+	s.jobs.Register(s.node)
 	s.keys.Register(s.node)
 	s.pool.Register(s.node)
 	s.router.Register(s.node)
