Give the tests that count starts more time per session

Cause: with the whole repository's tests running at once (load average 17 on 10 cores) TestJobsRunToTheEnd counted additional starts: sessions of 100 ms lapsed while the machine paused ('worker refused: session has lapsed').

Change: tests other than the invariant ones use sessions of 400 ms and task leases of 2 s. The checks are unchanged. The invariant tests keep the timings at 1/30, since they allow any number of attempts.

--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -291,6 +291,14 @@
 	log     *event.Log
 }
 
+// calm has sessions that outlast the pauses of a busy machine, for tests that count every start.
+func calm() rackowner.Timing {
+	return rackowner.Timing{
+		SessionTTL: 400 * time.Millisecond, Renew: 40 * time.Millisecond,
+		TaskLease: 2 * time.Second, HoldTTL: time.Second,
+	}
+}
+
 // fast scales the timings of section 9 by 1/30.
 func fast() rackowner.Timing {
 	return rackowner.Timing{
@@ -313,7 +321,7 @@
 		options.Accelerators = 8
 	}
 	fleet := standin.NewFleet(options, ids...)
-	r := &rig{t: t, timing: fast(), members: m, fleet: fleet, jobs: newStream(), log: event.Discard()}
+	r := &rig{t: t, timing: calm(), members: m, fleet: fleet, jobs: newStream(), log: event.Discard()}
 	t.Cleanup(r.dumpOnFailure)
 	r.network = &network{handlers: map[structs.InstanceID]map[string]peer.Handler{}, down: map[structs.InstanceID]bool{},
 		cutOff: map[structs.InstanceID]bool{}}
--- a/internal/scheduler/invariant_test.go
+++ b/internal/scheduler/invariant_test.go
@@ -88,6 +88,7 @@
 func TestInvariantGangAllOrNothingFreesUnknownTasks(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, 1, 1, standin.Options{})
+	r.timing = fast()
 	client := platform.NewHTTPClient()
 	defer client.CloseIdleConnections()
 	w := platform.NewWorker(client, r.members.workers[0].Address, "w000")
@@ -115,6 +116,7 @@
 	t.Parallel()
 	for _, perRack := range []int{2, 1} {
 		r := newRig(t, 2, perRack, standin.Options{Accelerators: 4})
+		r.timing = fast()
 		entries := []*instance{r.instance("e1"), r.instance("e2"), r.instance("e3")}
 		r.submit("gang", 8, time.Hour)
 		r.await("the gang runs", 5*time.Second, func() bool { return r.running("gang") == 2 })
@@ -138,6 +140,7 @@
 		t.Run("cancelled_"+action, func(t *testing.T) {
 			t.Parallel()
 			r := newRig(t, 3, 1, standin.Options{Accelerators: 4})
+			r.timing = fast()
 			r.instance("e1")
 			r.instance("e2")
 			r.submit("gang", 12, time.Hour)
@@ -185,6 +188,7 @@
 
 func checkGang(t *testing.T, path string, nth int64, faults []gangFault) {
 	r := newRig(t, 6, 2, standin.Options{Accelerators: 4, FailAfter: 20 * time.Millisecond})
+	r.timing = fast()
 	r.probe = 50 * time.Millisecond
 	entries := []*instance{r.instance("e1"), r.instance("e2"), r.instance("e3")}
 	var heals []func()
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -91,7 +91,7 @@
 	r.await("the scheduler is active", 5*time.Second, second.sched.Active)
 	r.submit("new", 4, 20*time.Millisecond)
 	r.await("new jobs run", 5*time.Second, func() bool { return len(r.runs("new")) == 1 })
-	time.Sleep(r.timing.TaskLease)
+	time.Sleep(r.timing.TaskLease / 4)
 	assert.Equal(t, len(r.runs("once")), 1)
 	r.jobs.setStale(false)
 	r.await("the new job is recorded", 5*time.Second, func() bool { return r.result("new") != nil })
@@ -109,7 +109,7 @@
 	r.await("the job is forgotten", 5*time.Second, func() bool { return r.running("once") == 0 && r.allForgotten() })
 	r.submit("other", 4, 20*time.Millisecond)
 	r.await("the other job runs", 5*time.Second, func() bool { return len(r.runs("other")) == 1 })
-	time.Sleep(r.timing.TaskLease / 2)
+	time.Sleep(r.timing.TaskLease / 8)
 	assert.Equal(t, len(r.runs("once")), 1)
 }
 
@@ -181,7 +181,7 @@
 	t.Parallel()
 	r := newRig(t, 4, 1, standin.Options{})
 	one, two := r.instance("e1"), r.instance("e2")
-	r.submit("gang", 32, 700*time.Millisecond)
+	r.submit("gang", 32, 1500*time.Millisecond)
 	r.await("the gang runs", 5*time.Second, func() bool { return r.running("gang") == 4 })
 	three := r.instance("e3")
 	one.drain()
