Let jobs of the same urgency take turns

Change: a waiting job may make a running borrower of the same urgency yield when queue.Overtakes says that it had its turn, provided that it saves its work. Waiting jobs are tried again every 10 s, since a turn ends without any event.

The package's tests pass with -race.

--- a/internal/scheduler/cluster.go
+++ b/internal/scheduler/cluster.go
@@ -167,8 +167,13 @@
 			continue
 		}
 		delete(t.paused, key)
-		info := j.info
-		info.ID = key
-		t.queue.Requeue(queue.Entry{Job: info, Attained: j.attained, Guaranteed: t.couldUseGuarantee(info)})
+		t.queue.Requeue(t.entry(j))
 	}
 }
+
+// entry describes a job for the queue, which needs the qualified id.
+func (t *term) entry(j *job) queue.Entry {
+	info := j.info
+	info.ID = j.key
+	return queue.Entry{Job: info, Attained: j.attained, Guaranteed: t.couldUseGuarantee(info)}
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -20,6 +20,9 @@
 // triedAtOnce bounds the waiting jobs that one step tries.
 const triedAtOnce = 1024
 
+// turnCheck is how often waiting jobs are tried although nothing changed, since running jobs use up their turn.
+const turnCheck = 10 * time.Second
+
 // stalePause is the time between two looks at a job that waits for the job stream or for a service.
 const stalePause = 100 * time.Millisecond
 
@@ -43,6 +46,11 @@
 	view := queue.View{Now: now, Entitled: t.cluster.Entitled, Used: t.cluster.Used}
 	failed := map[signature]*job{}
 	begun := time.Now()
+	defer func() {
+		if len(failed) > 0 {
+			t.retryBy(now.Add(turnCheck))
+		}
+	}()
 	for _, entry := range t.queue.Next(view, triedAtOnce) {
 		j := t.jobs[entry.Job.ID]
 		if j.cancelled || j.removed || j.busy || j.result != nil {
@@ -85,6 +93,16 @@
 	}
 }
 
+// overtakes reports whether a running borrower of the same urgency has had its turn and must yield to a waiting job.
+// Only jobs that save their work take turns.
+func (t *term) overtakes(j *job, key structs.JobID, now time.Time) bool {
+	running := t.jobs[key]
+	if running == nil || running.state != structs.JobRunning || running.info.Checkpoint <= 0 {
+		return false
+	}
+	return queue.Overtakes(t.entry(j), t.entry(running), now.Sub(running.since))
+}
+
 // heldElsewhere reports whether a single task may have started at a worker whose rack owner is out of reach and extends
 // its lease. Members of a gang lapse there.
 func (t *term) heldElsewhere(j *job) bool {
@@ -100,7 +118,7 @@
 func (t *term) tryPlace(ctx context.Context, j *job, now time.Time) bool {
 	request := placement.Request{
 		Job: j.key, Customer: j.info.Customer, Accelerators: j.info.Accelerators, Urgency: j.info.Urgency,
-		Avoid: t.avoid(j, now), Now: now,
+		Avoid: t.avoid(j, now), Now: now, Yields: func(key structs.JobID) bool { return t.overtakes(j, key, now) },
 	}
 	if reason, remedy := t.overQuota(j); reason != "" {
 		j.reason, j.remedy = reason, remedy
