--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/jobstore"
 	"dogwoodnotch.example/dogwoodnotch/internal/membership"
 	"dogwoodnotch.example/dogwoodnotch/internal/peer"
 	"dogwoodnotch.example/dogwoodnotch/internal/spec"
@@ -162,13 +161,9 @@
 // Home returns the data centre of a job that names none: the rendezvous winner for customer and id over the data
 // centres of the specification, so that a retry at any instance reaches the same job stream.
 func Home(text *spec.Text, customer structs.Customer, id structs.JobID) structs.DataCentre {
-	var home structs.DataCentre
-	var best uint64
-	for _, dc := range text.DataCentres {
-		weight := xxhash.Sum64String(string(dc.Name) + "\x00" + string(customer) + "\x00" + string(id))
-		if home == "" || weight > best {
-			home, best = dc.Name, weight
-		}
+	names := make([]structs.DataCentre, 0, len(text.DataCentres))
+	for i := range text.DataCentres {
+		names = append(names, text.DataCentres[i].Name)
 	}
-	return home
+	return jobstore.Home(jobstore.Ref{Customer: customer, ID: id}, names)
 }
