--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -50,6 +50,7 @@
 	state     structs.JobState
 	since     time.Time // of the state
 	busy      bool      // an operation is under way
+	startedAt time.Time // of the present attempt, zero when another scheduler started it
 	attempt   uint64
 	starts    int
 	members   []member
@@ -68,11 +69,12 @@
 	failures     int       // that count against max_attempts
 	failedOn     map[structs.WorkerID]int
 	blamed       bool
-	notBefore    time.Time // pause after a failure
-	avoidUntil   time.Time // end of the avoidance of the workers in failedOn
-	fenceUntil   time.Time // an earlier attempt may run until then
-	unseen       bool      // may run at a worker that was not reported since this scheduler attached
-	missing      int       // members of an adopted gang that were not reported yet
+	notBefore    time.Time          // pause after a failure
+	avoidUntil   time.Time          // end of the avoidance of the workers in failedOn
+	uncertain    []structs.WorkerID // where an aborted attempt may have started
+	fenceUntil   time.Time          // an earlier attempt may run until then
+	unseen       bool               // may run at a worker that was not reported since this scheduler attached
+	missing      int                // members of an adopted gang that were not reported yet
 	missingSince time.Time
 	forgotten    time.Time // a worker reported that it forgot an attempt of the waiting job
 	reason       string    // why it waits
@@ -149,9 +151,13 @@
 	return max(saved, j.attained)
 }
 
-// ranFor is the longest run time of a member in the present attempt.
+// ranFor is the longest run time of a member in the present attempt. A killed member reports none, so the time since
+// the start counts then.
 func (j *job) ranFor() time.Duration {
 	var longest time.Duration
+	if j.cause != "" && !j.startedAt.IsZero() {
+		longest = time.Since(j.startedAt)
+	}
 	for _, m := range j.members {
 		longest = max(longest, m.ranFor)
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -20,6 +20,9 @@
 // triedAtOnce bounds the waiting jobs that one step tries.
 const triedAtOnce = 1024
 
+// turnCheck is how often waiting jobs are tried although nothing changed, since running jobs use up their turn.
+const turnCheck = 10 * time.Second
+
 // stalePause is the time between two looks at a job that waits for the job stream or for a service.
 const stalePause = 100 * time.Millisecond
 
@@ -43,6 +46,11 @@
 	view := queue.View{Now: now, Entitled: t.cluster.Entitled, Used: t.cluster.Used}
 	failed := map[signature]*job{}
 	begun := time.Now()
+	defer func() {
+		if len(failed) > 0 {
+			t.retryBy(now.Add(turnCheck))
+		}
+	}()
 	for _, entry := range t.queue.Next(view, triedAtOnce) {
 		j := t.jobs[entry.Job.ID]
 		if j.cancelled || j.removed || j.busy || j.result != nil {
@@ -70,10 +78,14 @@
 	switch {
 	case stale:
 		return now.Add(stalePause), "a worker has already forgotten the job; the job stream is read first"
+	case t.runsElsewhere(j):
+		return now.Add(stalePause), "a task of an earlier attempt has yet to be released"
 	case dependency != "":
 		return now.Add(stalePause), dependency
 	case j.unseen && len(t.unseen) > 0 && t.unseenUntil.After(j.notBefore):
 		return t.unseenUntil, fmt.Sprintf("the job may run on one of %d workers that cannot be reached", len(t.unseen))
+	case t.heldElsewhere(j):
+		return now.Add(stalePause), "an earlier attempt may run at a worker that another rack owner holds"
 	case j.fenceUntil.After(j.notBefore):
 		return j.fenceUntil, "an earlier attempt may still run at a worker that cannot be reached"
 	default:
@@ -81,11 +93,32 @@
 	}
 }
 
+// overtakes reports whether a running borrower of the same urgency has had its turn and must yield to a waiting job.
+// Only jobs that save their work take turns.
+func (t *term) overtakes(j *job, key structs.JobID, now time.Time) bool {
+	running := t.jobs[key]
+	if running == nil || running.state != structs.JobRunning || running.info.Checkpoint <= 0 {
+		return false
+	}
+	return queue.Overtakes(t.entry(j), t.entry(running), now.Sub(running.since))
+}
+
+// heldElsewhere reports whether a single task may have started at a worker whose rack owner is out of reach and extends
+// its lease. Members of a gang lapse there.
+func (t *term) heldElsewhere(j *job) bool {
+	for _, id := range j.uncertain {
+		if w := t.worker(id); len(j.placement.Members) == 1 && !w.reachable && w.holder != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // tryPlace places a job and begins to start it. It returns false when there is no place.
 func (t *term) tryPlace(ctx context.Context, j *job, now time.Time) bool {
 	request := placement.Request{
 		Job: j.key, Customer: j.info.Customer, Accelerators: j.info.Accelerators, Urgency: j.info.Urgency,
-		Avoid: t.avoid(j, now), Now: now,
+		Avoid: t.avoid(j, now), Now: now, Yields: func(key structs.JobID) bool { return t.overtakes(j, key, now) },
 	}
 	if reason, remedy := t.overQuota(j); reason != "" {
 		j.reason, j.remedy = reason, remedy
@@ -189,6 +222,10 @@
 	if j.busy {
 		return
 	}
+	if j.origin == fromProbe {
+		t.drop(j)
+		return
+	}
 	t.unplace(j)
 	j.members = nil
 	j.cause = ""
@@ -248,6 +285,8 @@
 		return
 	}
 	j.setState(structs.JobRunning, now)
+	j.startedAt = now
+	j.uncertain = nil
 	j.missing = 0
 	t.forgetEarlier(j)
 	t.config.Log.Emit(eventStarted, event.F("job", j.key), event.F("attempt", j.attempt), event.F("members", len(j.members)))
@@ -262,7 +301,8 @@
 	t.config.Log.Emit(eventStartFailed, event.F("job", j.key), event.F("worker", first.Task.Worker), event.F("cause", first.Err))
 	for _, uncertain := range result.Uncertain {
 		j.seen[sighting{uncertain.Worker, idOf(uncertain)}] = true
-		j.fenceUntil = now.Add(t.config.Timing.TaskLease + t.config.Timing.TaskLease/10)
+		j.fenceUntil = now.Add(t.lapse())
+		j.uncertain = append(j.uncertain, uncertain.Worker)
 	}
 	j.lastError = first.Err.Error()
 	j.notBefore = now.Add(refusedPause)
