placement: list demoted jobs, restore them sooner, update attributes

Cause: while a shape was missing, demoted jobs were not tried again when a cell of their customer became free; the order of demotions followed a map; the scheduler could not tell which jobs lost their protection, nor record a checkpoint. Change: promote runs after every change, demotions go by identifier, Demoted and Describe are new.

--- a/internal/placement/commit.go
+++ b/internal/placement/commit.go
@@ -50,6 +50,15 @@
 	return j.placement, nil
 }
 
+// Describe replaces the attributes of a placement, for example after a checkpoint. It reports whether there is one.
+func (c *Cluster) Describe(id structs.JobID, a Attributes) bool {
+	j := c.jobs[id]
+	if j != nil {
+		j.Attributes = a
+	}
+	return j != nil
+}
+
 // unusedOf is the index of the cell that a placement uses, -1 when its customer has none.
 func (c *Cluster) unusedOf(p Placement) int {
 	i := c.ledger.index(p.CellSize)
--- a/internal/placement/guarantee.go
+++ b/internal/placement/guarantee.go
@@ -158,7 +158,7 @@
 	return nil
 }
 
-// guaranteedJobs returns the jobs that hold cells.
+// guaranteedJobs returns the jobs that hold cells, in the order of their identifiers so that decisions are repeatable.
 func (c *Cluster) guaranteedJobs() []*job {
 	var held []*job
 	for _, j := range c.jobs {
@@ -166,6 +166,7 @@
 			held = append(held, j)
 		}
 	}
+	slices.SortFunc(held, func(a, b *job) int { return cmp.Compare(a.placement.Job, b.placement.Job) })
 	return held
 }
 
@@ -187,10 +188,9 @@
 		c.promote()
 		return
 	}
-	if c.ledger.settled != nil && slices.Equal(c.ledger.settled, c.slacks()) {
-		return
+	if c.ledger.settled == nil || !slices.Equal(c.ledger.settled, c.slacks()) {
+		c.demoteBelow(c.largestMissing())
 	}
-	c.demoteBelow(c.largestMissing())
 	c.promote()
 	c.ledger.settled = c.slacks()
 }
@@ -218,6 +218,12 @@
 	c.ledger.demoted[j.placement.Job] = j
 }
 
+// Demoted returns the guaranteed placements that count as borrowers at present, in the order of their identifiers.
+func (c *Cluster) Demoted() []structs.JobID {
+	c.settle()
+	return slices.Sorted(maps.Keys(c.ledger.demoted))
+}
+
 // promote gives demoted jobs a cell again: larger ones first, then the more urgent and the older ones.
 func (c *Cluster) promote() {
 	if len(c.ledger.demoted) == 0 {
