--- a/internal/placement/rate_test.go
+++ b/internal/placement/rate_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"dogwoodnotch.example/dogwoodnotch/internal/placement"
 	"dogwoodnotch.example/dogwoodnotch/internal/preemption"
+	"dogwoodnotch.example/dogwoodnotch/internal/queue"
 	"dogwoodnotch.example/dogwoodnotch/internal/spec"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
@@ -143,3 +145,38 @@
 	report("decision_rate", rounds/time.Since(began).Seconds(), rate, "placements/s", []uint64{1})
 	fmt.Printf("gang of 128: slowest of %d decisions %v, %d of them to wait\n", rounds, slowest, f.refused)
 }
+
+// TestMeasureCancelWave measures the slowest decision while 5,000 waiting jobs are cancelled (ours) beside the one
+// without the wave (naive). Ten cancellations precede each of 500 decisions and count towards it.
+func TestMeasureCancelWave(t *testing.T) {
+	measuring(t)
+	const jobs, cancelled, decisions = 20000, 5000, 500
+	var slowest [2]time.Duration
+	for round := range 6 {
+		f := fill(t, 4300, 0.1)
+		q := queue.New(queue.Policy{Accelerators: 10000})
+		for i := range jobs {
+			id := structs.JobID(fmt.Sprint("q", i))
+			q.Requeue(queue.Entry{Job: structs.Job{ID: id, Customer: structs.Customer(fmt.Sprint("g", i%24)), Accelerators: 1 + i%2,
+				RunTime: time.Duration(i) * time.Second, SubmittedAt: epoch}})
+		}
+		runtime.GC()
+		worst := time.Duration(0)
+		for i := range decisions {
+			began := time.Now()
+			for k := range cancelled / decisions * (round % 2) {
+				q.Remove(structs.JobID(fmt.Sprint("q", i*10+k)))
+			}
+			f.stop(t)
+			e := q.Next(queue.View{Now: epoch, Entitled: f.c.Entitled, Used: f.c.Used}, 16)[0]
+			p, err := f.c.Place(placement.Request{Job: e.Job.ID, Customer: e.Job.Customer, Accelerators: 1, Borrow: true})
+			assert.NilError(t, err)
+			assert.NilError(t, f.c.Commit(p, placement.Attributes{}))
+			q.Remove(e.Job.ID)
+			f.jobs = append(f.jobs, e.Job.ID)
+			worst = max(worst, time.Since(began))
+		}
+		slowest[round%2] += worst / 3
+	}
+	report("cancel_wave", float64(slowest[0].Microseconds()), float64(slowest[1].Microseconds()), "us", []uint64{1})
+}
