--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -57,7 +57,7 @@
 	Borrow       bool                      // never use a guarantee
 	Avoid        map[structs.WorkerID]bool // workers that must not be used
 	Now          time.Time                 // time of the decision, for the work that victims lose
-	// Yields reports whether a borrower of the same urgency must yield as well, see queue.Overtakes. Nil means none.
+	// Yields reports whether a borrower of the same urgency must yield as well, see queue.Queue.Overtakes. Nil means none.
 	Yields func(structs.JobID) bool
 }
 
--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"container/heap"
-	"math"
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
@@ -34,18 +33,11 @@
 	queue    *Queue
 	view     View
 	frontier frontier
-	leader   float64 // least service of a customer with waiting jobs
-	weights  float64 // of customers with waiting jobs
+	lead     lead
 }
 
 func (q *Queue) newWalk(view View) *walk {
-	w := &walk{queue: q, view: view, leader: math.Inf(1)}
-	for _, a := range q.customers {
-		if a.waiting() > 0 {
-			w.leader = min(w.leader, a.service)
-			w.weights += a.share.weight()
-		}
-	}
+	w := &walk{queue: q, view: view, lead: q.newLead()}
 	for _, a := range q.customers {
 		w.addRoot(a, laneGuaranteed)
 	}
@@ -63,17 +55,10 @@
 
 func (w *walk) addRoot(a *account, lane int) {
 	if len(a.lanes[lane]) > 0 && !w.exhausted(a) {
-		w.add(a, lane, 0, w.delay(a))
+		w.add(a, lane, 0, w.lead.level(a))
 	}
 }
 
-// delay is the time by which a customer's service is ahead of its share, relative to the customer with least service.
-func (w *walk) delay(a *account) time.Duration {
-	capacity := float64(max(1, w.queue.policy.Accelerators))
-	seconds := (a.service - w.leader) * w.weights / capacity
-	return time.Duration(min(seconds, maxDelay.Seconds()) * float64(time.Second))
-}
-
 func (w *walk) used(a *account) int {
 	if w.view.Used == nil {
 		return 0
@@ -109,25 +94,24 @@
 	head := heap.Pop(&w.frontier).(step)
 	for _, child := range []int{2*head.item.at + 1, 2*head.item.at + 2} {
 		if child < len(head.item.account.lanes[head.item.lane]) {
-			w.add(head.item.account, head.item.lane, child, head.delay)
+			w.add(head.item.account, head.item.lane, child, head.level)
 		}
 	}
 	return head
 }
 
-func (w *walk) add(a *account, lane, at int, delay time.Duration) {
-	it := a.lanes[lane][at]
-	heap.Push(&w.frontier, step{it, it.key.Add(delay), delay})
+func (w *walk) add(a *account, lane, at, level int) {
+	heap.Push(&w.frontier, step{a.lanes[lane][at], level})
 }
 
 // step is a job that the walk can visit next.
 type step struct {
 	item  *item
-	key   time.Time // start key with the customer's delay
-	delay time.Duration
+	level int // of the customer's lead
 }
 
-// frontier is a heap of steps: the more urgent first, then the earlier key.
+// frontier is a heap of steps: the more urgent first, then the customer with the lower level, then the earlier
+// key.
 type frontier []step
 
 func (f frontier) Len() int      { return len(f) }
@@ -136,7 +120,8 @@
 func (f frontier) Less(i, k int) bool {
 	order := cmp.Or(
 		cmp.Compare(f[k].item.entry.Job.Urgency, f[i].item.entry.Job.Urgency),
-		f[i].key.Compare(f[k].key),
+		cmp.Compare(f[i].level, f[k].level),
+		f[i].item.key.Compare(f[k].item.key),
 		cmp.Compare(f[i].item.entry.Job.ID, f[k].item.entry.Job.ID),
 	)
 	return order < 0
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -1,10 +1,10 @@
 // Package queue keeps the waiting jobs of a data centre in the order in which they should start.
 //
-// Guaranteed jobs come first, then the more urgent ones, then those with the least service. Service combines the
-// attained run time, which is certain, with the declared one, which may be off by 10 times either way, and the service
-// that the customer received beyond its weight. Every job has a start key: the time of its submission plus a bounded
-// delay for its service. Newer jobs get later keys, so that waiting alone moves a job to the front (aging), and no job
-// of the same urgency starves. The idea of ordering by attained service is from Tiresias (Gu et al., NSDI 2019).
+// Guaranteed jobs come first, then the more urgent ones, then those of customers that are behind their weighted share of
+// the service, then those with the least service of their own. That combines the attained run time, which is certain,
+// with the declared one, which may be off by 10 times either way. Every job has a start key: the time of its submission plus a bounded
+// delay for its service. Newer jobs get later keys, so that waiting alone moves a job to the front of its customer's
+// (aging), and no job starves among those of the same urgency. The idea of ordering by attained service is from Tiresias (Gu et al., NSDI 2019).
 package queue
 
 import (
@@ -36,14 +36,12 @@
 }
 
 const (
-	// maxDelay bounds the delay for the service of a job's customer, so that no job starves.
-	maxDelay = 24 * time.Hour
 	// declaredDelay bounds the delay for a declared run time. It is short since declared run times are unreliable.
 	declaredDelay = 2 * time.Hour
 	// attainedDelay bounds the delay for attained service.
 	attainedDelay = 4 * time.Hour
 	// serviceHalfLife is the time in which the service that a customer received counts half.
-	serviceHalfLife = time.Hour
+	serviceHalfLife = 6 * time.Hour
 	// shortestTurn is the time that a started job runs before another of its urgency may overtake it.
 	shortestTurn = 10 * time.Minute
 	// attainedStretch is the delay per attained run time.
@@ -151,7 +149,7 @@
 	return Entry{}, false
 }
 
-// Charge records that a customer received accelerator-seconds of service.
+// Charge records that a customer received accelerator-seconds of service beyond its guarantees.
 func (q *Queue) Charge(customer structs.Customer, acceleratorSeconds float64) {
 	a := q.account(customer)
 	a.service += acceleratorSeconds / a.share.weight()
@@ -200,11 +198,3 @@
 	attained := min(attainedDelay, attainedStretch*e.Attained)
 	return e.Job.SubmittedAt.Add(max(declared, attained))
 }
-
-// Overtakes reports whether a waiting job may make a running borrower of the same urgency yield: its start key comes
-// before that of the running one with the service it attained, and the running one had its turn. ran is the time since
-// the last start of the running one.
-func Overtakes(waiting, running Entry, ran time.Duration) bool {
-	running.Attained += ran
-	return ran >= shortestTurn && startKey(waiting).Before(startKey(running))
-}
