placement: test that no missing shape could be formed by demoting jobs

Cause: the check compared missing shapes with the cells as held, not with what demoting smaller guaranteed jobs would free. Change: the exhaustive search also treats all smaller cells as unused.

--- a/internal/placement/invariant_test.go
+++ b/internal/placement/invariant_test.go
@@ -138,9 +138,9 @@
 
 // safe searches for a packing of what is unused after a job holds the members as one cell.
 func (s *sequence) safe(customer structs.Customer, size cell, list []Member) bool {
-	unused := unusedGuarantees(s.c, s.granted)
+	unused := unusedGuarantees(s.c, s.granted, 0)
 	unused[Guarantee{Customer: customer, Size: size.size}]--
-	return s.packs(openFleet(s.c).without(s.c, list), unused)
+	return s.packs(openFleet(s.c, 0).without(s.c, list), unused)
 }
 
 func (s *sequence) packs(f fleet, unused map[Guarantee]int) bool {
@@ -254,7 +254,7 @@
 // check compares the accounting with the exhaustive search: what is not missing can be formed, and what is cannot.
 func (s *sequence) check() {
 	missing := s.c.Missing()
-	unused := unusedGuarantees(s.c, s.granted)
+	unused := unusedGuarantees(s.c, s.granted, 0)
 	for _, j := range s.c.jobs {
 		held, used := 0, 0
 		for _, p := range j.held {
@@ -265,9 +265,11 @@
 		}
 		assert.Assert(s, j.cell < 0 || held == j.placement.CellSize && used <= held, "job %v", j.placement)
 	}
-	open := openFleet(s.c)
+	open := openFleet(s.c, 0)
 	if len(missing) > 0 {
-		assert.Assert(s, !s.packs(open, unused), "reported missing, can be formed: %v", missing)
+		least := missing[0].Size
+		demoted := s.packs(openFleet(s.c, least), unusedGuarantees(s.c, s.granted, least))
+		assert.Assert(s, !demoted, "reported missing, can be formed, at the latest by demoting smaller jobs: %v", missing)
 	}
 	for _, m := range missing {
 		unused[Guarantee{Customer: m.Customer, Size: m.Size}] -= m.Count
--- a/internal/placement/reference_test.go
+++ b/internal/placement/reference_test.go
@@ -10,8 +10,8 @@
 // fleet is the accelerators that no guaranteed job holds: a mask per worker, by rack.
 type fleet [][]uint64
 
-// openFleet derives the fleet from the cells that jobs hold, not from counters.
-func openFleet(c *Cluster) fleet {
+// openFleet derives the fleet from the cells of at least the given size that jobs hold, not from counters.
+func openFleet(c *Cluster, least int) fleet {
 	var open fleet
 	for _, r := range c.order {
 		masks := []uint64{}
@@ -19,7 +19,7 @@
 			mask := w.all()
 			for _, j := range c.jobs {
 				for _, p := range j.held {
-					if p.worker == w {
+					if p.worker == w && j.placement.CellSize >= least {
 						mask &^= p.mask
 					}
 				}
@@ -195,14 +195,14 @@
 	return mask
 }
 
-// unusedGuarantees counts from the granted guarantees and the jobs that hold cells.
-func unusedGuarantees(c *Cluster, granted []Guarantee) map[Guarantee]int {
+// unusedGuarantees counts from the granted guarantees and the jobs that hold cells of at least the given size.
+func unusedGuarantees(c *Cluster, granted []Guarantee, least int) map[Guarantee]int {
 	unused := map[Guarantee]int{}
 	for _, g := range granted {
 		unused[Guarantee{Customer: g.Customer, Size: g.Size}] += g.Count
 	}
 	for _, j := range c.jobs {
-		if j.cell >= 0 {
+		if j.cell >= 0 && j.placement.CellSize >= least {
 			unused[Guarantee{Customer: j.placement.Customer, Size: j.placement.CellSize}]--
 		}
 	}
