--- /dev/null
+++ b/internal/configuration/exchange.go
@@ -0,0 +1,27 @@
+package configuration
+
+import (
+	"dogwoodnotch.example/dogwoodnotch/internal/peer"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// CallFetch is the kind of the call by which an instance takes over the state of a peer that is ahead.
+const CallFetch = "configuration.fetch"
+
+// Register registers the handler of the fetch call.
+func (s *Store) Register(registrar peer.Registrar) { s.exchange.Register(registrar) }
+
+// PeerAt tells the store how far a peer is, as its heartbeat says. It never blocks.
+func (s *Store) PeerAt(from structs.InstanceID, version, next uint64) {
+	if version > s.fold.version() {
+		s.exchange.PeerAt(from, next)
+	}
+}
+
+func (s *Store) entries() []structs.InstanceID {
+	var ids []structs.InstanceID
+	for id := range s.options.Entries() {
+		ids = append(ids, id)
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/router/harness_test.go
@@ -0,0 +1,157 @@
+package router
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/minion"
+	"dogwoodnotch.example/dogwoodnotch/internal/spec"
+	standin "dogwoodnotch.example/dogwoodnotch/internal/standin/minion"
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/site"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const raft = structs.ServiceName("raft-booking")
+
+func testText() *spec.Text {
+	return &spec.Text{
+		Customers: []spec.Customer{{Name: "harbour-clubs", Weight: 4}, {Name: "jetty", Weight: 1}},
+		Services: []spec.Service{{Name: raft, Minions: &spec.Minions{Slots: 8, Connections: 64}, Kinds: []spec.RequestKind{
+			{Name: "book", Urgency: 90, Deadline: 2 * time.Second, Share: 0.5, RunTime: 5 * time.Millisecond},
+			{Name: "quote", Urgency: 50, Deadline: time.Second, Idempotent: true, Share: 0.3, RunTime: 5 * time.Millisecond},
+		}}},
+	}
+}
+
+// entry is one entry instance: its pool, its router and its keys.
+type entry struct {
+	*site.Entry
+	centre *centre
+	id     structs.InstanceID
+	pool   *minion.Pool
+	router *Router
+	mu     sync.Mutex
+	keys   map[string]Begun
+}
+
+// centre is a data centre with its minions and entry instances.
+type centre struct {
+	*site.Site
+	t       *testing.T
+	text    *spec.Text
+	minions []*site.Minion
+	entries map[structs.InstanceID]*entry
+}
+
+// newCentre starts minions with the given owners and the instances that own them.
+func newCentre(t *testing.T, serviceTime time.Duration, owners ...structs.InstanceID) *centre {
+	c := &centre{Site: site.New(raft), t: t, text: testText(), entries: map[structs.InstanceID]*entry{}}
+	for _, owner := range owners {
+		m, err := c.AddMinion(owner, standin.Config{Slots: 8, ServiceTime: serviceTime})
+		assert.NilError(t, err)
+		t.Cleanup(m.Kill)
+		c.minions = append(c.minions, m)
+		if c.entries[owner] == nil {
+			c.entries[owner] = c.newEntry(owner)
+		}
+	}
+	for _, e := range c.entries {
+		e.start()
+	}
+	free := func() (total int) {
+		for _, e := range c.entries {
+			total += e.pool.Free(raft)
+		}
+		return total
+	}
+	assert.Assert(t, eventually(func() bool { return free() == 8*len(owners) }))
+	return c
+}
+
+func (c *centre) newEntry(id structs.InstanceID) *entry {
+	e := &entry{Entry: c.AddEntry(id), centre: c, id: id, keys: map[string]Begun{}}
+	text := func() *spec.Text { return c.text }
+	e.pool = minion.New(minion.Config{View: e, Peers: e, Text: text, Events: event.Discard(), Poll: 50 * time.Millisecond})
+	e.router = New(Config{Text: text, Pool: FromPool(e.pool), Keys: e, Peers: e, Calls: e, Dependencies: e, Events: event.Discard()})
+	e.pool.Register(e)
+	e.router.Register(e)
+	return e
+}
+
+func (e *entry) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = e.pool.Run(ctx) })
+	running.Go(func() { _ = e.router.Run(ctx) })
+	e.centre.t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+}
+
+// Down implements Dependencies.
+func (e *entry) Down(structs.ServiceName) structs.ServiceName { return "" }
+
+// FreeSlots implements Peers.
+func (e *entry) FreeSlots(service structs.ServiceName) map[structs.InstanceID]int {
+	free := map[structs.InstanceID]int{}
+	for id, other := range e.centre.entries {
+		if id != e.id {
+			free[id] = other.pool.Free(service)
+		}
+	}
+	return free
+}
+
+// Begin implements Keys. A key is "issuer/serial".
+func (e *entry) Begin(_ context.Context, key string, _ structs.Customer, _ structs.ServiceName) (Begun, error) {
+	issuer, _, _ := strings.Cut(key, "/")
+	if issuer != string(e.id) {
+		return Begun{State: KeyElsewhere, Issuer: structs.InstanceID(issuer)}, nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	begun, used := e.keys[key]
+	if !used {
+		e.keys[key] = Begun{State: KeyRunning}
+	}
+	return begun, nil
+}
+
+// Finish implements Keys.
+func (e *entry) Finish(key string, outcome structs.Outcome, answer *minion.Answer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch outcome {
+	case structs.OutcomeAnswered:
+		e.keys[key] = Begun{State: KeyAnswered, Answer: answer}
+	case structs.OutcomeNotRun:
+		delete(e.keys, key)
+	default:
+		e.keys[key] = Begun{State: KeyUnknown}
+	}
+}
+
+func eventually(condition func() bool) bool {
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return false
+}
+
+// MeasuredEntry starts one entry instance with 4 minions for the measures.
+func MeasuredEntry(t *testing.T) (*Router, *spec.Text, []*site.Minion) {
+	c := newCentre(t, 0, "x", "x", "x", "x")
+	return c.entries["x"].router, c.text, c.minions
+}
