placement: skip the search for victims when borrowers that may yield are too few

Cause: the scheduler asks for victims for every job that does not fit, which scans all workers (0.45 ms at 4,000).

--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -23,6 +23,7 @@
 }
 
 func (c *Cluster) hold(j *job, i int, region []part) {
+	c.lend(j, -1)
 	j.cell = i
 	j.placement.CellSize = c.ledger.cells[i].size
 	j.held = region
@@ -40,6 +41,12 @@
 	j.cell = -1
 	j.placement.CellSize = 0
 	j.held = nil
+	c.lend(j, 1)
+}
+
+// lend counts the accelerators of a borrower.
+func (c *Cluster) lend(j *job, sign int) {
+	c.lent[min(max(0, j.Urgency), structs.MaxUrgency)] += sign * j.accelerators
 }
 
 // mark sets the holder of the accelerators of the cell of j.
--- a/internal/placement/cluster.go
+++ b/internal/placement/cluster.go
@@ -25,6 +25,7 @@
 	options  map[optionKey][]option
 	ledger   ledger
 	workload workload
+	lent     [structs.MaxUrgency + 1]int // accelerators of borrowers by urgency
 
 	unsettled bool // workers or placements changed since guarantees were re-established
 }
@@ -261,6 +262,7 @@
 	delete(c.ledger.demoted, id)
 	c.addUsed(j.placement.Customer, -j.accelerators)
 	c.closeCell(j)
+	c.lend(j, -1)
 	c.handBack(j)
 	c.unsettled = true
 	return nil
--- a/internal/placement/commit.go
+++ b/internal/placement/commit.go
@@ -25,6 +25,7 @@
 	}
 	delete(c.jobs, p.Job)
 	c.addUsed(p.Customer, -j.accelerators)
+	c.lend(j, -1)
 	c.handBack(j)
 	return errkind.New(errkind.Conflict, "place the job again",
 		"a cell of %d accelerators for job %q would leave a guarantee that cannot be formed", p.CellSize, p.Job)
@@ -53,10 +54,17 @@
 // Describe replaces the attributes of a placement, for example after a checkpoint. It reports whether there is one.
 func (c *Cluster) Describe(id structs.JobID, a Attributes) bool {
 	j := c.jobs[id]
-	if j != nil {
-		j.Attributes = a
+	if j == nil {
+		return false
 	}
-	return j != nil
+	if j.cell < 0 {
+		c.lend(j, -1)
+	}
+	j.Attributes = a
+	if j.cell < 0 {
+		c.lend(j, 1)
+	}
+	return true
 }
 
 // unusedOf is the index of the cell that a placement uses, -1 when its customer has none.
@@ -125,6 +133,7 @@
 
 func (c *Cluster) own(j *job) {
 	c.jobs[j.placement.Job] = j
+	c.lend(j, 1)
 	c.addUsed(j.placement.Customer, j.accelerators)
 	for _, p := range j.parts {
 		for at := range p.worker.owner {
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -59,6 +59,8 @@
 	s := c.newSearch(r)
 	e := &evictions{search: s, prefer: prefer}
 	switch {
+	case !e.enough():
+		return func(func(Eviction) bool) {}, nil
 	case r.Accelerators <= c.geometry.accelerators:
 		return e.inWorkers, nil
 	case r.Accelerators <= c.geometry.rackSize():
@@ -68,14 +70,6 @@
 	}
 }
 
-// NoEviction is the error for a request that no preemption can help.
-func (c *Cluster) NoEviction(r Request) error {
-	if s := c.newSearch(r); s.size != nil {
-		return c.lentError(r, s.index)
-	}
-	return c.noRoomError(r)
-}
-
 // evictions enumerates the choices for one request.
 type evictions struct {
 	*search
@@ -83,6 +77,19 @@
 	victims []Borrower
 }
 
+// enough reports whether borrowers that may yield and what is free add up to the request. It spares most waiting jobs
+// the search.
+func (e *evictions) enough() bool {
+	if e.size != nil || e.request.Yields != nil {
+		return true
+	}
+	total := e.free.accelerators
+	for urgency := range min(max(0, e.request.Urgency), len(e.lent)) {
+		total += e.lent[urgency]
+	}
+	return total >= e.request.Accelerators && total > e.free.accelerators
+}
+
 // evictable reports whether a job may be made to yield.
 func (e *evictions) evictable(j *job) bool {
 	if j.cell >= 0 {
--- a/internal/placement/invariant_test.go
+++ b/internal/placement/invariant_test.go
@@ -265,6 +265,13 @@
 		}
 		assert.Assert(s, j.cell < 0 || held == j.placement.CellSize && used <= held, "job %v", j.placement)
 	}
+	lent := 0
+	for _, j := range s.c.jobs {
+		if j.cell < 0 {
+			lent += j.accelerators
+		}
+	}
+	assert.Equal(s, s.c.lent[0], lent, "accelerators of borrowers")
 	open := openFleet(s.c, 0)
 	if len(missing) > 0 {
 		least := missing[0].Size
