Use the queue's own rule for turns

Cause: the queue compares customers' service since it shares by weight, so the rule for turns became its method, while the scheduler called the function. Change: the scheduler asks its queue.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -10,7 +10,6 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/gang"
 	"dogwoodnotch.example/dogwoodnotch/internal/placement"
-	"dogwoodnotch.example/dogwoodnotch/internal/queue"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
 
@@ -100,7 +99,7 @@
 	if running == nil || running.state != structs.JobRunning || running.info.Checkpoint <= 0 {
 		return false
 	}
-	return queue.Overtakes(t.entry(j), t.entry(running), now.Sub(running.since))
+	return t.queue.Overtakes(t.entry(j), t.entry(running), now.Sub(running.since))
 }
 
 // heldElsewhere reports whether a single task may have started at a worker whose rack owner is out of reach and extends
