--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -10,6 +10,7 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/gang"
 	"dogwoodnotch.example/dogwoodnotch/internal/placement"
+	"dogwoodnotch.example/dogwoodnotch/internal/queue"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
 
