--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -94,7 +94,9 @@
 		}
 		api.WriteJSON(w, http.StatusOK, scheduler.JobStatus{ID: "j", State: state})
 	})
-	f.Server = httptest.NewServer(router)
+	f.Server = httptest.NewUnstartedServer(router)
+	f.Config.ReadTimeout = 100 * time.Millisecond // shorter than the calls that wait and follow
+	f.Start()
 	t.Cleanup(f.Close)
 	return f
 }
@@ -131,8 +133,8 @@
 		{[]string{"history"}, 0, "lost_race"},
 		{[]string{"diff"}, 0, "-first\n+second"},
 		{[]string{"diff", broken}, 0, "-second\n+deployment: 5"},
-		{[]string{"status"}, 0, "live: 9"},
-		{[]string{"dump", f.URL}, 0, "live: 9"},
+		{[]string{"status"}, 0, "live: 9\n"},
+		{[]string{"dump", f.URL}, 0, "live: 9\n"},
 		{[]string{"dump", "127.0.0.1:1"}, 7, "cannot connect"},
 		{[]string{"job", "wait", "finished"}, 0, "finished"},
 		{[]string{"job", "wait", "failed"}, 9, "job failed is failed"},
@@ -176,7 +178,7 @@
 	f.events.Emit(definition, event.F("n", 1))
 	f.events.Emit(definition, event.F("n", 2))
 	go func() {
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(400 * time.Millisecond)
 		f.events.Emit(definition, event.F("n", 3))
 		time.Sleep(50 * time.Millisecond)
 		close(f.done)
--- a/internal/scheduler/invariant_test.go
+++ b/internal/scheduler/invariant_test.go
@@ -88,12 +88,13 @@
 func TestInvariantGangAllOrNothingFreesUnknownTasks(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, 1, 1, standin.Options{})
+	r.timing = fast()
 	client := platform.NewHTTPClient()
 	defer client.CloseIdleConnections()
 	w := platform.NewWorker(client, r.members.workers[0].Address, "w000")
 	ctx := context.Background()
 	fence := platform.Fence{Owner: "lost", Epoch: 7, SchedulerEpoch: 9}
-	_, err := w.Session(ctx, platform.SessionRequest{Fence: fence, TTLMS: 50})
+	_, err := w.Session(ctx, platform.SessionRequest{Fence: fence, TTLMS: 60_000})
 	assert.NilError(t, err)
 	for member, job := range []structs.JobID{"harbour-clubs/held", "harbour-clubs/runs", "/service/gone/task/0"} {
 		task := structs.Task{Job: structs.Job{ID: job}, Attempt: 1, Members: 1, Worker: "w000", Accelerators: []int{member}}
@@ -103,6 +104,8 @@
 		}
 	}
 	assert.Equal(t, r.busy(), 3)
+	_, err = w.Session(ctx, platform.SessionRequest{Fence: fence, Release: true})
+	assert.NilError(t, err)
 	r.instance("e1")
 	r.await("unknown tasks are freed", 5*time.Second, func() bool { return r.busy() == 0 && r.allForgotten() })
 }
@@ -113,6 +116,7 @@
 	t.Parallel()
 	for _, perRack := range []int{2, 1} {
 		r := newRig(t, 2, perRack, standin.Options{Accelerators: 4})
+		r.timing = fast()
 		entries := []*instance{r.instance("e1"), r.instance("e2"), r.instance("e3")}
 		r.submit("gang", 8, time.Hour)
 		r.await("the gang runs", 5*time.Second, func() bool { return r.running("gang") == 2 })
@@ -131,10 +135,12 @@
 
 // Guards against members that keep accelerators after their gang was cancelled, while one of them cannot be reached.
 func TestInvariantGangAllOrNothingCancelled(t *testing.T) {
+	t.Parallel()
 	for _, action := range []string{"", "freeze", "kill", "drop"} {
 		t.Run("cancelled_"+action, func(t *testing.T) {
 			t.Parallel()
 			r := newRig(t, 3, 1, standin.Options{Accelerators: 4})
+			r.timing = fast()
 			r.instance("e1")
 			r.instance("e2")
 			r.submit("gang", 12, time.Hour)
@@ -160,6 +166,7 @@
 // in each phase, rack owners and the scheduler cut off between the phases, and two owners that both believe in
 // themselves; each fault alone, and pairs of them. A member may run past the end of another for 1.5 task leases.
 func TestInvariantGangAllOrNothing(t *testing.T) {
+	t.Parallel()
 	random := rand.New(rand.NewPCG(1, 2))
 	for _, path := range []string{"hold", "start", "renew"} {
 		for _, first := range gangFaults {
@@ -181,6 +188,7 @@
 
 func checkGang(t *testing.T, path string, nth int64, faults []gangFault) {
 	r := newRig(t, 6, 2, standin.Options{Accelerators: 4, FailAfter: 20 * time.Millisecond})
+	r.timing = fast()
 	r.probe = 50 * time.Millisecond
 	entries := []*instance{r.instance("e1"), r.instance("e2"), r.instance("e3")}
 	var heals []func()
