Do not call a repeated request not run before its key is looked up

Cause: reading the request path showed that a draining instance, and an issuer that hands over its keys, refused a keyed request as not run although it may repeat one that ran; its caller could then send it under a new key and double a booking. A full table of keys gave unknown although it refuses only unused keys. Change: such refusals get the outcome unknown and the kind in_progress with the remedy to repeat with the same key; a full table refuses as not run. The bound on appends is shared by running instances only, not by those known to have ended. Before: TestRepeatAtDrainingInstanceIsNotRefusedAsNotRun fails with 'not_run (response.Outcome) != unknown: at y: the instance is shutting down'. After: it passes. Left: a service or kind that is removed from the specification between the two calls is still answered not run.

--- a/internal/router/keys.go
+++ b/internal/router/keys.go
@@ -54,7 +54,7 @@
 	case KeyAnswered:
 		return Response{Outcome: structs.OutcomeAnswered, Answer: begun.Answer}
 	case KeyRunning:
-		return unknown(errkind.New(errkind.InProgress, "repeat the request with the same key later", "a request with this key is running"))
+		return unknown(errkind.New(errkind.InProgress, remedySameKey, "a request with this key is running"))
 	case KeyElsewhere:
 		if forwarded {
 			return unknown(errkind.New(errkind.Unknown, remedyKey, "instances disagree about the issuer of the key"))
@@ -72,12 +72,26 @@
 	return run()
 }
 
-// keyRefused maps an error of Begin. A request whose key has expired may have run before.
+// keyRefused maps an error of Begin. A full table refuses only keys that it does not hold, so their request has not run.
+// An expired key, or one whose table is on its way to a successor, may have been used before.
 func keyRefused(err error) Response {
-	if errkind.Is(err, errkind.Invalid) || errkind.Is(err, errkind.Forbidden) || errkind.Is(err, errkind.Unavailable) {
+	switch {
+	case errkind.Is(err, errkind.Invalid), errkind.Is(err, errkind.Forbidden), errkind.Is(err, errkind.Overloaded):
+		return notRun(err, 0)
+	case errkind.Is(err, errkind.Unavailable):
+		return unknown(errkind.Wrap(err, errkind.InProgress, remedySameKey, "the key is being handed over"))
+	default:
+		return unknown(err)
+	}
+}
+
+// refusedUnseen refuses a request before anything is known about its key. With a key it may be the repetition of a
+// request that ran, so it must not be called not run.
+func refusedUnseen(request *Request, err error) Response {
+	if request.Key == "" {
 		return notRun(err, 0)
 	}
-	return unknown(err)
+	return unknown(errkind.Wrap(err, errkind.InProgress, remedySameKey, "the key was not looked up"))
 }
 
 // deadlineOf returns the deadline of a request that arrives now.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -30,6 +30,7 @@
 const (
 	remedyRetry   = "send the request again later"
 	remedyKey     = "look up the effect of the request before sending it with a new key"
+	remedySameKey = "repeat the request with the same key later"
 	remedyUnknown = "a request of an idempotent kind may be sent again; any other may be repeated only with the same key"
 )
 
@@ -72,7 +73,7 @@
 func (r *Router) do(ctx context.Context, request *Request, forwarded bool) Response {
 	arrived := time.Now()
 	if err := r.enter(); err != nil {
-		return notRun(err, 0)
+		return refusedUnseen(request, err)
 	}
 	defer r.leave()
 	s, kind, err := r.service(request.Service, request.Kind)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -222,3 +222,18 @@
 	response = y.router.Do(context.Background(), request)
 	assert.Assert(t, response.Outcome == structs.OutcomeUnknown && !errors.Is(response.Err, errNotAttempted))
 }
+
+// TestRepeatAtDrainingInstanceIsNotRefusedAsNotRun guards against telling a caller that its request did not run when it
+// ran under the same key before: the caller would send it again under a new key.
+func TestRepeatAtDrainingInstanceIsNotRefusedAsNotRun(t *testing.T) {
+	c := newCentre(t, 0, "x", "y")
+	request := Request{ID: "first", Service: raft, Kind: "book", Customer: "jetty", Body: []byte("one"), Key: "x/1"}
+	assert.Equal(t, c.entries["y"].router.Do(context.Background(), request).Outcome, structs.OutcomeAnswered)
+	for _, id := range []structs.InstanceID{"y", "x"} {
+		assert.NilError(t, c.entries[id].router.Drain(context.Background()))
+		response := c.entries[id].router.Do(context.Background(), request)
+		assert.Equal(t, response.Outcome, structs.OutcomeUnknown, "at %s: %v", id, response.Err)
+		assert.Assert(t, errkind.Is(response.Err, errkind.InProgress), "at %s: %v", id, response.Err)
+	}
+	assert.Equal(t, len(c.runs()), 1)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -128,7 +128,7 @@
 		return err
 	}
 	log := platform.NewLog(platform.NewHTTPClient(), s.settings.LogService)
-	limiter := configuration.NewAppendLimiter(func() int { return len(s.members.AllEntries()) })
+	limiter := configuration.NewAppendLimiter(s.entriesRunning)
 	timing := s.settings.Timing
 	s.config = configuration.New(configuration.Options{
 		Self:      s.settings.Instance,
@@ -159,6 +159,17 @@
 	return nil
 }
 
+// entriesRunning returns how many entry instances are not known to have ended. They share the bound on appends.
+func (s *Server) entriesRunning() int {
+	running := 0
+	for id := range s.members.AllEntries() {
+		if !s.members.Gone(id) {
+			running++
+		}
+	}
+	return running
+}
+
 // entriesHere returns every known entry instance of the own data centre, suspected and leaving ones included.
 func (s *Server) entriesHere() []structs.InstanceID {
 	_, here := s.members.Self()
