--- /dev/null
+++ b/internal/rackowner/capacity_test.go
@@ -0,0 +1,180 @@
+package rackowner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	standin "dogwoodnotch.example/dogwoodnotch/internal/standin/worker"
+	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+)
+
+// tasksPerWorker is 140,000 tasks over 38,000 workers, rounded up.
+const tasksPerWorker = 4
+
+// countingListener counts the bytes of all its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// quietOwner returns an owner and one session that is held at a stand-in worker, and the counter of its bytes.
+func quietOwner(b *testing.B) (*session, *atomic.Int64) {
+	fleet := standin.NewFleet(standin.Options{Accelerators: 8}, "w")
+	var bytes atomic.Int64
+	server := httptest.NewUnstartedServer(fleet.Handler())
+	server.Listener = countingListener{server.Listener, &bytes}
+	server.Start()
+	b.Cleanup(server.Close)
+	owner := benchOwner()
+	address := server.Listener.Addr().String()
+	s := newSession(owner, "w", platform.Instance{ID: "w", Rack: "r", Address: address}, func() {})
+	s.step(context.Background())
+	assert.Assert(b, s.reachable)
+	return s, &bytes
+}
+
+func benchOwner() *Owner {
+	return New(Config{
+		View: &view{self: "a", owner: "a", changed: make(chan struct{})}, HTTP: platform.NewHTTPClient(),
+		Timing: DefaultTiming(), Log: event.Discard(), Metrics: tally.NoopScope,
+	})
+}
+
+// BenchmarkRenewQuiet gives the bytes on the wire (both ways, without TCP and IP headers) and the processor time of one
+// renewal of a worker on which nothing changed. The time includes the stand-in worker's part.
+func BenchmarkRenewQuiet(b *testing.B) {
+	s, bytes := quietOwner(b)
+	bytes.Store(0)
+	before := processorTime(b)
+	for b.Loop() {
+		s.step(context.Background())
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
+	b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkSessionMemory gives the memory of a rack owner per worker: the session, its tasks and its goroutine, without
+// the connection.
+func BenchmarkSessionMemory(b *testing.B) {
+	for _, workers := range []int{1000, 4000, 16000, 38000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			var perWorker float64
+			for b.Loop() {
+				perWorker = sessionMemory(workers) / float64(workers)
+			}
+			b.ReportMetric(perWorker, "B/worker")
+		})
+	}
+}
+
+func sessionMemory(workers int) float64 {
+	before := memoryInUse()
+	owner := benchOwner()
+	ctx, cancel := context.WithCancel(context.Background())
+	var parked atomic.Int64
+	for i := range workers {
+		s := newSession(owner, structs.WorkerID(fmt.Sprintf("worker-%05d", i)), platform.Instance{Rack: "r", Address: "127.0.0.1:1"}, cancel)
+		s.claimed(stateWithTasks(s.id))
+		owner.sessions[s.id] = s
+		go func() {
+			parked.Add(1)
+			<-ctx.Done()
+			runtime.KeepAlive(s)
+			parked.Add(-1)
+		}()
+	}
+	for parked.Load() != int64(workers) {
+		runtime.Gosched()
+	}
+	used := memoryInUse() - before
+	runtime.KeepAlive(owner)
+	cancel()
+	for parked.Load() != 0 {
+		runtime.Gosched()
+	}
+	return used
+}
+
+func stateWithTasks(id structs.WorkerID) platform.WorkerState {
+	state := platform.WorkerState{Worker: id, Accelerators: 8}
+	for n := range tasksPerWorker {
+		job := structs.Job{ID: structs.JobID(fmt.Sprintf("%s/%d", id, n)), Customer: "c", Kind: "k", Accelerators: 2}
+		task := structs.Task{Job: job, Attempt: 1, Members: 1, Worker: id, Accelerators: []int{2 * n, 2*n + 1}}
+		state.Tasks = append(state.Tasks, platform.TaskStatus{Task: task, Phase: platform.TaskRunning, Sequence: uint64(n)})
+	}
+	return state
+}
+
+// memoryInUse returns the bytes of live heap objects and of stacks.
+func memoryInUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
+
+// BenchmarkConnectionMemory gives the memory of one idle connection to a worker at the rack owner and at the worker's
+// stand-in together.
+func BenchmarkConnectionMemory(b *testing.B) {
+	const connections = 1000
+	server := httptest.NewServer(http.NotFoundHandler())
+	b.Cleanup(server.Close)
+	for b.Loop() {
+		before := memoryInUse()
+		clients := make([]*http.Client, connections)
+		for i := range clients {
+			clients[i] = platform.NewHTTPClient()
+			response, err := clients[i].Get(server.URL)
+			assert.NilError(b, err)
+			_, _ = io.Copy(io.Discard, response.Body) // a connection is kept only after its answer was read
+			response.Body.Close()
+		}
+		b.ReportMetric((memoryInUse()-before)/connections, "B/connection")
+		for _, c := range clients {
+			c.CloseIdleConnections()
+		}
+	}
+}
