Bound the share of the decision loop that goes into lists of jobs and workers

Cause: every step visited all workers and all active jobs, and every change of the job stream read the whole list of open jobs, which at 20,000 open jobs and many changes would take most of the loop.

Change: workers and withheld jobs are visited once per tick, the list of jobs for at most a fifth of the time.

No run with 20,000 open jobs was made.

--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -183,10 +183,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	j := s.jobs[scheduler.Key(customer, id)]
-	if j == nil {
+	switch {
+	case j == nil:
 		return scheduler.Accepted{}, nil, false
-	}
-	if s.stale {
+	case s.stale:
 		return j.accepted, nil, true
 	}
 	return j.accepted, j.result, true
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -248,7 +248,6 @@
 
 // checkWorkers reports workers that stay out of reach and moves their jobs on.
 func (t *term) checkWorkers(now time.Time) {
-	t.endSuspicions(now)
 	for id, w := range t.workers {
 		if w.gone && !w.reachable && len(w.jobs) == 0 {
 			delete(t.workers, id)
--- a/internal/scheduler/measure_test.go
+++ b/internal/scheduler/measure_test.go
@@ -112,7 +112,7 @@
 	ctx := context.Background()
 	started, done := 0, 0
 	free := map[string]int{}
-	running := map[string][]structs.JobID{}
+	used := map[string]bool{}
 	attempts := map[structs.JobID]uint64{}
 	var queue []structs.JobID
 	for i := range jobs {
@@ -139,25 +139,25 @@
 					Worker: structs.WorkerID(w.ID), Accelerators: []int{index}}
 				assert.NilError(t, worker.Hold(ctx, platform.HoldRequest{Fence: fence, Task: task, TTLMS: 5000}))
 				assert.NilError(t, worker.Start(ctx, platform.TaskCommand{Fence: fence, Job: id, Attempt: attempts[id], TaskLeaseMS: 600_000}))
-				running[w.ID] = append(running[w.ID], id)
+				used[w.ID] = true
 				if w.ID == "w000" {
 					started++
 				}
 			}
-			if len(running[w.ID]) == 0 {
+			if !used[w.ID] {
 				continue
 			}
 			state, err := worker.Renew(ctx, platform.RenewRequest{Fence: fence, TTLMS: 600_000, TaskLeaseMS: 600_000, Since: since[w.ID]})
 			assert.NilError(t, err)
 			since[w.ID] = state.Sequence
 			for _, s := range state.Tasks {
-				if !s.Phase.Ended() {
-					continue
+				if s.Phase.Ended() {
+					free[w.ID] |= 1 << s.Task.Accelerators[0]
 				}
-				free[w.ID] |= 1 << s.Task.Accelerators[0]
-				if s.Phase == platform.TaskFinished {
+				switch s.Phase {
+				case platform.TaskFinished:
 					done++
-				} else {
+				case platform.TaskFailed:
 					queue = append(queue, s.Task.Job.ID)
 				}
 			}
--- a/internal/scheduler/settle.go
+++ b/internal/scheduler/settle.go
@@ -19,6 +19,7 @@
 	settleBudget  = 20 * time.Millisecond  // of one step, so that a wave of cancellations does not delay placements
 	failurePause  = 100 * time.Millisecond // after the first failure, doubled for each further one
 	longestPause  = 30 * time.Second
+	syncShare     = 4                      // the list of all jobs is read for at most a fifth of the time
 	refusedPause  = 100 * time.Millisecond // after a hold was refused
 	graceFraction = 10                     // of the grace is added for the way to the worker
 )
@@ -26,10 +27,11 @@
 // syncJobs takes over new, cancelled and finished jobs of the job stream when its fold has changed.
 func (t *term) syncJobs(now time.Time) {
 	changed := t.config.Jobs.Changed()
-	if changed == t.jobsSeen {
+	if changed == t.jobsSeen || now.Before(t.jobsNext) {
 		return
 	}
 	t.jobsSeen = changed
+	defer func() { t.jobsNext = time.Now().Add(syncShare * time.Since(now)) }()
 	current := t.streamCurrent()
 	if !current {
 		t.jobsSeen = nil // looks again at every step until the fold is current
--- a/internal/scheduler/term.go
+++ b/internal/scheduler/term.go
@@ -53,6 +53,8 @@
 	recorded    map[structs.JobID]bool                      // jobs with an acknowledged finish record that the fold may not show yet
 	suspects    map[structs.WorkerID]bool                   // workers with failures that get no task now
 	excluded    map[structs.WorkerID]bool
+	jobsNext    time.Time                 // earliest time of the next look at the job stream
+	checked     time.Time                 // of the workers and the withheld jobs
 	jobsSeen    <-chan struct{}           // of the fold that was taken over
 	unseen      map[structs.WorkerID]bool // listed workers that were not reported since the attachment
 	unseenUntil time.Time                 // when tasks there have lapsed
@@ -146,10 +148,15 @@
 		t.rebuild(now)
 	}
 	t.syncProbes(now)
-	t.checkWorkers(now)
 	t.settleAll(ctx, now)
+	t.endSuspicions(now)
 	t.place(ctx, now)
 	t.freeOrphans(ctx, now)
+	if t.permitted && now.Sub(t.checked) < t.config.Tick {
+		return // these visit every worker or every active job
+	}
+	t.checked = now
+	t.checkWorkers(now)
 	t.sendWithheld(ctx)
 }
 
