Look a key up again while its issuer cannot be reached

Change: when a request with a key was not sent to its issuer, the receiver looks the key up again every 50 ms, for at most 1 s and within the deadline. Nothing has been sent, so this cannot make a request run twice.

Ruled out: repeating after a lost answer, which leaves open whether the request ran.

Shown failing without it: TestKeyFindsSuccessor, unknown instead of answered.

--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -111,19 +111,15 @@
 	return answer.response(), full
 }
 
-// forwardKey sends a request to the instance that acts as the issuer of its key. When that instance cannot be reached,
-// an earlier request with the same key may still have run there.
-func (r *Router) forwardKey(ctx context.Context, issuer structs.InstanceID, request *Request) Response {
-	_, kind, err := r.service(request.Service, request.Kind)
-	if err != nil {
-		return notRun(err, 0)
-	}
-	deadline := deadlineOf(kind.Deadline, request.Timeout, time.Now())
+// forwardKey sends a request to the instance that acts as the issuer of its key. sent is false when the issuer could not
+// be reached; an earlier request with the same key may still have run there, so the outcome is unknown.
+func (r *Router) forwardKey(ctx context.Context, issuer structs.InstanceID, request *Request, deadline time.Time) (response Response, sent bool) {
 	answer, err := r.forwardTo(ctx, issuer, ForwardKey, request, deadline)
 	if err != nil {
-		return unknown(errkind.Wrap(err, errkind.Unknown, remedyKey, "instance %s, which issued the key, did not answer", issuer))
+		failure := errkind.Wrap(err, errkind.Unknown, remedyKey, "instance %s, which issued the key, did not answer", issuer)
+		return unknown(failure), !errors.Is(err, peer.ErrNotSent)
 	}
-	return answer.response()
+	return answer.response(), true
 }
 
 func (r *Router) forwardTo(ctx context.Context, to structs.InstanceID, mode ForwardMode, request *Request, deadline time.Time) (ForwardAnswer, error) {
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,6 +51,7 @@
 	text    *spec.Text
 	minions []*site.Minion
 	entries map[structs.InstanceID]*entry
+	heir    atomic.Value // the InstanceID that acts as the issuer of the keys of "gone"
 }
 
 // newCentre starts minions with the given owners and the instances that own them.
@@ -115,6 +117,9 @@
 // Begin implements Keys. A key is "issuer/serial".
 func (e *entry) Begin(_ context.Context, key string, _ structs.Customer, _ structs.ServiceName) (Begun, error) {
 	issuer, _, _ := strings.Cut(key, "/")
+	if heir, ok := e.centre.heir.Load().(structs.InstanceID); ok && issuer == "gone" {
+		issuer = string(heir)
+	}
 	if issuer != string(e.id) {
 		return Begun{State: KeyElsewhere, Issuer: structs.InstanceID(issuer)}, nil
 	}
--- a/internal/router/keys.go
+++ b/internal/router/keys.go
@@ -42,12 +42,35 @@
 	Finish(key string, outcome structs.Outcome, answer *minion.Answer)
 }
 
+// While the issuer cannot be reached the key is looked up again: its successor may not be known here yet.
+const (
+	lookUpAgain = 50 * time.Millisecond
+	lookUpFor   = time.Second
+)
+
 // withKey runs a request under its key, at the instance that acts as the key's issuer.
-func (r *Router) withKey(ctx context.Context, request *Request, forwarded bool, run func() Response) Response {
-	begun, err := r.cfg.Keys.Begin(ctx, request.Key, request.Customer, request.Service)
-	if err != nil {
-		return keyRefused(err)
+func (r *Router) withKey(ctx context.Context, request *Request, forwarded bool, deadline time.Time, run func() Response) Response {
+	giveUp := time.Now().Add(lookUpFor)
+	if deadline.Before(giveUp) {
+		giveUp = deadline
+	}
+	for {
+		begun, err := r.cfg.Keys.Begin(ctx, request.Key, request.Customer, request.Service)
+		if err != nil {
+			return keyRefused(err)
+		}
+		if begun.State != KeyElsewhere || forwarded {
+			return r.underKey(begun, request, run)
+		}
+		response, sent := r.forwardKey(ctx, begun.Issuer, request, deadline)
+		if sent || !sleep(ctx, lookUpAgain, giveUp) {
+			return response
+		}
 	}
+}
+
+// underKey acts on what is known about a key here.
+func (r *Router) underKey(begun Begun, request *Request, run func() Response) Response {
 	switch begun.State {
 	case KeyFree:
 		return r.finishing(request.Key, run)
@@ -56,10 +79,7 @@
 	case KeyRunning:
 		return unknown(errkind.New(errkind.InProgress, remedySameKey, "a request with this key is running"))
 	case KeyElsewhere:
-		if forwarded {
-			return unknown(errkind.New(errkind.Unknown, remedyKey, "instances disagree about the issuer of the key"))
-		}
-		return r.forwardKey(ctx, begun.Issuer, request)
+		return unknown(errkind.New(errkind.Unknown, remedyKey, "instances disagree about the issuer of the key"))
 	default:
 		return unknown(errkind.New(errkind.Unknown, remedyKey, "nobody knows whether the request with this key ran"))
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -82,16 +82,16 @@
 	}
 	deadline := deadlineOf(kind.Deadline, request.Timeout, arrived)
 	run := func() Response { return s.run(ctx, request, kind, deadline) }
-	response := r.guarded(ctx, request, kind, forwarded, run)
+	response := r.guarded(ctx, request, kind, forwarded, deadline, run)
 	s.count(response)
 	return response
 }
 
 // guarded runs a request under its key, which a kind that is not idempotent requires.
-func (r *Router) guarded(ctx context.Context, request *Request, kind *spec.RequestKind, forwarded bool, run func() Response) Response {
+func (r *Router) guarded(ctx context.Context, request *Request, kind *spec.RequestKind, forwarded bool, deadline time.Time, run func() Response) Response {
 	switch {
 	case request.Key != "":
-		return r.withKey(ctx, request, forwarded, run)
+		return r.withKey(ctx, request, forwarded, deadline, run)
 	case !kind.Idempotent:
 		return notRun(errkind.New(errkind.KeyRequired, "get a key from POST /v1/keys and send it as "+structs.HeaderIdempotencyKey,
 			"requests of kind %q are not idempotent and need a key", kind.Name), 0)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -237,3 +237,14 @@
 	}
 	assert.Equal(t, len(c.runs()), 1)
 }
+
+// TestKeyFindsSuccessor guards against the outcome unknown for a request whose key was handed over, when the receiver
+// does not know the successor yet.
+func TestKeyFindsSuccessor(t *testing.T) {
+	c := newCentre(t, 0, "x", "y")
+	request := Request{ID: "first", Service: raft, Kind: "book", Customer: "jetty", Key: "gone/1", Timeout: 300 * time.Millisecond}
+	assert.Equal(t, c.entries["y"].router.Do(context.Background(), request).Outcome, structs.OutcomeUnknown)
+	time.AfterFunc(100*time.Millisecond, func() { c.heir.Store(structs.InstanceID("x")) })
+	response := c.entries["y"].router.Do(context.Background(), request)
+	assert.Equal(t, response.Outcome, structs.OutcomeAnswered, "%v", response.Err)
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -180,7 +180,11 @@
 
 // Call implements peer.Caller. Messages pass through their encoding, as on the network.
 func (e *Entry) Call(ctx context.Context, to structs.InstanceID, kind string, request, response any) error {
-	handler := read(e.site, func() peer.Handler { return e.site.entries[to].handlers[kind] })
+	other := read(e.site, func() *Entry { return e.site.entries[to] })
+	if other == nil {
+		return peer.ErrNotSent
+	}
+	handler := read(e.site, func() peer.Handler { return other.handlers[kind] })
 	if handler == nil {
 		<-ctx.Done()
 		return ctx.Err()
