--- a/internal/rackowner/capacity_test.go
+++ b/internal/rackowner/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
@@ -178,3 +180,25 @@
 		}
 	}
 }
+
+// BenchmarkEncodedSizes gives the bytes of the messages that changes cost: one worker's full report in the change feed,
+// one changed task in it, and the body of a hold and of a start.
+func BenchmarkEncodedSizes(b *testing.B) {
+	state := stateWithTasks("worker-00001")
+	one := state
+	one.Tasks = state.Tasks[:1]
+	full, err := msgpack.Marshal(Change{Worker: state.Worker, Rack: "rack-0001", Reachable: true, Full: true, State: &state})
+	assert.NilError(b, err)
+	change, err := msgpack.Marshal(Change{Worker: state.Worker, Rack: "rack-0001", Reachable: true, State: &one})
+	assert.NilError(b, err)
+	hold, err := json.Marshal(platform.HoldRequest{Task: state.Tasks[0].Task, TTLMS: 5000})
+	assert.NilError(b, err)
+	start, err := json.Marshal(platform.TaskCommand{Job: state.Tasks[0].Task.Job.ID, Attempt: 1, TaskLeaseMS: 15000})
+	assert.NilError(b, err)
+	for b.Loop() { // the sizes do not depend on the number of runs
+	}
+	b.ReportMetric(float64(len(full)), "full-report-B")
+	b.ReportMetric(float64(len(change)), "changed-task-B")
+	b.ReportMetric(float64(len(hold)), "hold-body-B")
+	b.ReportMetric(float64(len(start)), "start-body-B")
+}
