Derive the shared keys in one place

Cause: settings and peer each derived keys from the same secrets for the same purposes, with different rules when no use_from has passed. Change: the log's records are authenticated with peer.KeyRing; the derivation in settings is gone.

--- a/internal/configuration/invariant_test.go
+++ b/internal/configuration/invariant_test.go
@@ -19,7 +19,6 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/peer"
 	"dogwoodnotch.example/dogwoodnotch/internal/platform"
-	"dogwoodnotch.example/dogwoodnotch/internal/settings"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
 
@@ -45,7 +44,7 @@
 	t       *testing.T
 	log     *fakeLog
 	net     *fakeNet
-	keys    settings.PurposeKeys
+	keys    *peer.KeyRing
 	stores  [instances]*Store
 	stops   [instances]func()
 	shown   [instances]uint64 // by the present incarnation
@@ -66,8 +65,8 @@
 
 func id(slot int) structs.InstanceID { return structs.InstanceID(fmt.Sprintf("entry-%d", slot)) }
 
-func testKeys(t *testing.T) settings.PurposeKeys {
-	keys, err := (&settings.Settings{PeerKeys: []settings.PeerKey{{ID: "a", Secret: settings.Secret(strings.Repeat("k", 32))}}}).Keyring().Derive(settings.PurposeRecords)
+func testKeys(t *testing.T) *peer.KeyRing {
+	keys, err := peer.NewKeyRing([]peer.SharedKey{{ID: "a", Secret: []byte(strings.Repeat("k", 32))}}, nil)
 	assert.NilError(t, err)
 	return keys
 }
@@ -306,7 +305,7 @@
 }
 
 // naiveFold folds the publish records of a complete log, from the first one.
-func naiveFold(t *testing.T, records []platform.LogRecord, keys settings.PurposeKeys) (version uint64, text string, accepted map[string]uint64) {
+func naiveFold(t *testing.T, records []platform.LogRecord, keys *peer.KeyRing) (version uint64, text string, accepted map[string]uint64) {
 	accepted = map[string]uint64{}
 	seen := map[string]bool{}
 	for _, raw := range records {
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -11,7 +11,6 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/peer"
-	"dogwoodnotch.example/dogwoodnotch/internal/settings"
 	"dogwoodnotch.example/dogwoodnotch/internal/spec"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
@@ -23,8 +22,8 @@
 type Options struct {
 	Self    structs.InstanceID
 	Log     stream.Log
-	Keys    settings.PurposeKeys // of settings.PurposeRecords
-	Limiter stream.Limiter       // shared by all writers of the process, see NewAppendLimiter; nil: none
+	Keys    *peer.KeyRing
+	Limiter stream.Limiter // shared by all writers of the process, see NewAppendLimiter; nil: none
 	Events  *event.Log
 	Metrics tally.Scope
 	Peers   peer.Caller
--- a/internal/configuration/stream/reader.go
+++ b/internal/configuration/stream/reader.go
@@ -12,8 +12,8 @@
 
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/peer"
 	"dogwoodnotch.example/dogwoodnotch/internal/platform"
-	"dogwoodnotch.example/dogwoodnotch/internal/settings"
 )
 
 const (
@@ -50,8 +50,8 @@
 type Options struct {
 	Stream    string
 	Log       Log
-	Keys      settings.PurposeKeys // of PurposeRecords
-	Limiter   Limiter              // nil: appends are not delayed
+	Keys      *peer.KeyRing
+	Limiter   Limiter // nil: appends are not delayed
 	Events    *event.Log
 	Metrics   tally.Scope
 	Retention time.Duration // how long the log keeps records
@@ -96,11 +96,7 @@
 
 // Append adds a record. An error with platform.ErrNotAppended in its chain means that the record is not in the log.
 func (r *Reader) Append(ctx context.Context, kind string, payload any) (uint64, error) {
-	key, found := r.options.Keys.Current(time.Now())
-	if !found {
-		return 0, errkind.Wrap(platform.ErrNotAppended, errkind.Unavailable, "list a peer key whose use_from has passed", "no peer key may be used yet")
-	}
-	data, err := seal(r.options.Stream, kind, key, payload)
+	data, err := seal(r.options.Stream, kind, r.options.Keys, payload)
 	if err != nil {
 		return 0, errkind.Wrap(errors.Join(platform.ErrNotAppended, err), errkind.Internal, "report this fault", "cannot encode the record")
 	}
--- a/internal/configuration/stream/record.go
+++ b/internal/configuration/stream/record.go
@@ -15,7 +15,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"dogwoodnotch.example/dogwoodnotch/internal/settings"
+	"dogwoodnotch.example/dogwoodnotch/internal/peer"
 )
 
 // Bounds of a record's body.
@@ -60,12 +60,14 @@
 	State    []byte    `msgpack:"state"`
 }
 
-func seal(stream, kind string, key settings.Key, payload any) ([]byte, error) {
+// seal encodes a record and authenticates it with the shared key in use.
+func seal(stream, kind string, keys *peer.KeyRing, payload any) ([]byte, error) {
 	body, err := msgpack.Marshal(payload)
 	if err != nil {
 		return nil, err
 	}
-	e := envelope{Kind: kind, KeyID: key.ID, Body: body}
+	id, key := keys.Current(peer.PurposeRecord)
+	e := envelope{Kind: kind, KeyID: id, Body: body}
 	if len(body) >= compressFrom {
 		e.Body, err = deflate(body)
 		e.Compressed = true
@@ -78,12 +80,12 @@
 }
 
 // Open authenticates the data of a log record and returns its kind and body.
-func Open(stream string, keys settings.PurposeKeys, data []byte) (kind string, body []byte, err error) {
+func Open(stream string, keys *peer.KeyRing, data []byte) (kind string, body []byte, err error) {
 	var e envelope
 	if err := msgpack.Unmarshal(data, &e); err != nil {
 		return "", nil, errors.Join(errForged, err)
 	}
-	key, known := keys.ByID(e.KeyID)
+	key, known := keys.Lookup(peer.PurposeRecord, e.KeyID)
 	if !known {
 		return "", nil, fmt.Errorf("%w: %.40q", errUnknownKey, e.KeyID)
 	}
@@ -100,8 +102,8 @@
 	return e.Kind, body, nil
 }
 
-func (e envelope) sum(stream string, key settings.Key) []byte {
-	mac := hmac.New(sha256.New, key.Bytes)
+func (e envelope) sum(stream string, key []byte) []byte {
+	mac := hmac.New(sha256.New, key)
 	compressed := []byte{0}
 	if e.Compressed {
 		compressed[0] = 1
--- a/internal/configuration/stream/stream_test.go
+++ b/internal/configuration/stream/stream_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/peer"
 	"dogwoodnotch.example/dogwoodnotch/internal/platform"
-	"dogwoodnotch.example/dogwoodnotch/internal/settings"
 )
 
 // kindsFold remembers the kinds of the records that it was given.
@@ -22,19 +22,18 @@
 func (f *kindsFold) State() ([]byte, error)     { return []byte(f.kinds), nil }
 func (f *kindsFold) Restore(state []byte) error { f.kinds = string(state); return nil }
 
-func keysOf(t *testing.T, ids ...string) settings.PurposeKeys {
-	var keys []settings.PeerKey
+func keysOf(t *testing.T, ids ...string) *peer.KeyRing {
+	var keys []peer.SharedKey
 	for _, id := range ids {
-		keys = append(keys, settings.PeerKey{ID: id, Secret: settings.Secret(strings.Repeat(id, 32))})
+		keys = append(keys, peer.SharedKey{ID: id, Secret: []byte(strings.Repeat(id, 32))})
 	}
-	derived, err := (&settings.Settings{PeerKeys: keys}).Keyring().Derive(settings.PurposeRecords)
+	ring, err := peer.NewKeyRing(keys, nil)
 	assert.NilError(t, err)
-	return derived
+	return ring
 }
 
 func sealed(t *testing.T, stream, kind, keyID string) []byte {
-	key, _ := keysOf(t, keyID).ByID(keyID)
-	data, err := seal(stream, kind, key, strings.Repeat(kind, compressFrom))
+	data, err := seal(stream, kind, keysOf(t, keyID), strings.Repeat(kind, compressFrom))
 	assert.NilError(t, err)
 	return data
 }
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -14,7 +14,6 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/peer"
-	"dogwoodnotch.example/dogwoodnotch/internal/settings"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
 
@@ -29,8 +28,8 @@
 type Options struct {
 	DataCentre structs.DataCentre
 	Log        stream.Log
-	Keys       settings.PurposeKeys // of settings.PurposeRecords
-	Limiter    stream.Limiter       // shared by all writers of the process; nil: none
+	Keys       *peer.KeyRing
+	Limiter    stream.Limiter // shared by all writers of the process; nil: none
 	Events     *event.Log
 	Metrics    tally.Scope
 	Retention  time.Duration // settings.Timing.LogRetention
--- a/internal/jobstore/store_test.go
+++ b/internal/jobstore/store_test.go
@@ -20,7 +20,6 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/peer"
 	"dogwoodnotch.example/dogwoodnotch/internal/platform"
-	"dogwoodnotch.example/dogwoodnotch/internal/settings"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
 
@@ -84,8 +83,7 @@
 }
 
 func newStore(t *testing.T, log *fakeLog, self structs.InstanceID, net *peers) *Store {
-	keys, err := (&settings.Settings{PeerKeys: []settings.PeerKey{{ID: "a", Secret: settings.Secret(strings.Repeat("k", 32))}}}).
-		Keyring().Derive(settings.PurposeRecords)
+	keys, err := peer.NewKeyRing([]peer.SharedKey{{ID: "a", Secret: []byte(strings.Repeat("k", 32))}}, nil)
 	assert.NilError(t, err)
 	return New(Options{
 		DataCentre: "a", Log: log, Keys: keys, Events: event.Discard(), Metrics: tally.NoopScope,
--- a/internal/peer/keyring_test.go
+++ b/internal/peer/keyring_test.go
@@ -29,9 +29,13 @@
 		assert.DeepEqual(t, key, accepted)
 		other, _ := ring.Lookup(peer.PurposeRequestKeys, id)
 		assert.Assert(t, string(other) != string(key))
+		assert.Equal(t, len(key), peer.DerivedKeyBytes)
 		_, listed = ring.Lookup(peer.PurposeConnection, "next")
 		assert.Assert(t, listed)
 	}
+	ofA, _ := ring.Lookup(peer.PurposeRecord, "a")
+	ofNext, _ := ring.Lookup(peer.PurposeRecord, "next")
+	assert.Assert(t, string(ofA) != string(ofNext), "two secrets give the same key")
 	assert.NilError(t, ring.Replace([]peer.SharedKey{next}))
 	id, _ := ring.Current(peer.PurposeConnection)
 	assert.Equal(t, id, "next", "the only key is used, whatever its time")
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -65,9 +65,7 @@
 	if err := server.buildPeers(ring); err != nil {
 		return nil, err
 	}
-	if err := server.buildStreams(); err != nil {
-		return nil, err
-	}
+	server.buildStreams(ring)
 	if err := server.buildRequests(ring); err != nil {
 		return nil, err
 	}
@@ -122,18 +120,14 @@
 	return err
 }
 
-func (s *Server) buildStreams() error {
-	records, err := s.settings.Keyring().Derive(settings.PurposeRecords)
-	if err != nil {
-		return err
-	}
+func (s *Server) buildStreams(ring *peer.KeyRing) {
 	log := platform.NewLog(platform.NewHTTPClient(), s.settings.LogService)
 	limiter := configuration.NewAppendLimiter(s.entriesRunning)
 	timing := s.settings.Timing
 	s.config = configuration.New(configuration.Options{
 		Self:      s.settings.Instance,
 		Log:       log,
-		Keys:      records,
+		Keys:      ring,
 		Limiter:   limiter,
 		Events:    s.events,
 		Metrics:   s.scope.SubScope("configuration"),
@@ -145,7 +139,7 @@
 	s.jobs = jobstore.New(jobstore.Options{
 		DataCentre: s.settings.DataCentre,
 		Log:        log,
-		Keys:       records,
+		Keys:       ring,
 		Limiter:    limiter,
 		Events:     s.events,
 		Metrics:    s.scope.SubScope("jobs"),
@@ -156,7 +150,6 @@
 		Self:       s.settings.Instance,
 		Entries:    s.entriesHere,
 	})
-	return nil
 }
 
 // entriesRunning returns how many entry instances are not known to have ended. They share the bound on appends.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,9 +96,6 @@
 	return Parse(data)
 }
 
-// Keyring returns the keys of the peer_keys section.
-func (s *Settings) Keyring() Keyring { return Keyring{keys: s.PeerKeys} }
-
 func (s *Settings) fillAddresses() {
 	if s.Advertise == "" {
 		s.Advertise = s.Listen
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,14 +1,12 @@
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
@@ -50,7 +48,7 @@
 		{"listen: 127.0.0.1:7100", "listen: 0.0.0.0:7100", "advertise: others cannot connect"},
 		{"peer_listen: 127.0.0.1:7200", "peer_listen: ':7200'", "peer_advertise: others cannot connect"},
 		{"log_service: http://127.0.0.1:7000", "log_service: 127.0.0.1:7000", "not an http URL"},
-		{"instance_list: http://127.0.0.1:7001", "instance_list: http://127.0.0.1:7001/?a=b", "has a query"},
+		{"instance_list: http://127.0.0.1:7000", "instance_list: http://127.0.0.1:7000/?a=b", "has a query"},
 		{"  - {id: demo,", "#", "peer_keys: the value is empty"},
 		{"{id: demo,", "{id: '',", "peer_keys[0].id: a value is required"},
 		{"{id: demo,", "{id: demo, use_from: tomorrow,", "wrong type of value"},
@@ -77,28 +75,6 @@
 	}
 }
 
-// Guards against purposes that share a key, and against a key that is used before every instance accepts it.
-func TestDerivedKeys(t *testing.T) {
-	at := func(hour int) time.Time { return time.Date(2026, 1, 1, hour, 0, 0, 0, time.UTC) }
-	ring := (&Settings{PeerKeys: []PeerKey{
-		{ID: "old", Secret: Secret(strings.Repeat("a", 32))},
-		{ID: "new", Secret: Secret(strings.Repeat("b", 32)), UseFrom: at(2)},
-	}}).Keyring()
-	records, err := ring.Derive(PurposeRecords)
-	assert.NilError(t, err)
-	requests, err := ring.Derive(PurposeRequestKeys)
-	assert.NilError(t, err)
-	assert.Equal(t, len(records.All()), 2)
-	assert.Assert(t, !bytes.Equal(records.All()[0].Bytes, requests.All()[0].Bytes))
-	assert.Assert(t, !bytes.Equal(records.All()[0].Bytes, records.All()[1].Bytes))
-	assert.Equal(t, len(records.All()[0].Bytes), KeyBytes)
-	before, _ := records.Current(at(1))
-	after, _ := records.Current(at(2))
-	assert.Equal(t, before.ID+" "+after.ID, "old new")
-	_, accepted := records.ByID("new")
-	assert.Assert(t, accepted)
-}
-
 // Guards against secrets in logs and state dumps.
 func TestSecretsAreHidden(t *testing.T) {
 	s, err := Parse([]byte(example(t, "swan-coast")))
