Carry the run time and the start of an attempt on its tasks

Cause: a job's max_run_time counts over all its attempts, and a new scheduler rebuilds its view from the workers' tasks alone, which carried neither the run time of earlier attempts nor when the present one started. Change: structs.Task has the additive fields Spent and LaunchedAt. Ruled out: the run time that workers report, which is as old as the last change of the task that the rack owner saw.

--- a/internal/structs/structs.go
+++ b/internal/structs/structs.go
@@ -113,6 +113,8 @@
 	Accelerators []int         `json:"accelerators" msgpack:"accelerators"` // indices on the worker
 	CellSize     int           `json:"cell_size" msgpack:"cell_size"`       // guaranteed shape it uses, 0 when borrowed
 	Attained     time.Duration `json:"attained" msgpack:"attained"`         // run time of earlier attempts kept by checkpoints
+	Spent        time.Duration `json:"spent" msgpack:"spent"`               // run time of all earlier attempts, kept or not
+	LaunchedAt   time.Time     `json:"launched_at" msgpack:"launched_at"`   // of this attempt, by the scheduler's clock
 }
 
 // Guaranteed reports whether the task runs under its customer's guarantee and so is never preempted.
