Stop a job that exceeds its max_run_time and record it as failed

Cause: nothing compared a job's run time with max_run_time, so a job that declared too little ran for ever. Change: a heap holds the time at which each running job reaches max_run_time, and a step takes out only those that are due. Their members are killed and the job is recorded as failed; the message names the limit and the remedy. All attempts count in full, also under earlier schedulers. A task without a start time, from an earlier version of the daemon, counts from what its worker reports. Ruled out: a look at all jobs in every step; a checkpoint before the stop, since the job does not start again; a field for the remedy in Result, which the job stream would drop. Test: TestMaxRunTimeEndsJob, a gang that is preempted and then adopted by another scheduler. With the step removed it fails after 10 s ('timeout hit: the gang is stopped'); with it, it passes with -race.

--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -223,6 +223,7 @@
 	j.attempt = first.Attempt
 	j.starts = max(j.starts, 1)
 	j.attained = max(j.attained, first.Attained)
+	j.spent = max(j.spent, first.Spent)
 	j.members = nil
 	for _, e := range group {
 		if e.status.Phase == platform.TaskForgotten {
@@ -235,10 +236,19 @@
 		}
 	}
 	if len(j.members) > 0 {
+		j.startedAt = adoptedStart(j, first, now)
 		t.adoptState(j, first.Members-len(j.members), now)
 	}
 }
 
+// adoptedStart is when an adopted attempt started. A task of an earlier version of the daemon lacks the time.
+func adoptedStart(j *job, task structs.Task, now time.Time) time.Time {
+	if task.LaunchedAt.IsZero() {
+		return now.Add(-j.ranFor())
+	}
+	return task.LaunchedAt
+}
+
 func memberOf(status platform.TaskStatus) member {
 	return member{status.Task, status.Phase, status.RanFor, status.SavedWork, status.Message}
 }
@@ -254,9 +264,7 @@
 		t.active[j.key] = true
 		return
 	case ended == len(j.members) && (finished < ended || len(t.unseen) == 0):
-		j.attained = j.savedWork()
-		j.members = nil
-		j.unseen = missing > 0
+		t.adoptEnded(j, missing, now)
 		return
 	}
 	j.placement = placementOf(j.key, j.members)
@@ -265,12 +273,25 @@
 	j.missing = missing
 	j.missingSince = now
 	j.setState(structs.JobRunning, now)
+	t.limitRun(j)
 	t.active[j.key] = true
 	if j.count(isPhase(platform.TaskHeld)) > 0 || (missing > 0 && len(t.unseen) == 0) {
 		t.stop(j, causeLost, now)
 	}
 }
 
+// adoptEnded takes over an attempt that ended under an earlier scheduler and did not finish.
+func (t *term) adoptEnded(j *job, missing int, now time.Time) {
+	j.attained = j.savedWork()
+	j.spent += j.ranFor()
+	if j.overran() && !j.cancelled {
+		j.result = j.overrunResult(now)
+		t.active[j.key] = true
+	}
+	j.members = nil
+	j.unseen = missing > 0
+}
+
 // joins reports whether a task is a member that the adopted gang still lacks.
 func (t *term) joins(j *job, task structs.Task) bool {
 	return j.missing > 0 && j.state == structs.JobRunning && task.Attempt == j.attempt && j.member(task.Member) == nil
@@ -284,6 +305,7 @@
 	j.placement = placementOf(j.key, j.members)
 	t.restore(j)
 	t.book(j)
+	t.limitRun(j)
 	t.dirty[j.key] = true
 }
 
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -19,6 +19,7 @@
 	causeLost      stopCause = "a member was lost"
 	causePreempted stopCause = "preempted"
 	causeRemoved   stopCause = "no longer wanted"
+	causeOverrun   stopCause = "max_run_time is exceeded"
 )
 
 // origin tells where a job comes from.
@@ -50,7 +51,7 @@
 	state     structs.JobState
 	since     time.Time // of the state
 	busy      bool      // an operation is under way
-	startedAt time.Time // of the present attempt, zero when another scheduler started it
+	startedAt time.Time // of the present attempt
 	attempt   uint64
 	starts    int
 	members   []member
@@ -61,6 +62,7 @@
 	stopSent  time.Time
 	stopBegan time.Time
 	attained  time.Duration
+	spent     time.Duration // run time of the attempts that have ended
 
 	cancelled    bool
 	removed      bool // not in the job stream, or not in the specification, any more
@@ -115,7 +117,7 @@
 }
 
 // buildMembers makes the tasks of the present attempt from the placement. The tasks carry the qualified id.
-func (j *job) buildMembers() {
+func (j *job) buildMembers(now time.Time) {
 	info := j.info
 	info.ID = j.key
 	j.members = make([]member, len(j.placement.Members))
@@ -123,6 +125,7 @@
 		j.members[i].task = structs.Task{
 			Job: info, Attempt: j.attempt, Member: i, Members: len(j.placement.Members), Worker: m.Worker,
 			Accelerators: m.Accelerators, CellSize: j.placement.CellSize, Attained: j.attained,
+			Spent: j.spent, LaunchedAt: now,
 		}
 		j.members[i].saved = j.attained
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -261,7 +261,7 @@
 
 func (t *term) launch(ctx context.Context, j *job) {
 	j.attempt++
-	j.buildMembers()
+	j.buildMembers(time.Now())
 	tasks := j.tasks()
 	begun := t.spawn(func() func() {
 		result := t.starter.Start(ctx, tasks)
@@ -286,6 +286,7 @@
 	}
 	j.setState(structs.JobRunning, now)
 	j.startedAt = now
+	t.limitRun(j)
 	j.uncertain = nil
 	j.missing = 0
 	t.forgetEarlier(j)
--- a/internal/scheduler/settle.go
+++ b/internal/scheduler/settle.go
@@ -313,6 +313,7 @@
 		j.result = t.finished(j, now)
 	}
 	j.attained = max(j.attained, j.savedWork())
+	j.spent += j.ranFor()
 	if j.cause == causeFailed {
 		t.failed(j, now)
 	}
@@ -325,6 +326,8 @@
 		j.result = &Result{State: structs.JobCancelled, Message: "cancelled while it ran", Attempts: j.starts, EndedAt: now}
 	case j.origin == fromProbe:
 		t.drop(j)
+	case j.overran():
+		j.result = j.overrunResult(now)
 	default:
 		t.requeue(j, now)
 	}
@@ -345,6 +348,7 @@
 		return
 	}
 	j.placed = false
+	t.limits.remove(j.key)
 	t.unbind(j)
 	if j.origin != fromProbe {
 		t.release(j)
--- a/internal/scheduler/term.go
+++ b/internal/scheduler/term.go
@@ -59,6 +59,7 @@
 	unseen      map[structs.WorkerID]bool // listed workers that were not reported since the attachment
 	unseenUntil time.Time                 // when tasks there have lapsed
 	retryAt     time.Time                 // next time that a pause of a waiting job ends
+	limits      *deadlines                // when running jobs reach their max_run_time
 
 	posted     chan func()
 	operations chan struct{}
@@ -72,7 +73,7 @@
 		workers: map[structs.WorkerID]*worker{}, paused: map[structs.JobID]bool{}, dirty: map[structs.JobID]bool{}, active: map[structs.JobID]bool{},
 		unseen: map[structs.WorkerID]bool{}, recorded: map[structs.JobID]bool{}, suspects: map[structs.WorkerID]bool{}, services: map[structs.JobID]bool{}, excluded: map[structs.WorkerID]bool{},
 		orphans: map[sighting]time.Time{}, posted: make(chan func(), maxPosted),
-		operations: make(chan struct{}, maxOperations), done: make(chan struct{}),
+		operations: make(chan struct{}, maxOperations), done: make(chan struct{}), limits: newDeadlines(),
 	}
 	t.starter = gang.Starter{Commands: racks, HoldTTL: config.Timing.HoldTTL, Log: config.Log, Metrics: config.Metrics}
 	return t
@@ -148,6 +149,7 @@
 		t.rebuild(now)
 	}
 	t.syncProbes(now)
+	t.stopOverruns(now)
 	t.settleAll(ctx, now)
 	t.endSuspicions(now)
 	t.place(ctx, now)
