Carry the starts and failures of a job on its tasks

Cause: max_attempts counts a job's failures, and a new scheduler learns of earlier attempts only from the workers' tasks, which did not carry the counts. Change: structs.Task has the additive fields Starts and Failures.

--- a/internal/structs/structs.go
+++ b/internal/structs/structs.go
@@ -114,6 +114,8 @@
 	CellSize     int           `json:"cell_size" msgpack:"cell_size"`       // guaranteed shape it uses, 0 when borrowed
 	Attained     time.Duration `json:"attained" msgpack:"attained"`         // run time of earlier attempts kept by checkpoints
 	Spent        time.Duration `json:"spent" msgpack:"spent"`               // run time of all earlier attempts, kept or not
+	Starts       int           `json:"starts" msgpack:"starts"`             // attempts that started, this one included
+	Failures     int           `json:"failures" msgpack:"failures"`         // of earlier attempts, as max_attempts counts them
 	LaunchedAt   time.Time     `json:"launched_at" msgpack:"launched_at"`   // of this attempt, by the scheduler's clock
 }
 
