Keep the counts of attempts and failures over a change of scheduler

Cause: a new scheduler began at one start and no failure, so that a job that fails everywhere got max_attempts anew at each change of scheduler. Change: tasks carry both counts and adoption takes them over. An adopted attempt that failed counts itself, since no later task carries its failure; the worker keeps it until the next attempt has started. Ruled out: records in the job stream, an append for each failure. What remains: the workers on which a job failed before the change are not carried, so attributing its failures to the job begins anew.

--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -221,7 +221,8 @@
 func (t *term) adopt(j *job, group []early, now time.Time) {
 	first := group[0].status.Task
 	j.attempt = first.Attempt
-	j.starts = max(j.starts, 1)
+	j.starts = max(j.starts, first.Starts, 1)
+	j.failures = max(j.failures, first.Failures)
 	j.attained = max(j.attained, first.Attained)
 	j.spent = max(j.spent, first.Spent)
 	j.members = nil
@@ -284,8 +285,13 @@
 func (t *term) adoptEnded(j *job, missing int, now time.Time) {
 	j.attained = j.savedWork()
 	j.spent += j.ranFor()
-	if j.overran() && !j.cancelled {
+	if j.count(isPhase(platform.TaskFailed)) > 0 {
+		t.failed(j, now) // the earlier scheduler did not launch another attempt, whose tasks would carry this failure
+	}
+	if j.result == nil && j.overran() && !j.cancelled {
 		j.result = j.overrunResult(now)
+	}
+	if j.result != nil {
 		t.active[j.key] = true
 	}
 	j.members = nil
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -125,7 +125,7 @@
 		j.members[i].task = structs.Task{
 			Job: info, Attempt: j.attempt, Member: i, Members: len(j.placement.Members), Worker: m.Worker,
 			Accelerators: m.Accelerators, CellSize: j.placement.CellSize, Attained: j.attained,
-			Spent: j.spent, LaunchedAt: now,
+			Spent: j.spent, Starts: j.starts, Failures: j.failures, LaunchedAt: now,
 		}
 		j.members[i].saved = j.attained
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -261,6 +261,7 @@
 
 func (t *term) launch(ctx context.Context, j *job) {
 	j.attempt++
+	j.starts++
 	j.buildMembers(time.Now())
 	tasks := j.tasks()
 	begun := t.spawn(func() func() {
@@ -269,11 +270,11 @@
 	})
 	if !begun {
 		j.attempt--
+		j.starts--
 		j.members = nil
 		return
 	}
 	j.busy = true
-	j.starts++
 }
 
 // launched follows the end of a gang start.
