Follow demoted placements in the scheduler and in explain

Cause: the scheduler kept the cell size that a job was placed with. After its customer lost the guarantee, or its cell went to a larger missing shape, explain still called the job guaranteed, and its next tasks carried the old size. Change: once a tick the cell sizes of the jobs that are demoted, or were at the last look, are read from the placement view; all placed jobs only when the guarantees change or the view is built anew; a single job right before its launch. Ruled out: a look-up in explain alone, which leaves tasks and charges wrong. What remains: a job that is demoted while the rack layout of the specification changes, or the scheduler moves before it was launched, stays a borrower until it ends, since its placement is restored with cell size 0.

--- a/internal/scheduler/cluster.go
+++ b/internal/scheduler/cluster.go
@@ -32,7 +32,7 @@
 	if t.cluster == nil || t.racksSpec != dc.Racks {
 		t.buildCluster(dc.Racks)
 	}
-	if err := t.cluster.SetGuarantees(guaranteesOf(text, t.dc)); err != nil {
+	if err := t.setGuarantees(); err != nil {
 		t.config.Log.Emit(eventGuaranteesRefused, event.F("cause", err))
 	}
 }
@@ -42,6 +42,7 @@
 func (t *term) buildCluster(racks spec.Racks) {
 	t.racksSpec = racks
 	t.cluster = placement.NewCluster(racks)
+	t.guarantees = nil // jobs are restored as borrowers and get their cells when the guarantees are set
 	for _, w := range t.workers {
 		if w.accelerators > 0 {
 			t.cluster.SetWorker(w.placement())
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -260,6 +260,7 @@
 }
 
 func (t *term) launch(ctx context.Context, j *job) {
+	t.syncCell(j)
 	j.attempt++
 	j.starts++
 	j.buildMembers(time.Now())
--- a/internal/scheduler/term.go
+++ b/internal/scheduler/term.go
@@ -25,16 +25,18 @@
 // term is one period in which this instance has the role. Its state belongs to the goroutine of run; other goroutines
 // reach it through post.
 type term struct {
-	config    Config
-	dc        structs.DataCentre
-	racks     rackowner.Racks
-	starter   gang.Starter
-	text      *spec.Text
-	cluster   *placement.Cluster
-	racksSpec spec.Racks // that the cluster was made for
-	queue     *queue.Queue
-	paused    map[structs.JobID]bool     // waiting jobs that are not in the queue
-	missing   map[placement.Missing]bool // guaranteed shapes that cannot be formed
+	config     Config
+	dc         structs.DataCentre
+	racks      rackowner.Racks
+	starter    gang.Starter
+	text       *spec.Text
+	cluster    *placement.Cluster
+	racksSpec  spec.Racks            // that the cluster was made for
+	demoted    []structs.JobID       // guaranteed jobs that counted as borrowers at the last look
+	guarantees []placement.Guarantee // in force
+	queue      *queue.Queue
+	paused     map[structs.JobID]bool     // waiting jobs that are not in the queue
+	missing    map[placement.Missing]bool // guaranteed shapes that cannot be formed
 
 	began       time.Time
 	synced      bool    // the report of the rack owners is complete
@@ -159,6 +161,7 @@
 	}
 	t.checked = now
 	t.checkWorkers(now)
+	t.syncCells()
 	t.sendWithheld(ctx)
 }
 
