Charge for borrowed use while jobs run

Cause: a customer was charged for a job only when it ended, so the waiting jobs of one that borrowed for hours came first until then. The charge also counted guaranteed use, which Queue.Charge excludes, and counted a gang again for each member that joined after its adoption. Change: a heap holds when each running job is charged next, every 10 s (Config.Charge); a step takes at most 1,024 of them. The end of the job pays what is left, and a job that changes between guaranteed and borrowed pays up to then at the earlier terms. Ruled out: a look at all running jobs every 10 s, which holds the step up; a time budget, since 1,024 charges take about 2 ms. Test: TestRunningJobsAreCharged, borrowed and guaranteed. What remains: a new scheduler starts from empty accounts and charges an adopted job from its launch at once, without the decay of the earlier part.

--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -225,6 +225,7 @@
 	j.failures = max(j.failures, first.Failures)
 	j.attained = max(j.attained, first.Attained)
 	j.spent = max(j.spent, first.Spent)
+	j.charged = 0
 	j.members = nil
 	for _, e := range group {
 		if e.status.Phase == platform.TaskForgotten {
@@ -274,7 +275,7 @@
 	j.missing = missing
 	j.missingSince = now
 	j.setState(structs.JobRunning, now)
-	t.limitRun(j)
+	t.watch(j, now)
 	t.active[j.key] = true
 	if j.count(isPhase(platform.TaskHeld)) > 0 || (missing > 0 && len(t.unseen) == 0) {
 		t.stop(j, causeLost, now)
@@ -311,7 +312,7 @@
 	j.placement = placementOf(j.key, j.members)
 	t.restore(j)
 	t.book(j)
-	t.limitRun(j)
+	t.watch(j, time.Now())
 	t.dirty[j.key] = true
 }
 
--- a/internal/scheduler/demote.go
+++ b/internal/scheduler/demote.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // syncCells follows the placements that became borrowers because guarantees could not be formed otherwise, and those
 // that got a cell again. It visits only jobs that are demoted or were at the last look.
@@ -20,7 +23,9 @@
 	if j == nil || !j.placed {
 		return
 	}
-	if current, booked := t.cluster.Lookup(j.key); booked {
+	current, booked := t.cluster.Lookup(j.key)
+	if booked && current.CellSize != j.placement.CellSize {
+		t.chargeUntil(j, time.Now()) // at the terms that held until now
 		j.placement.CellSize = current.CellSize
 	}
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -62,6 +62,7 @@
 	stopSent  time.Time
 	stopBegan time.Time
 	attained  time.Duration
+	charged   time.Duration // run time of the present attempt that was charged for, or was guaranteed
 	spent     time.Duration // run time of the attempts that have ended
 
 	cancelled    bool
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -288,7 +288,8 @@
 	}
 	j.setState(structs.JobRunning, now)
 	j.startedAt = now
-	t.limitRun(j)
+	j.charged = 0
+	t.watch(j, now)
 	j.uncertain = nil
 	j.missing = 0
 	t.forgetEarlier(j)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -28,14 +28,16 @@
 	Grace   time.Duration // longest checkpoint, section 9
 	Tick    time.Duration // longest time between decisions, 0 means DefaultTick
 	Probe   time.Duration // between probes of an excluded worker, 0 means DefaultProbe
+	Charge  time.Duration // between charges for borrowed use of running jobs, 0 means DefaultCharge
 	Log     *event.Log
 	Metrics tally.Scope
 }
 
 // Defaults of Config.
 const (
-	DefaultTick  = 50 * time.Millisecond
-	DefaultProbe = 30 * time.Second
+	DefaultTick   = 50 * time.Millisecond
+	DefaultProbe  = 30 * time.Second
+	DefaultCharge = 10 * time.Second
 )
 
 // Scheduler holds the role of the data centre's scheduler while this instance has it.
@@ -56,6 +58,9 @@
 	if config.Probe == 0 {
 		config.Probe = DefaultProbe
 	}
+	if config.Charge == 0 {
+		config.Charge = DefaultCharge
+	}
 	self, dc := config.View.Self()
 	return &Scheduler{config: config, self: self, dc: dc}
 }
--- a/internal/scheduler/settle.go
+++ b/internal/scheduler/settle.go
@@ -348,7 +348,7 @@
 		return
 	}
 	j.placed = false
-	t.limits.remove(j.key)
+	t.unwatch(j)
 	t.unbind(j)
 	if j.origin != fromProbe {
 		t.release(j)
@@ -356,12 +356,12 @@
 	t.replace = true
 }
 
-// release gives a job's accelerators back to the cluster and charges its customer for their use.
+// release gives a job's accelerators back to the cluster and charges its customer for what is still unpaid.
 func (t *term) release(j *job) {
 	if err := t.cluster.Release(j.key); err != nil {
 		t.config.Log.Emit(eventRestoreFailed, event.F("job", j.key), event.F("cause", err))
 	}
 	if j.state != structs.JobStarting {
-		t.queue.Charge(j.info.Customer, j.ranFor().Seconds()*float64(j.info.Accelerators))
+		t.charge(j, j.ranFor())
 	}
 }
--- a/internal/scheduler/term.go
+++ b/internal/scheduler/term.go
@@ -61,6 +61,7 @@
 	unseen      map[structs.WorkerID]bool // listed workers that were not reported since the attachment
 	unseenUntil time.Time                 // when tasks there have lapsed
 	retryAt     time.Time                 // next time that a pause of a waiting job ends
+	charges     *deadlines                // when running jobs are charged for next
 	limits      *deadlines                // when running jobs reach their max_run_time
 
 	posted     chan func()
@@ -75,7 +76,7 @@
 		workers: map[structs.WorkerID]*worker{}, paused: map[structs.JobID]bool{}, dirty: map[structs.JobID]bool{}, active: map[structs.JobID]bool{},
 		unseen: map[structs.WorkerID]bool{}, recorded: map[structs.JobID]bool{}, suspects: map[structs.WorkerID]bool{}, services: map[structs.JobID]bool{}, excluded: map[structs.WorkerID]bool{},
 		orphans: map[sighting]time.Time{}, posted: make(chan func(), maxPosted),
-		operations: make(chan struct{}, maxOperations), done: make(chan struct{}), limits: newDeadlines(),
+		operations: make(chan struct{}, maxOperations), done: make(chan struct{}), limits: newDeadlines(), charges: newDeadlines(),
 	}
 	t.starter = gang.Starter{Commands: racks, HoldTTL: config.Timing.HoldTTL, Log: config.Log, Metrics: config.Metrics}
 	return t
@@ -153,6 +154,7 @@
 	t.syncProbes(now)
 	t.stopOverruns(now)
 	t.settleAll(ctx, now)
+	t.chargeRunning(now)
 	t.endSuspicions(now)
 	t.place(ctx, now)
 	t.freeOrphans(ctx, now)
