--- a/internal/peer/events.go
+++ b/internal/peer/events.go
@@ -9,14 +9,14 @@
 // Events of this package, numbers 1400 to 1499.
 var (
 	eventStranger = event.Define(1400, "peer connection rejected", zerolog.WarnLevel,
-		"an incoming connection did not prove possession of a shared key",
-		"check peer_keys on both instances; otherwise find out who connects to the peer port")
+		"An incoming connection did not prove possession of a shared key.",
+		"Check peer_keys on both instances; otherwise find out who connects to the peer port.")
 	eventDialFailed = event.Define(1401, "peer dial rejected", zerolog.WarnLevel,
-		"another instance did not accept this instance's proof, or could not prove its own",
-		"check that peer_keys lists the same secrets on both instances")
+		"Another instance did not accept this instance's proof, or could not prove its own.",
+		"Check that peer_keys lists the same secrets on both instances.")
 	eventPanic = event.Define(1402, "peer handler panicked", zerolog.ErrorLevel,
-		"the handler of a call panicked; the caller got an internal error",
-		"report this with the stack in the event")
+		"The handler of a call panicked; the caller got an internal error.",
+		"Report this with the stack in the event.")
 	eventOversized = event.Define(1403, "peer answer too large", zerolog.WarnLevel,
-		"the answer to a call is larger than its connection allows and was replaced by an error", "")
+		"The answer to a call is larger than its connection allows and was replaced by an error.", "")
 )
