Name metrics once and tell the streams apart

Cause: the server added a prefix to names that already carry their package, such as dogwoodnotch_configuration_configuration_version; without it, the two streams would have shared one gauge. Change: all parts get the root scope; stream metrics have the tag stream. Measured: a look at /metrics of a running instance.

--- a/internal/configuration/stream/reader.go
+++ b/internal/configuration/stream/reader.go
@@ -83,6 +83,7 @@
 
 // NewReader returns a reader that feeds fold, which must be empty.
 func NewReader(options Options, fold Fold) *Reader {
+	options.Metrics = options.Metrics.Tagged(map[string]string{"stream": options.Stream})
 	return &Reader{options: options, fold: fold, changed: make(chan struct{})}
 }
 
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -23,7 +23,7 @@
 		HTTP:    platform.NewHTTPClient(),
 		Timing:  timing,
 		Log:     s.events,
-		Metrics: s.scope.SubScope("racks"),
+		Metrics: s.scope,
 	})
 	jobs := jobStream{store: s.jobs}
 	s.scheduler = scheduler.New(scheduler.Config{
@@ -36,7 +36,7 @@
 		Timing:  timing,
 		Grace:   s.settings.Timing.CheckpointGrace,
 		Log:     s.events,
-		Metrics: s.scope.SubScope("scheduler"),
+		Metrics: s.scope,
 	})
 	s.gateway = &scheduler.Gateway{View: s.members, Caller: s.node, Jobs: jobs, Scheduler: s.scheduler}
 	s.services = scheduler.NewServices(s.gateway)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -92,7 +92,7 @@
 		Resolve:   func(id structs.InstanceID) (string, bool) { return s.members.PeerAddress(id) },
 		BulkKinds: []string{configuration.CallFetch, jobstore.CallFetch, router.CallForward},
 		Events:    s.events,
-		Scope:     s.scope.SubScope("peer"),
+		Scope:     s.scope,
 	})
 	if err != nil {
 		return err
@@ -115,7 +115,7 @@
 			FreezeThreshold:    timing.FreezeThreshold,
 		},
 		Events: s.events,
-		Scope:  s.scope.SubScope("membership"),
+		Scope:  s.scope,
 	})
 	return err
 }
@@ -130,7 +130,7 @@
 		Keys:      ring,
 		Limiter:   limiter,
 		Events:    s.events,
-		Metrics:   s.scope.SubScope("configuration"),
+		Metrics:   s.scope,
 		Peers:     s.node,
 		Entries:   s.members.AllEntries,
 		Retention: timing.LogRetention,
@@ -142,7 +142,7 @@
 		Keys:       ring,
 		Limiter:    limiter,
 		Events:     s.events,
-		Metrics:    s.scope.SubScope("jobs"),
+		Metrics:    s.scope,
 		Retention:  timing.LogRetention,
 		PollWait:   timing.ConfigPoll,
 		MaxOpen:    s.maxOpenJobs,
@@ -194,7 +194,7 @@
 		Caller:    s.node,
 		Lifetime:  s.settings.Timing.KeyLifetime,
 		Events:    s.events,
-		Scope:     s.scope.SubScope("keys"),
+		Scope:     s.scope,
 	})
 	if err != nil {
 		return err
@@ -204,7 +204,7 @@
 		Peers:  s.node,
 		Text:   s.text,
 		Events: s.events,
-		Scope:  s.scope.SubScope("minions"),
+		Scope:  s.scope,
 		Poll:   s.settings.Timing.MinionStatusPoll,
 		Freeze: s.settings.Timing.FreezeThreshold,
 	})
@@ -216,7 +216,7 @@
 		Calls:        s.node,
 		Dependencies: dependencies{server: s},
 		Events:       s.events,
-		Scope:        s.scope.SubScope("requests"),
+		Scope:        s.scope,
 	})
 	return nil
 }
