Look up the key of a request whose kind is not declared

Cause: a keyed request whose service or kind left the specification was answered not_run before its key was looked up, although an earlier request with the same key may have run. The caller would then send it again under a new key. Change: such a request goes through the key lookup, here or at the key's issuer. A used key gives its recorded answer, in progress or unknown; a key that was never used gives not_run and stays unused. The same holds while no specification is in force. Requests without a key are refused as before. Ruled out: unknown without a lookup, which would deny the recorded answer.

--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -48,7 +48,7 @@
 type centre struct {
 	*site.Site
 	t       *testing.T
-	text    *spec.Text
+	text    atomic.Pointer[spec.Text]
 	minions []*site.Minion
 	entries map[structs.InstanceID]*entry
 	heir    atomic.Value // the InstanceID that acts as the issuer of the keys of "gone"
@@ -56,7 +56,8 @@
 
 // newCentre starts minions with the given owners and the instances that own them.
 func newCentre(t *testing.T, serviceTime time.Duration, owners ...structs.InstanceID) *centre {
-	c := &centre{Site: site.New(raft), t: t, text: testText(), entries: map[structs.InstanceID]*entry{}}
+	c := &centre{Site: site.New(raft), t: t, entries: map[structs.InstanceID]*entry{}}
+	c.text.Store(testText())
 	for _, owner := range owners {
 		m, err := c.AddMinion(owner, standin.Config{Slots: 8, ServiceTime: serviceTime})
 		assert.NilError(t, err)
@@ -81,9 +82,8 @@
 
 func (c *centre) newEntry(id structs.InstanceID) *entry {
 	e := &entry{Entry: c.AddEntry(id), centre: c, id: id, keys: map[string]Begun{}}
-	text := func() *spec.Text { return c.text }
-	e.pool = minion.New(minion.Config{View: e, Peers: e, Text: text, Events: event.Discard(), Poll: 50 * time.Millisecond})
-	e.router = New(Config{Text: text, Pool: FromPool(e.pool), Keys: e, Peers: e, Calls: e, Dependencies: e, Events: event.Discard()})
+	e.pool = minion.New(minion.Config{View: e, Peers: e, Text: c.text.Load, Events: event.Discard(), Poll: 50 * time.Millisecond})
+	e.router = New(Config{Text: c.text.Load, Pool: FromPool(e.pool), Keys: e, Peers: e, Calls: e, Dependencies: e, Events: event.Discard()})
 	e.pool.Register(e)
 	e.router.Register(e)
 	return e
@@ -158,5 +158,5 @@
 // MeasuredEntry starts one entry instance with 4 minions for the measures.
 func MeasuredEntry(t *testing.T) (*Router, *spec.Text, []*site.Minion) {
 	c := newCentre(t, 0, "x", "x", "x", "x")
-	return c.entries["x"].router, c.text, c.minions
+	return c.entries["x"].router, c.text.Load(), c.minions
 }
--- a/internal/router/keys.go
+++ b/internal/router/keys.go
@@ -85,6 +85,17 @@
 	}
 }
 
+// undeclared answers a request whose service or kind is not in the specification. A key is looked up all the same: an
+// earlier request with it may have run before the specification changed. Only a key that was never used gives not run,
+// and it stays unused.
+func (r *Router) undeclared(ctx context.Context, request *Request, forwarded bool, arrived time.Time, err error) Response {
+	refuse := func() Response { return notRun(err, 0) }
+	if request.Key == "" {
+		return refuse()
+	}
+	return r.withKey(ctx, request, forwarded, deadlineOf(defaultDeadline, request.Timeout, arrived), refuse)
+}
+
 // finishing runs a request and records its outcome, unknown when run panics.
 func (r *Router) finishing(key string, run func() Response) (response Response) {
 	response = Response{Outcome: structs.OutcomeUnknown}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -78,7 +78,7 @@
 	defer r.leave()
 	s, kind, err := r.service(request.Service, request.Kind)
 	if err != nil {
-		return notRun(err, 0)
+		return r.undeclared(ctx, request, forwarded, arrived, err)
 	}
 	deadline := deadlineOf(kind.Deadline, request.Timeout, arrived)
 	run := func() Response { return s.run(ctx, request, kind, deadline) }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+	"dogwoodnotch.example/dogwoodnotch/internal/spec"
 	standin "dogwoodnotch.example/dogwoodnotch/internal/standin/minion"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
@@ -248,3 +249,33 @@
 	response := c.entries["y"].router.Do(context.Background(), request)
 	assert.Equal(t, response.Outcome, structs.OutcomeAnswered, "%v", response.Err)
 }
+
+// TestRepeatOfRemovedKindIsNotRefusedAsNotRun guards against telling a caller that its request did not run when it ran
+// under the same key before the specification dropped its kind, and against a key that such a refusal uses up.
+func TestRepeatOfRemovedKindIsNotRefusedAsNotRun(t *testing.T) {
+	c := newCentre(t, 0, "x", "y")
+	used := Request{ID: "used", Service: raft, Kind: "book", Customer: "jetty", Body: []byte("one"), Key: "x/used"}
+	assert.Equal(t, c.entries["y"].router.Do(context.Background(), used).Outcome, structs.OutcomeAnswered)
+	unused, keyless, lost := used, used, used
+	unused.Key, keyless.Key, lost.Key = "x/unused", "", "gone/lost"
+	declared := c.text.Load()
+	withoutKind, withoutService := testText(), testText()
+	withoutKind.Services[0].Kinds = withoutKind.Services[0].Kinds[1:]
+	withoutService.Services = nil
+	for _, text := range []*spec.Text{withoutKind, withoutService, nil} {
+		c.text.Store(text)
+		for _, id := range []structs.InstanceID{"x", "y"} {
+			do := c.entries[id].router.Do
+			response := do(context.Background(), used)
+			assert.Equal(t, response.Outcome, structs.OutcomeAnswered, "at %s: %v", id, response.Err)
+			assert.Equal(t, string(response.Answer.Body), "one")
+			assert.Equal(t, do(context.Background(), unused).Outcome, structs.OutcomeNotRun)
+			assert.Equal(t, do(context.Background(), keyless).Outcome, structs.OutcomeNotRun)
+		}
+	}
+	lost.Timeout = 100 * time.Millisecond
+	assert.Equal(t, c.entries["y"].router.Do(context.Background(), lost).Outcome, structs.OutcomeUnknown)
+	c.text.Store(declared)
+	assert.Equal(t, c.entries["y"].router.Do(context.Background(), unused).Outcome, structs.OutcomeAnswered)
+	assert.Equal(t, c.runs()["used"], 2) // once with each key
+}
