--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/gorilla/mux"
+
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/spec"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
@@ -58,6 +60,19 @@
 	WriteJSON(w, typed.Kind.Status, ErrorBody{Kind: typed.Kind.Code, Message: message, Remedy: typed.Remedy, Outcome: outcome})
 }
 
+// methodNotAllowed is Invalid with the status that HTTP has for this case.
+var methodNotAllowed = errkind.Kind{Code: errkind.Invalid.Code, Status: http.StatusMethodNotAllowed, Exit: errkind.Invalid.Exit}
+
+// RefuseUnknown makes a router answer calls that it has no route for with a typed error.
+func RefuseUnknown(routes *mux.Router) {
+	routes.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		WriteError(w, errkind.New(errkind.NotFound, "use a path of the documentation", "there is no such call"), "", 0)
+	})
+	routes.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		WriteError(w, errkind.New(methodNotAllowed, "use the method of the documentation", "the call does not have this method"), "", 0)
+	})
+}
+
 // Authenticator finds out who sent a request.
 type Authenticator struct {
 	// Text returns the specification in force, nil when there is none yet.
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -24,6 +26,8 @@
 	maxJobWait      = 60 * time.Second
 	jobWaitPoll     = 200 * time.Millisecond
 	jobRetryAfter   = 2 * time.Second
+	// maxRunTimeMS is the longest run time that a time.Duration holds; a longer one would wrap to an arbitrary value.
+	maxRunTimeMS = int64(math.MaxInt64 / time.Millisecond)
 )
 
 // JobGateway is what the handlers need of scheduler.Gateway.
@@ -107,6 +111,12 @@
 	if err := decoder.Decode(&request); err != nil {
 		return structs.Job{}, errkind.Wrap(err, errkind.Invalid, "see the documentation of POST /v1/jobs", "the body is no job")
 	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return structs.Job{}, errkind.New(errkind.Invalid, "send one job in one call", "the body goes on after the job")
+	}
+	if request.RunTimeMS < 0 || request.RunTimeMS > maxRunTimeMS {
+		return structs.Job{}, errkind.New(errkind.Invalid, "declare a run time within these bounds", "run_time_ms is not from 0 to %d", maxRunTimeMS)
+	}
 	return h.check(request, structs.Caller(r.Header.Get(structs.HeaderCaller)), customer)
 }
 
@@ -179,8 +189,8 @@
 		{fmt.Sprintf("customers.%s.quota.accelerators", customer.Name), customer.Quota.Accelerators},
 		{fmt.Sprintf("the number of accelerators of data centre %s", job.DataCentre), capacity},
 	}
-	if job.Accelerators < 1 || job.RunTime < 0 {
-		return errkind.New(errkind.Invalid, "ask for at least 1 accelerator and a run time of at least 0", "the job's size is not valid")
+	if job.Accelerators < 1 {
+		return errkind.New(errkind.Invalid, "ask for at least 1 accelerator", "the job's size is not valid")
 	}
 	for _, bound := range bounds {
 		if bound.value > 0 && job.Accelerators > bound.value {
