Bound callers that send slowly or too much

Cause: after a failed read of a request's body the read deadline was cleared; the HTTP server then read the rest of the body without a bound before it sent the refusal, so a stalled sender held its connection and goroutine for ever. Calls other than requests and event streams had no write deadline. Change: the read deadline is cleared only after the whole body has been read. The settings of http.Server moved into newFront, which the tests call; it gains a write timeout of 90 s, above the longest wait of a job call (60 s), and typed answers for unknown calls. Requests.BodyTime (0: 30 s) lets the test shorten the body's bound. Ruled out: closing the connection at once, which would lose the typed refusal. The write timeout has no test of its own.

--- a/internal/api/requests.go
+++ b/internal/api/requests.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -45,6 +46,8 @@
 	Auth   *Authenticator
 	Router RequestRouter
 	Keys   KeyIssuer
+	// BodyTime bounds the reading of one body, 0: 30 s.
+	BodyTime time.Duration
 }
 
 // Register adds the calls to a router.
@@ -176,9 +179,7 @@
 		limit = min(limit, int64(text.Limits.RequestBodyBytes))
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyReadTime)) // absent in tests without a connection
-	// A read deadline that stayed would end the context of a request that runs longer.
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	_ = control.SetReadDeadline(time.Now().Add(cmp.Or(h.BodyTime, bodyReadTime))) // absent in tests without a connection
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -187,5 +188,8 @@
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Invalid, "send the whole body", "body could not be read")
 	}
+	// A read deadline that stayed would end the context of a request that runs longer. After a failed read it stays: the
+	// HTTP server reads the rest of a body before it sends the refusal, and a stalled sender would hold it without bound.
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
--- a/internal/server/run.go
+++ b/internal/server/run.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"time"
 
+	"github.com/gorilla/mux"
 	"golang.org/x/sync/errgroup"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/api"
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
@@ -18,8 +20,11 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 30 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 64 << 10
+	// writeTimeout counts from the end of a call's header. It is above the longest wait of a job call, 60 s. Calls that
+	// may take longer set their own write deadline when they write: requests to a service and the event stream.
+	writeTimeout   = 90 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 64 << 10
 	// balancerNotice is how long an instance goes on taking requests after it has said that it is not ready, so that the
 	// balancer's checks notice first.
 	balancerNotice = time.Second
@@ -41,13 +46,7 @@
 	s.events.Emit(eventStarted, event.F("listen", s.settings.Listen), event.F("peer_listen", s.settings.PeerListen))
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	front := &http.Server{
-		Handler:           s.routes,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	front := newFront(s.routes)
 	group, work := errgroup.WithContext(work)
 	s.startParts(work, group, peerListener)
 	group.Go(func() error { return ignoreClosed(front.Serve(httpListener)) })
@@ -63,6 +62,20 @@
 	return errors.Join(drainError, runError)
 }
 
+// newFront returns the HTTP server of an instance, with the bounds on what a caller can hold open or send. Calls that
+// routes does not have get a typed error.
+func newFront(routes *mux.Router) *http.Server {
+	api.RefuseUnknown(routes)
+	return &http.Server{
+		Handler:           routes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
 func listen(ctx context.Context, address string) (net.Listener, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
