Measure the latency of a request forwarded to a peer

Change: TestMeasureForward, behind DOGWOODNOTCH_MEASURE=1, takes calls in turns to an instance with own free slots and to one whose own slots are all taken, which forwards to the first over peer nodes with TLS on loopback. It checks that every call ran at the first one's minions. The HTTP calls are shared with TestMeasureOverhead, whose checks are as before. Ruled out: the stand-in's network between instances, which has no sockets.

--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/minion"
+	"dogwoodnotch.example/dogwoodnotch/internal/peer"
 	"dogwoodnotch.example/dogwoodnotch/internal/spec"
 	standin "dogwoodnotch.example/dogwoodnotch/internal/standin/minion"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/site"
@@ -160,3 +162,50 @@
 	c := newCentre(t, 0, "x", "x", "x", "x")
 	return c.entries["x"].router, c.text.Load(), c.minions
 }
+
+// MeasuredPeers starts an entry instance with 4 minions and one whose own slots are all taken. They are connected by
+// peer nodes over TLS on loopback, so that every request to the second one runs at the first one's minions. served
+// returns how many requests the minions of each ran.
+func MeasuredPeers(t *testing.T) (own, full *Router, text *spec.Text, served func() (own, full int)) {
+	c := newCentre(t, 0, "x", "x", "x", "x", "z")
+	x, z := c.entries["x"], c.entries["z"]
+	for range 8 {
+		slot := z.pool.Acquire(raft)
+		assert.Assert(t, slot != nil)
+		t.Cleanup(slot.Release)
+	}
+	nodes := peerNodes(t, "x", "z")
+	x.router.Register(nodes["x"])
+	z.router.cfg.Calls = nodes["z"]
+	served = func() (own, full int) {
+		for _, m := range c.minions[:4] {
+			own += len(m.Report().Runs)
+		}
+		return own, len(c.minions[4].Report().Runs)
+	}
+	return x.router, z.router, c.text.Load(), served
+}
+
+// peerNodes starts a peer node for each instance.
+func peerNodes(t *testing.T, ids ...structs.InstanceID) map[structs.InstanceID]*peer.Node {
+	addresses, nodes := map[structs.InstanceID]string{}, map[structs.InstanceID]*peer.Node{}
+	ring, err := peer.NewKeyRing([]peer.SharedKey{{ID: "k", Secret: []byte(strings.Repeat("s", 32))}}, nil)
+	assert.NilError(t, err)
+	resolve := func(id structs.InstanceID) (string, bool) { return addresses[id], addresses[id] != "" }
+	for _, id := range ids {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		addresses[id] = listener.Addr().String()
+		node, err := peer.New(peer.Config{Self: id, Keys: ring, Resolve: resolve})
+		assert.NilError(t, err)
+		nodes[id] = node
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- node.Serve(ctx, listener) }()
+		t.Cleanup(func() {
+			cancel()
+			assert.Check(t, <-ended)
+		})
+	}
+	return nodes
+}
--- a/internal/router/measure_test.go
+++ b/internal/router/measure_test.go
@@ -178,23 +178,22 @@
 	assert.Check(t, ours >= 0.95)
 }
 
-// TestMeasureOverhead prints the latency of a direct call to a minion and of the same call through an entry instance,
-// both over loopback and taken in turns, and the requests per second for each second of processor time that the whole
-// process took: callers, entry instance and minions together.
-func TestMeasureOverhead(t *testing.T) {
-	onlyMeasuring(t)
+// measuredCalls serves each router over HTTP. It returns the addresses of a call that each one serves, and a function
+// that makes a call and returns how long it took.
+func measuredCalls(t *testing.T, text *spec.Text, routers ...*router.Router) (urls []string, call func(url string) time.Duration) {
 	const token = "t"
 	digest := sha256.Sum256([]byte(token))
-	routes, text, minions := router.MeasuredEntry(t)
-	direct := minions[0].Address
 	text.Customers[0].TokenSHA256 = []string{hex.EncodeToString(digest[:])}
-	handlers := mux.NewRouter()
-	(&api.Requests{Auth: &api.Authenticator{Text: func() *spec.Text { return text }}, Router: routes}).Register(handlers)
-	server := httptest.NewServer(handlers)
-	defer server.Close()
+	for _, routes := range routers {
+		handlers := mux.NewRouter()
+		(&api.Requests{Auth: &api.Authenticator{Text: func() *spec.Text { return text }}, Router: routes}).Register(handlers)
+		server := httptest.NewServer(handlers)
+		t.Cleanup(server.Close)
+		urls = append(urls, server.URL+"/v1/services/raft-booking/requests/quote")
+	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
-	defer client.CloseIdleConnections()
-	call := func(url string) time.Duration {
+	t.Cleanup(client.CloseIdleConnections)
+	return urls, func(url string) time.Duration {
 		request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewReader([]byte("two adults and a lantern")))
 		assert.NilError(t, err)
 		request.Header.Set("Authorization", "Bearer "+token)
@@ -207,7 +206,44 @@
 		assert.Equal(t, response.StatusCode, http.StatusOK)
 		return time.Since(began)
 	}
-	through := server.URL + "/v1/services/raft-booking/requests/quote"
+}
+
+// TestMeasureForward prints the latency of a call that the receiving instance serves at an own minion and of one that it
+// forwards to a peer over TLS, because its own slots are taken. Both go over loopback and are taken in turns.
+func TestMeasureForward(t *testing.T) {
+	onlyMeasuring(t)
+	own, full, text, served := router.MeasuredPeers(t)
+	urls, call := measuredCalls(t, text, own, full)
+	const calls, warmUp = 5000, 100
+	var here, forwarded []time.Duration
+	for range calls + warmUp {
+		here = append(here, call(urls[0]))
+		forwarded = append(forwarded, call(urls[1]))
+	}
+	here, forwarded = here[warmUp:], forwarded[warmUp:]
+	slices.Sort(here)
+	slices.Sort(forwarded)
+	for _, at := range []struct {
+		name string
+		rank int
+	}{{"forward_overhead", calls / 2}, {"forward_overhead_p99", calls * 99 / 100}} {
+		report(at.name, here[at.rank].Seconds()*1000, forwarded[at.rank].Seconds()*1000, "ms", 1)
+	}
+	fmt.Printf("forward_overhead added=%.4f ms at the median\n", (forwarded[calls/2]-here[calls/2]).Seconds()*1000)
+	atOwn, atFull := served()
+	assert.Equal(t, atOwn, 2*(calls+warmUp))
+	assert.Equal(t, atFull, 0)
+}
+
+// TestMeasureOverhead prints the latency of a direct call to a minion and of the same call through an entry instance,
+// both over loopback and taken in turns, and the requests per second for each second of processor time that the whole
+// process took: callers, entry instance and minions together.
+func TestMeasureOverhead(t *testing.T) {
+	onlyMeasuring(t)
+	routes, text, minions := router.MeasuredEntry(t)
+	direct := minions[0].Address
+	server, call := measuredCalls(t, text, routes)
+	through := server[0]
 	var directly, routed []time.Duration
 	for range 5000 {
 		directly = append(directly, call("http://"+direct+"/run"))
