Test that a stalled reader is given up

Cause: the write timeout of newFront had no test. Change: TestStalledReaderIsGivenUp, with the timeout divided by 90.

--- a/internal/server/front_test.go
+++ b/internal/server/front_test.go
@@ -151,3 +151,32 @@
 	allocated := (after.TotalAlloc - before.TotalAlloc) / 20
 	assert.Assert(t, allocated < 1<<20, "%d bytes were allocated for one sender of 2 MiB", allocated)
 }
+
+// TestStalledReaderIsGivenUp guards against a caller that does not read its answer and holds the handler without bound.
+func TestStalledReaderIsGivenUp(t *testing.T) {
+	routes := mux.NewRouter()
+	written := make(chan error, 1)
+	routes.HandleFunc("/large", func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write(make([]byte, 64<<20)) // more than the sockets' buffers hold
+		written <- err
+	})
+	front := newFront(routes)
+	front.WriteTimeout /= 90
+	listener, err := listen(context.Background(), "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(listener) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = conn.Write([]byte("GET /large HTTP/1.1\r\nHost: x\r\n\r\n"))
+	assert.NilError(t, err)
+	select {
+	case err := <-written:
+		assert.Assert(t, err != nil)
+	case <-time.After(5 * time.Second):
+		t.Error("the handler still writes")
+	}
+	conn.Close()
+	front.Close()
+	<-served
+}
