--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/minion"
+	"dogwoodnotch.example/dogwoodnotch/internal/peer"
 	"dogwoodnotch.example/dogwoodnotch/internal/spec"
 	standin "dogwoodnotch.example/dogwoodnotch/internal/standin/minion"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/site"
@@ -48,7 +50,7 @@
 type centre struct {
 	*site.Site
 	t       *testing.T
-	text    *spec.Text
+	text    atomic.Pointer[spec.Text]
 	minions []*site.Minion
 	entries map[structs.InstanceID]*entry
 	heir    atomic.Value // the InstanceID that acts as the issuer of the keys of "gone"
@@ -56,7 +58,8 @@
 
 // newCentre starts minions with the given owners and the instances that own them.
 func newCentre(t *testing.T, serviceTime time.Duration, owners ...structs.InstanceID) *centre {
-	c := &centre{Site: site.New(raft), t: t, text: testText(), entries: map[structs.InstanceID]*entry{}}
+	c := &centre{Site: site.New(raft), t: t, entries: map[structs.InstanceID]*entry{}}
+	c.text.Store(testText())
 	for _, owner := range owners {
 		m, err := c.AddMinion(owner, standin.Config{Slots: 8, ServiceTime: serviceTime})
 		assert.NilError(t, err)
@@ -81,9 +84,8 @@
 
 func (c *centre) newEntry(id structs.InstanceID) *entry {
 	e := &entry{Entry: c.AddEntry(id), centre: c, id: id, keys: map[string]Begun{}}
-	text := func() *spec.Text { return c.text }
-	e.pool = minion.New(minion.Config{View: e, Peers: e, Text: text, Events: event.Discard(), Poll: 50 * time.Millisecond})
-	e.router = New(Config{Text: text, Pool: FromPool(e.pool), Keys: e, Peers: e, Calls: e, Dependencies: e, Events: event.Discard()})
+	e.pool = minion.New(minion.Config{View: e, Peers: e, Text: c.text.Load, Events: event.Discard(), Poll: 50 * time.Millisecond})
+	e.router = New(Config{Text: c.text.Load, Pool: FromPool(e.pool), Keys: e, Peers: e, Calls: e, Dependencies: e, Events: event.Discard()})
 	e.pool.Register(e)
 	e.router.Register(e)
 	return e
@@ -158,5 +160,52 @@
 // MeasuredEntry starts one entry instance with 4 minions for the measures.
 func MeasuredEntry(t *testing.T) (*Router, *spec.Text, []*site.Minion) {
 	c := newCentre(t, 0, "x", "x", "x", "x")
-	return c.entries["x"].router, c.text, c.minions
+	return c.entries["x"].router, c.text.Load(), c.minions
+}
+
+// MeasuredPeers starts an entry instance with 4 minions and one whose own slots are all taken. They are connected by
+// peer nodes over TLS on loopback, so that every request to the second one runs at the first one's minions. served
+// returns how many requests the minions of each ran.
+func MeasuredPeers(t *testing.T) (own, full *Router, text *spec.Text, served func() (own, full int)) {
+	c := newCentre(t, 0, "x", "x", "x", "x", "z")
+	x, z := c.entries["x"], c.entries["z"]
+	for range 8 {
+		slot := z.pool.Acquire(raft)
+		assert.Assert(t, slot != nil)
+		t.Cleanup(slot.Release)
+	}
+	nodes := peerNodes(t, "x", "z")
+	x.router.Register(nodes["x"])
+	z.router.cfg.Calls = nodes["z"]
+	served = func() (own, full int) {
+		for _, m := range c.minions[:4] {
+			own += len(m.Report().Runs)
+		}
+		return own, len(c.minions[4].Report().Runs)
+	}
+	return x.router, z.router, c.text.Load(), served
+}
+
+// peerNodes starts a peer node for each instance.
+func peerNodes(t *testing.T, ids ...structs.InstanceID) map[structs.InstanceID]*peer.Node {
+	addresses, nodes := map[structs.InstanceID]string{}, map[structs.InstanceID]*peer.Node{}
+	ring, err := peer.NewKeyRing([]peer.SharedKey{{ID: "k", Secret: []byte(strings.Repeat("s", 32))}}, nil)
+	assert.NilError(t, err)
+	resolve := func(id structs.InstanceID) (string, bool) { return addresses[id], addresses[id] != "" }
+	for _, id := range ids {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		addresses[id] = listener.Addr().String()
+		node, err := peer.New(peer.Config{Self: id, Keys: ring, Resolve: resolve})
+		assert.NilError(t, err)
+		nodes[id] = node
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- node.Serve(ctx, listener) }()
+		t.Cleanup(func() {
+			cancel()
+			assert.Check(t, <-ended)
+		})
+	}
+	return nodes
 }
