--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -22,6 +22,7 @@
 	defaultRate    = 300 // appends a second over all streams
 	maxWait        = 30 * time.Second
 	rateWait       = time.Second // an append waits at most this long for the rate limit
+	busyWindow     = time.Second // over which the busiest rate is counted
 )
 
 // Faults are what can be switched on while the log runs. The zero value is a log without faults.
@@ -49,6 +50,8 @@
 	faults  Faults
 	random  *rand.Rand
 	appends uint64
+	recent  []time.Time // of the appends of the last busyWindow
+	busiest int         // most appends within one busyWindow since the faults last changed
 }
 
 type stream struct {
@@ -79,11 +82,23 @@
 // ServeHTTP serves the log's calls.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
 
-// SetFaults replaces the faults.
+// SetFaults replaces the faults and starts a new count of the busiest second.
 func (s *Service) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	s.recent = nil
+	s.busiest = 0
+}
+
+// countAppend counts an append in the sliding window that ends at now. The caller holds mu.
+func (s *Service) countAppend(now time.Time) {
+	s.appends++
+	s.recent = append(s.recent, now)
+	for now.Sub(s.recent[0]) >= busyWindow {
+		s.recent = s.recent[1:]
+	}
+	s.busiest = max(s.busiest, len(s.recent))
 }
 
 // Appends returns the number of records appended so far.
@@ -120,10 +135,11 @@
 	defer s.mu.Unlock()
 	st := s.stream(name)
 	offset = st.earliest + uint64(len(st.records))
-	st.records = append(st.records, platform.LogRecord{Offset: offset, Time: time.Now().UTC(), Data: data})
+	now := time.Now()
+	st.records = append(st.records, platform.LogRecord{Offset: offset, Time: now.UTC(), Data: data})
 	close(st.changed)
 	st.changed = make(chan struct{})
-	s.appends++
+	s.countAppend(now)
 	return offset, s.random.Float64() < s.faults.LoseAnswers
 }
 
@@ -228,10 +244,14 @@
 // Report is the answer to GET /report/log.
 type Report struct {
 	Appends uint64 `json:"appends"`
+	Busiest int    `json:"busiest"` // most appends within any one second since the faults last changed
 }
 
 func (s *Service) handleReport(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, Report{Appends: s.Appends()})
+	s.mu.Lock()
+	report := Report{Appends: s.appends, Busiest: s.busiest}
+	s.mu.Unlock()
+	writeJSON(w, report)
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
