Check that a change is in force at all instances within 5 s

Cause: invariant 8 promises it, and only tests within one process showed it.

Change: TestFleet starts the fleet of the demonstration with real processes under load and publishes 20 changes alone and 20 while one instance is killed. Each must be in force at each of the 9 instances (GET /v1/config, in_force) within 5 s of the start of the publish call that was accepted. The killed instance stays down until the 8 others have the change. It is then started again at its address and must have the change within the same 5 s.

--- /dev/null
+++ b/internal/demo/fleet_test.go
@@ -0,0 +1,153 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/api"
+	"dogwoodnotch.example/dogwoodnotch/internal/configuration"
+)
+
+const (
+	fleetTimeout  = 2 * time.Minute
+	changeRepeats = 20
+	changeBound   = 5 * time.Second // section 1.1, invariant 8
+	changePoll    = 10 * time.Millisecond
+	changeGap     = 200 * time.Millisecond // between two changes
+)
+
+// Checks of the running fleet, under load. They share one fleet, because starting it takes seconds.
+func TestFleet(t *testing.T) {
+	ctx, r := startFleet(t, fleetTimeout)
+	loadContext, stopLoad := context.WithCancel(ctx)
+	l := startLoad(loadContext, r)
+	defer l.group.Wait()
+	defer stopLoad()
+	c := newChanges(t, r)
+	t.Run("change in force", func(t *testing.T) { c.repeat(ctx, t, "alone", nil) })
+	t.Run("change in force while an instance is killed", func(t *testing.T) {
+		c.repeat(ctx, t, "one instance killed", c.run.fleet.entries)
+	})
+}
+
+// changes publishes texts one after the other.
+type changes struct {
+	run     *run
+	text    string
+	version uint64
+}
+
+func newChanges(t *testing.T, r *run) *changes {
+	data, err := os.ReadFile(r.options.Text)
+	assert.NilError(t, err)
+	return &changes{run: r, text: string(data), version: 1}
+}
+
+// repeat guards against a published change that is not in force at each of the 9 instances within 5 s. One of the victims
+// is killed as each change is published, never the instance that publishes it. It is started again at its address once
+// the others have the change, and must have it within the same 5 s.
+func (c *changes) repeat(ctx context.Context, t *testing.T, name string, victims []*entry) {
+	var worst time.Duration
+	for i := range changeRepeats {
+		published := make(chan time.Time, 1)
+		go func() { published <- c.publish(ctx, i) }()
+		var victim *entry
+		if len(victims) > 0 {
+			victim = victims[(i+1)%len(victims)]
+			victim.killed.Store(true)
+			c.run.processes[victim.id].kill()
+		}
+		began := <-published
+		assert.Assert(t, !began.IsZero(), "change %d was not accepted", i)
+		c.version++
+		for index, e := range c.run.fleet.entries {
+			if e != victim {
+				c.checkInForce(ctx, t, index, began)
+			}
+		}
+		if victim != nil {
+			index := slices.Index(c.run.fleet.entries, victim)
+			assert.NilError(t, c.run.startHost(c.run.fleet.entryHosts[index]))
+			c.checkInForce(ctx, t, index, began)
+		}
+		worst = max(worst, time.Since(began))
+		pause(ctx, changeGap)
+	}
+	fmt.Printf("change in force at %d instances, %s: worst %v of %d\n", len(c.run.fleet.entries), name, worst.Round(time.Millisecond), changeRepeats)
+}
+
+func (c *changes) checkInForce(ctx context.Context, t *testing.T, index int, began time.Time) {
+	t.Helper()
+	e := c.run.fleet.entries[index]
+	assert.Assert(t, c.waitInForce(ctx, e, began.Add(changeBound)), "version %d is not in force at %s after %v", c.version, e.id, changeBound)
+}
+
+// publish publishes the next text at one instance, repeating with the same id until it is accepted. It returns when the
+// call that was accepted began, the zero time when none was.
+func (c *changes) publish(ctx context.Context, i int) time.Time {
+	text := strings.Replace(c.text, "queued_jobs: 20000", fmt.Sprintf("queued_jobs: %d", 20000+c.version), 1)
+	body, _ := json.Marshal(configuration.PublishRequest{BaseVersion: c.version, PublishID: fmt.Sprintf("change-%d", c.version), Author: "test", Text: text})
+	target := "http://" + c.run.fleet.entries[i%entryInstances].address + "/v1/config"
+	for ctx.Err() == nil {
+		began := time.Now()
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+		if err != nil {
+			return time.Time{}
+		}
+		request.Header.Set("Authorization", "Bearer "+operatorToken)
+		response, err := c.run.client.Do(request)
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return began
+			}
+		}
+		pause(ctx, changePoll)
+	}
+	return time.Time{}
+}
+
+// waitInForce waits until an instance shows the newest version, at most until the deadline.
+func (c *changes) waitInForce(ctx context.Context, e *entry, deadline time.Time) bool {
+	for {
+		shown := c.shown(ctx, e, deadline)
+		if time.Now().After(deadline) {
+			return false
+		}
+		if shown == c.version {
+			return true
+		}
+		pause(ctx, changePoll)
+	}
+}
+
+// shown returns the version that is in force at an instance, 0 without an answer.
+func (c *changes) shown(ctx context.Context, e *entry, deadline time.Time) uint64 {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.address+"/v1/config", nil)
+	if err != nil {
+		return 0
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorToken)
+	response, err := c.run.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	var body api.ConfigBody
+	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&body) != nil {
+		return 0
+	}
+	return body.InForce
+}
