Scale the scheduler's timing tests less

Cause: at 1/30 of the real timings a stall of 0.1 s of the machine is 3 s of real time: TestUrgentStartOnBorrowedFleet took 470 ms of 260 ms at a load of 14, and TestInvariantGangAllOrNothing once exceeded its bound at a load of 23. Change: the urgent start is scaled by 1/3 and has no allowance for noise any more; the invariant tests are scaled by 1/15, with the same bound of 1.5 task leases. Ruled out: a wider allowance, which would weaken the check.

--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -299,11 +299,11 @@
 	}
 }
 
-// fast scales the timings of section 9 by 1/30.
+// fast scales the timings of section 9 by 1/15. At 1/30 a stall of the machine of 0.1 s was a fifth of a task lease.
 func fast() rackowner.Timing {
 	return rackowner.Timing{
-		SessionTTL: 100 * time.Millisecond, Renew: 33 * time.Millisecond,
-		TaskLease: 500 * time.Millisecond, HoldTTL: 250 * time.Millisecond,
+		SessionTTL: 200 * time.Millisecond, Renew: 67 * time.Millisecond,
+		TaskLease: time.Second, HoldTTL: 333 * time.Millisecond,
 	}
 }
 
@@ -488,6 +488,7 @@
 // Bounds of section 1.2 and what the machine's own noise may add to a scaled-down test.
 const (
 	urgentBound     = 7800 * time.Millisecond
+	urgentScale     = 3 // by which the test of every run shortens the times of an urgent start
 	schedulingNoise = 150 * time.Millisecond
 )
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -134,23 +134,24 @@
 	return true
 }
 
-// Guards against an urgent job that waits for borrowers longer than the bound of 7.8 s, scaled by 1/30 with the
+// Guards against an urgent job that waits for borrowers longer than the bound of 7.8 s, scaled by 1/3 with the
 // checkpoint of 5 s, and against borrowers that lose the work that they saved.
 func TestUrgentStartOnBorrowedFleet(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, 3, 3, standin.Options{})
+	r.grace = 5 * time.Second / urgentScale
 	r.instance("e1")
-	checkpoint := func(j *structs.Job) { j.Checkpoint = 5 * time.Second / 30 }
+	checkpoint := func(j *structs.Job) { j.Checkpoint = 5 * time.Second / urgentScale }
 	for i := range 6 {
-		r.submit(fmt.Sprintf("borrower%d", i), 4, 600*time.Millisecond, checkpoint)
+		r.submit(fmt.Sprintf("borrower%d", i), 4, 4*time.Second, checkpoint)
 	}
 	r.await("the fleet is full", 5*time.Second, func() bool { return r.busy() == 24 })
 	begun := time.Now()
 	r.submit("urgent", 16, 100*time.Millisecond, func(j *structs.Job) { j.Urgency = 100 })
 	r.await("the urgent job starts", 5*time.Second, func() bool { return r.running("urgent") == 2 })
 	took := time.Since(begun)
-	t.Logf("urgent start took %v, scaled bound %v", took, urgentBound/30)
-	assert.Assert(t, took <= urgentBound/30+schedulingNoise)
+	t.Logf("urgent start took %v, scaled bound %v", took, urgentBound/urgentScale)
+	assert.Assert(t, took <= urgentBound/urgentScale)
 	for i := range 6 {
 		id := fmt.Sprintf("borrower%d", i)
 		r.await(id+" finishes", 10*time.Second, func() bool { return r.result(id) != nil })
