Do not call a keyed request not run when it is refused unread

Cause: an unknown token, a large body or a bad timeout was answered not_run also for a request with a key, whose earlier call may have run, for example before a token changed. Change: with a key the outcome is unknown; the kind and remedy stay. Before: TestRequestOutcomes/repeat,_no_token fails: not_run instead of unknown. After: it passes.

--- a/internal/api/requests.go
+++ b/internal/api/requests.go
@@ -108,7 +108,7 @@
 	w.Header().Set(structs.HeaderRequestID, id)
 	request, err := h.read(w, r, id)
 	if err != nil {
-		WriteError(w, err, structs.OutcomeNotRun, 0)
+		WriteError(w, err, refusedUnread(r), 0)
 		return
 	}
 	response := h.Router.Do(r.Context(), request)
@@ -120,6 +120,15 @@
 	writeAnswer(w, response)
 }
 
+// refusedUnread is the outcome of a request that is refused before its key is looked up. With a key it may be the
+// repetition of one that ran.
+func refusedUnread(r *http.Request) structs.Outcome {
+	if r.Header.Get(structs.HeaderIdempotencyKey) != "" {
+		return structs.OutcomeUnknown
+	}
+	return structs.OutcomeNotRun
+}
+
 // writeAnswer sends the minion's answer, which has been read completely.
 func writeAnswer(w http.ResponseWriter, response router.Response) {
 	header := w.Header()
--- a/internal/api/requests_test.go
+++ b/internal/api/requests_test.go
@@ -48,19 +48,21 @@
 	lost := &router.Response{Outcome: structs.OutcomeUnknown, Err: errkind.New(errkind.Unknown, "look", "lost")}
 	full := &router.Response{Outcome: structs.OutcomeNotRun, Err: errkind.New(errkind.Overloaded, "later", "full"), RetryAfter: 1500 * time.Millisecond}
 	cases := map[string]struct {
-		path, token, body, timeout string
-		response                   *router.Response
-		status                     int
-		outcome, kind, retryAfter  string
+		path, token, body, timeout, key string
+		response                        *router.Response
+		status                          int
+		outcome, kind, retryAfter       string
 	}{
-		"answered":      {path: requests, token: "t", body: "two", status: 418, outcome: "answered"},
-		"no token":      {path: requests, body: "two", status: 401, outcome: "not_run", kind: "unauthorised"},
-		"large body":    {path: requests, token: "t", body: "more than ten", status: 413, outcome: "not_run", kind: "too_large"},
-		"bad timeout":   {path: requests, token: "t", timeout: "0", status: 400, outcome: "not_run", kind: "invalid"},
-		"unknown":       {path: requests, token: "t", response: lost, status: 502, outcome: "unknown", kind: "unknown_outcome"},
-		"overloaded":    {path: requests, token: "t", response: full, status: 429, outcome: "not_run", kind: "overloaded", retryAfter: "2"},
-		"keys":          {path: keys + "256", token: "t", status: 200},
-		"too many keys": {path: keys + "257", token: "t", status: 400, kind: "invalid"},
+		"answered":         {path: requests, token: "t", body: "two", status: 418, outcome: "answered"},
+		"no token":         {path: requests, body: "two", status: 401, outcome: "not_run", kind: "unauthorised"},
+		"large body":       {path: requests, token: "t", body: "more than ten", status: 413, outcome: "not_run", kind: "too_large"},
+		"bad timeout":      {path: requests, token: "t", timeout: "0", status: 400, outcome: "not_run", kind: "invalid"},
+		"repeat, no token": {path: requests, body: "two", key: "k", status: 401, outcome: "unknown", kind: "unauthorised"},
+		"repeat, large":    {path: requests, token: "t", key: "k", body: "more than ten", status: 413, outcome: "unknown", kind: "too_large"},
+		"unknown":          {path: requests, token: "t", response: lost, status: 502, outcome: "unknown", kind: "unknown_outcome"},
+		"overloaded":       {path: requests, token: "t", response: full, status: 429, outcome: "not_run", kind: "overloaded", retryAfter: "2"},
+		"keys":             {path: keys + "256", token: "t", status: 200},
+		"too many keys":    {path: keys + "257", token: "t", status: 400, kind: "invalid"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -72,6 +74,7 @@
 				request.Header.Set("Authorization", "Bearer "+c.token)
 			}
 			request.Header.Set(structs.HeaderTimeoutMS, c.timeout)
+			request.Header.Set(structs.HeaderIdempotencyKey, c.key)
 			recorder := httptest.NewRecorder()
 			routes.ServeHTTP(recorder, request)
 			assert.Equal(t, recorder.Code, c.status)
