Forget the cause of a stop when the job is queued again

Cause: found by reading: a preempted job kept its cause, so its next placement was abandoned once as preempted, and victims chosen for it would yield for nothing. Change: the cause is cleared after the requeue has been logged. Measured: the package passes with -race; no directed test yet.

--- a/internal/scheduler/settle.go
+++ b/internal/scheduler/settle.go
@@ -340,6 +340,7 @@
 	j.reason = "stopped: " + string(j.cause)
 	t.enqueue(j)
 	t.config.Log.Emit(eventRequeued, event.F("job", j.key), event.F("cause", j.cause), event.F("attained", j.attained))
+	j.cause = "" // or the next start would be abandoned as preempted
 }
 
 // unplace gives the accelerators back and wakes the jobs that wait for them.
