Check that a leaving minion is offered no request after 3 s

Cause: invariant 6 promises it, and only tests within one process showed it.

Change: TestFleet makes every fifth minion (10 of 50) say that it is leaving, under load, and reads from its report 6 s later when it was last offered a request. Every other one of them still accepts requests, so that nothing but its status tells the instances. Each must have run at least 4 requests in the 2 s before, or the check shows nothing.

Ruled out: minions that all refuse requests while leaving, because a refusal alone may keep requests away.

--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -34,6 +34,7 @@
 	defer l.group.Wait()
 	defer stopLoad()
 	c := newChanges(t, r)
+	t.Run("leaving minion", func(t *testing.T) { checkLeaving(ctx, t, r) })
 	t.Run("change in force", func(t *testing.T) { c.repeat(ctx, t, "alone", nil) })
 	t.Run("change in force while an instance is killed", func(t *testing.T) {
 		c.repeat(ctx, t, "one instance killed", c.run.fleet.entries)
