Take the demonstration's ports from below the range of outgoing connections; add make fuzz

The fuzz targets had no command. Change: ports from 15,000 to 32,000; make fuzz runs the four targets.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,5 @@
 DEPLOYMENT ?= swan-coast
-
-
+FUZZTIME ?= 30s
 
 .PHONY: build test race lint fmt-check vet tidy-check fuzz bench demo clean
 
@@ -30,6 +29,13 @@
 	go mod tidy
 	@if [ -n "$$(git status --porcelain)" ]; then echo "the tree changed; commit the result of go generate and go mod tidy:"; git status --short; exit 1; fi
 
+# Runs each fuzz target for FUZZTIME. Minimisation is bounded, since the default spends most of the time on it.
+fuzz:
+	go test ./internal/spec -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
+	go test ./internal/settings -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
+	go test ./internal/peer -run xxx -fuzz FuzzFrame -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
+	go test ./internal/api -run xxx -fuzz FuzzCalls -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
+
 clean:
 	rm -rf bin
 
--- a/internal/demo/process.go
+++ b/internal/demo/process.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -63,16 +64,28 @@
 	}
 }
 
+// Ports for the demonstration's processes. They lie below the range from which Linux takes the ports of outgoing
+// connections, so no connection can take one between the probe and the start of its process.
+const (
+	lowestPort  = 15_000
+	highestPort = 32_000
+	portProbes  = 10_000
+)
+
 // freeAddresses returns n loopback addresses whose ports were free a moment ago.
 func freeAddresses(n int) ([]string, error) {
 	addresses := make([]string, 0, n)
-	for range n {
-		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	for range portProbes {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 		if err != nil {
-			return nil, err
+			continue // in use
 		}
 		defer listener.Close() // kept until all are found, so that no port is given twice
-		addresses = append(addresses, listener.Addr().String())
+		addresses = append(addresses, address)
 	}
-	return addresses, nil
+	return nil, fmt.Errorf("found %d of %d free ports from %d to %d", len(addresses), n, lowestPort, highestPort)
 }
