--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -49,7 +49,8 @@
 type Prefer func(a, b []Borrower) int
 
 // Evictions iterates over the choices that a request has when borrowers yield: all borrowers for a request with an
-// unused guaranteed cell, less urgent ones and those that Request.Yields names for any other. Within a rack the workers are chosen by prefer, one by one.
+// unused guaranteed cell, less urgent ones and those that Request.Yields names for any other. Within a rack the
+// workers are chosen by prefer, one by one.
 // The error is that of Place for a request that could never run.
 func (c *Cluster) Evictions(r Request, prefer Prefer) (iter.Seq[Eviction], error) {
 	if err := c.checkRequest(r); err != nil {
--- a/internal/scheduler/term.go
+++ b/internal/scheduler/term.go
@@ -72,11 +72,26 @@
 
 func newTerm(config Config, dc structs.DataCentre, racks rackowner.Racks) *term {
 	t := &term{
-		config: config, dc: dc, racks: racks, began: time.Now(), jobs: map[structs.JobID]*job{},
-		workers: map[structs.WorkerID]*worker{}, paused: map[structs.JobID]bool{}, dirty: map[structs.JobID]bool{}, active: map[structs.JobID]bool{},
-		unseen: map[structs.WorkerID]bool{}, recorded: map[structs.JobID]bool{}, suspects: map[structs.WorkerID]bool{}, services: map[structs.JobID]bool{}, excluded: map[structs.WorkerID]bool{},
-		orphans: map[sighting]time.Time{}, posted: make(chan func(), maxPosted),
-		operations: make(chan struct{}, maxOperations), done: make(chan struct{}), limits: newDeadlines(), charges: newDeadlines(),
+		config:     config,
+		dc:         dc,
+		racks:      racks,
+		began:      time.Now(),
+		jobs:       map[structs.JobID]*job{},
+		workers:    map[structs.WorkerID]*worker{},
+		paused:     map[structs.JobID]bool{},
+		dirty:      map[structs.JobID]bool{},
+		active:     map[structs.JobID]bool{},
+		unseen:     map[structs.WorkerID]bool{},
+		recorded:   map[structs.JobID]bool{},
+		suspects:   map[structs.WorkerID]bool{},
+		services:   map[structs.JobID]bool{},
+		excluded:   map[structs.WorkerID]bool{},
+		orphans:    map[sighting]time.Time{},
+		posted:     make(chan func(), maxPosted),
+		operations: make(chan struct{}, maxOperations),
+		done:       make(chan struct{}),
+		limits:     newDeadlines(),
+		charges:    newDeadlines(),
 	}
 	t.starter = gang.Starter{Commands: racks, HoldTTL: config.Timing.HoldTTL, Log: config.Log, Metrics: config.Metrics}
 	return t
