Run on the users' platform: a thin whole path

Cause: the platform has a compacted log, workers with leases of their own and no control machines; the present daemon speaks another protocol. Any instance records jobs in the log; the holder of a term, elected through conditional appends, places tasks.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -22,6 +22,9 @@
 // Serve runs an entry instance until ctx ends. The program sets it, so that this package does not depend on the server.
 var Serve func(ctx context.Context, s *settings.Settings) error
 
+// Node runs an entry instance on the platform until ctx ends, with the settings file at path. The program sets it.
+var Node func(ctx context.Context, path string) error
+
 // kinds are the errors that the command line can end with, in the order of the help text.
 var kinds = []errkind.Kind{
 	errkind.Internal, errkind.Invalid, errkind.TooLarge, errkind.KeyRequired, errkind.Unauthorised, errkind.Forbidden,
@@ -37,6 +40,7 @@
 	Timeout time.Duration `default:"60s" help:"Longest time for a command, retries included. Waiting and following have their own."`
 
 	Serve   serveCommand   `cmd:"" help:"Run an entry instance until SIGTERM, then drain it."`
+	Node    nodeCommand    `cmd:"" help:"Run an entry instance on a platform without control machines, until SIGTERM."`
 	Check   checkCommand   `cmd:"" help:"Check a specification or settings file without a server."`
 	Publish publishCommand `cmd:"" help:"Publish a specification. Retries with the same publish id until the outcome is known."`
 	Show    showCommand    `cmd:"" help:"Show the specification in force, or an older version."`
@@ -212,3 +216,16 @@
 	}
 	return Serve(a.ctx, s)
 }
+
+// nodeCommand runs an entry instance on the platform.
+type nodeCommand struct {
+	Settings string `required:"" type:"path" help:"Settings file of the instance."`
+}
+
+// Run starts the instance.
+func (c *nodeCommand) Run(a *app) error {
+	if Node == nil {
+		return errkind.Wrap(errors.New("cli.Node is not set"), errkind.Internal, "report this fault", "this program cannot run an instance")
+	}
+	return Node(a.ctx, c.Settings)
+}
--- /dev/null
+++ b/internal/dispatch/fleet.go
@@ -0,0 +1,134 @@
+// Package dispatch schedules the tasks of jobs on workers for the holder of a term: it keeps jobs and workers, decides which
+// task starts where, gives the orders, and records what must outlive the term before it acts on it.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
+)
+
+// WorkerInfo is what discovery says of a worker.
+type WorkerInfo struct {
+	ID         string
+	Address    string
+	Service    string
+	DataCentre string
+	Rack       string
+	Labels     []string
+	Capacity   workload.Room
+	Draining   bool
+	Remaining  time.Duration // least time until a draining worker leaves
+	Born       int64         // start of the worker's process, Unix milliseconds; 0 if not known
+}
+
+// Target addresses one process of a worker.
+type Target struct{ ID, Address string }
+
+// StartOrder asks a worker to run a task.
+type StartOrder struct {
+	Task       workload.TaskName
+	Run        int
+	Spec       string
+	Deadline   int64 // end of the lease, milliseconds of the worker's clock
+	Token      int64 // fencing token
+	Checkpoint string
+	Ticket     string // of the advice service
+}
+
+// StopOrder asks a worker to end a run, or never to begin it.
+type StopOrder struct {
+	Task  workload.TaskName
+	Run   int
+	Token int64
+}
+
+// HoldOrder renews the lease of all that runs on a worker and asks what runs and what has ended.
+type HoldOrder struct {
+	Token    int64
+	LastSeen int64         // ends up to this number are recorded and may be forgotten
+	Deadline int64         // end of the lease, milliseconds of the worker's clock; 0 leaves it as it is
+	Wait     time.Duration // for an end
+}
+
+// RunReport is a run that a worker has.
+type RunReport struct {
+	Task       workload.TaskName
+	Run        int
+	Checkpoint string
+	Percent    int
+	Gauge      int64 // tail latency in milliseconds of a task with a target, thousandths of a core in use of any other
+}
+
+// Ending is how a run ended.
+type Ending string
+
+// Endings of runs.
+const (
+	EndDone    Ending = "done"
+	EndFailed  Ending = "failed"
+	EndStopped Ending = "stopped"
+	EndLapsed  Ending = "lapsed" // its lease was not renewed in time
+	EndBroken  Ending = "broken" // another member of the gang ended
+	EndAlone   Ending = "alone"  // the other members of the gang did not come
+	EndLost    Ending = "lost"   // the worker no longer has it, or it never began
+)
+
+// EndReport is a run that has ended.
+type EndReport struct {
+	Number     int64 // counts the ends of one process of the worker
+	Task       workload.TaskName
+	Run        int
+	How        Ending
+	Checkpoint string
+}
+
+// HoldReport answers a HoldOrder.
+type HoldReport struct {
+	Clock   int64 // milliseconds of the worker's clock
+	Born    int64 // start of the worker's process, Unix milliseconds; 0 if not told
+	Running []RunReport
+	Ended   []EndReport
+	Partial bool // more ends are to come
+}
+
+// Fleet gives orders to workers. Errors are *RefusalError when the worker did nothing; any other error leaves the outcome open.
+type Fleet interface {
+	Start(ctx context.Context, to Target, o StartOrder) (clock int64, err error)
+	Stop(ctx context.Context, to Target, o StopOrder) (clock int64, err error)
+	Hold(ctx context.Context, to Target, o HoldOrder) (HoldReport, error)
+}
+
+// Refusal is why a worker did nothing.
+type Refusal string
+
+// Reasons for a refusal.
+const (
+	RefusedFenced    Refusal = "fenced"    // it has seen a later token
+	RefusedOld       Refusal = "old"       // an equal or later run was stopped or ended there
+	RefusedLate      Refusal = "late"      // the lease had ended
+	RefusedNoRoom    Refusal = "no room"   //
+	RefusedTicket    Refusal = "ticket"    // the advice is missing or has expired
+	RefusedOther     Refusal = "other"     // another process lives at the address
+	RefusedUnhealthy Refusal = "unhealthy" // it takes no orders for now
+	RefusedInvalid   Refusal = "invalid"   // it does not understand the order
+)
+
+// RefusalError says that a worker did nothing.
+type RefusalError struct{ Reason Refusal }
+
+func (e *RefusalError) Error() string {
+	return fmt.Sprintf("the worker refused the order: %s", e.Reason)
+}
+
+// refusalOf returns why a worker did nothing, or "" when err says something else.
+func refusalOf(err error) Refusal {
+	var refused *RefusalError
+	if errors.As(err, &refused) {
+		return refused.Reason
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/dispatch/holds.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+)
+
+// Timings of looks at workers.
+const (
+	holdWait     = 1500 * time.Millisecond // how long a look waits for an end; leases last several looks
+	holdTimeout  = 900 * time.Millisecond  // beyond the wait
+	holdRetry    = 250 * time.Millisecond  // after a look without an answer
+	recordWait   = 400 * time.Millisecond  // for ends to be recorded before the next look
+	unheardAfter = 2 * holdWait            // a worker that has not answered for this long gets no work
+)
+
+// attend starts to look at a worker regularly.
+func (s *Scheduler) attend(w *worker) {
+	if w.cancel != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	w.cancel = cancel
+	go s.watch(ctx, w)
+}
+
+// watch renews the leases of a worker and takes in what it reports, until ctx ends.
+func (s *Scheduler) watch(ctx context.Context, w *worker) {
+	for ctx.Err() == nil {
+		if !s.c.Term.Authority() {
+			pause(ctx, holdRetry)
+			continue
+		}
+		s.mu.Lock()
+		order, target := s.holdFor(w, time.Now())
+		s.mu.Unlock()
+		sent := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, order.Wait+holdTimeout)
+		report, err := s.c.Fleet.Hold(callCtx, target, order)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			s.unheard(w, err)
+			pause(ctx, holdRetry)
+			continue
+		}
+		s.mu.Lock()
+		s.report(w, sent, time.Now(), report)
+		wait := w.recorded < w.processed
+		s.mu.Unlock()
+		if wait {
+			select {
+			case <-ctx.Done():
+			case <-w.ack:
+			case <-time.After(recordWait):
+			}
+		}
+	}
+}
+
+// holdFor builds the next look. It renews leases only if the last look was answered, so that leases of a worker that hears
+// but is not heard end at a known time.
+func (s *Scheduler) holdFor(w *worker, now time.Time) (HoldOrder, Target) {
+	order := HoldOrder{Token: s.c.Token, LastSeen: w.recorded}
+	if w.answered {
+		order.Deadline = s.lease(w, now)
+		if w.recorded == w.processed {
+			order.Wait = holdWait
+		}
+	}
+	return order, Target{w.info.ID, w.info.Address}
+}
+
+func (s *Scheduler) unheard(w *worker, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if refusalOf(err) == RefusedFenced {
+		s.c.Term.Lose(fmt.Errorf("worker %s has seen a later term", w.info.ID))
+		return
+	}
+	if w.answered {
+		s.c.Events.Emit(eventUnheard, event.F("worker", w.info.ID), event.F("cause", err), event.F("tasks", len(w.members)))
+	}
+	w.answered = false
+	s.meters.order("hold", "unanswered")
+}
+
+// report takes in the answer to a look.
+func (s *Scheduler) report(w *worker, sent, now time.Time, r HoldReport) {
+	s.meters.order("hold", "answered")
+	if r.Born != 0 && w.born != 0 && r.Born != w.born {
+		s.reborn(w, r.Born)
+	}
+	if r.Born != 0 {
+		w.born = r.Born
+	}
+	if !w.answered && !w.contact.IsZero() {
+		s.c.Events.Emit(eventHeard, event.F("worker", w.info.ID), event.F("silent_ms", now.Sub(w.contact).Milliseconds()))
+	}
+	if !w.answered {
+		s.changed()
+	}
+	w.answered, w.contact, w.clock = true, now, r.Clock
+	s.takeEnds(w, r.Ended)
+	s.takeRuns(w, r.Running, sent, now)
+	if !r.Partial {
+		s.missing(w, r, sent)
+	}
+}
+
+// takeEnds takes in ends that are new and acknowledges them to the worker once their effects are recorded.
+func (s *Scheduler) takeEnds(w *worker, ends []EndReport) {
+	fresh := int64(0)
+	for _, e := range ends {
+		if e.Number <= w.processed {
+			continue
+		}
+		w.processed, fresh = e.Number, e.Number
+		if m := w.members[runKey{e.Task, e.Run}]; m != nil {
+			if e.How == EndDone || e.How == EndFailed || e.Checkpoint != "" {
+				s.started(m)
+			}
+			s.endMember(m, e.How, e.Checkpoint)
+		}
+	}
+	if fresh == 0 {
+		return
+	}
+	born := w.born
+	s.c.Runs.Put(func(err error) {
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		if w.born == born { // numbers of an earlier process mean nothing to the present one
+			w.recorded = max(w.recorded, fresh)
+		}
+		s.mu.Unlock()
+		select {
+		case w.ack <- struct{}{}:
+		default:
+		}
+	})
+}
+
+// takeRuns takes in what runs.
+func (s *Scheduler) takeRuns(w *worker, runs []RunReport, sent, now time.Time) {
+	for _, r := range runs {
+		key := runKey{r.Task, r.Run}
+		m := w.members[key]
+		if m == nil {
+			s.c.Events.Emit(eventStray, event.F("worker", w.info.ID), event.F("task", r.Task), event.F("run", r.Run))
+			go s.stopStray(w, key)
+			continue
+		}
+		if m.state == starting {
+			m.acked = now
+		}
+		s.started(m)
+		if r.Percent > m.percent || m.advancedAt.IsZero() {
+			m.percent, m.advancedAt = r.Percent, now
+		}
+		if r.Checkpoint != "" {
+			m.checkpoint = r.Checkpoint
+		}
+	}
+}
+
+// missing takes in that a run which the worker must know is in neither list, so it is lost.
+func (s *Scheduler) missing(w *worker, r HoldReport, sent time.Time) {
+	listed := make(map[runKey]bool, len(r.Running))
+	for _, run := range r.Running {
+		listed[runKey{run.Task, run.Run}] = true
+	}
+	for key, m := range w.members {
+		if listed[key] || m.waits {
+			continue
+		}
+		known := m.state == running && m.acked.Before(sent)
+		withdrawn := !m.stopped.IsZero() && m.stopped.Before(sent)
+		if known || withdrawn {
+			m.reason = "the worker does not have it"
+			s.endMember(m, EndLost, "")
+		}
+	}
+}
+
+// reborn takes in that a worker's process is a new one.
+func (s *Scheduler) reborn(w *worker, born int64) {
+	s.c.Events.Emit(eventReborn, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("born", born))
+	w.born = born
+	w.processed, w.recorded = 0, 0
+	s.loseAll(w, "the worker restarted")
+}
+
+// loseAll ends all members on a worker whose runs are certainly over. Orders that are being recorded are not sent.
+func (s *Scheduler) loseAll(w *worker, reason string) {
+	for _, m := range w.members {
+		m.reason = reason
+		if m.waits {
+			m.stop = true
+			continue
+		}
+		s.endMember(m, EndLost, "")
+	}
+}
+
+// expire takes in that all leases of a worker that is not heard have ended.
+func (s *Scheduler) expire(w *worker, now time.Time) {
+	if now.Before(w.lapse) || w.answered && now.Sub(w.contact) < unheardAfter {
+		return
+	}
+	if len(w.members) > 0 {
+		s.c.Events.Emit(eventLapsed, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("silent_ms", now.Sub(w.contact).Milliseconds()))
+		s.loseAll(w, "the leases lapsed")
+	}
+	if !w.listed && len(w.members) == 0 {
+		if w.cancel != nil {
+			w.cancel()
+		}
+		delete(s.workers, w.info.ID)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/rank.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// class orders waiting work: all of a lower class goes first. It answers days on which more is asked for than the fleet can
+// do: work that can still be of use goes before work that cannot.
+type class int
+
+const (
+	guaranteed class = iota // urgent, and its customer's urgent jobs need no more than the customer's guarantee
+	urgent                  // of the most urgent queues, beyond the guarantee
+	onTime                  // can still end within its objective
+	late                    // can still end within lateFactor times its objective
+	overdue                 // no longer of use in time
+)
+
+const (
+	lateFactor = 3.0 // an end within this many times the objective still counts for something
+	ratioLeast = 0.4 // bounds of the learnt ratio of run time to estimate
+	ratioMost  = 2.5
+)
+
+// rank is a step's place in the order of waiting work.
+type rank struct {
+	step  *step
+	class class
+	start time.Time // latest start that keeps the objective
+}
+
+// expected returns how long one task of a step is expected to take.
+func (s *Scheduler) expected(st *step) time.Duration {
+	return time.Duration(float64(st.spec.Estimate) * s.ratio(st.occurrence.job))
+}
+
+func (s *Scheduler) ratio(j *job) float64 {
+	stats := s.queues[j.spec.Queue]
+	if stats == nil {
+		return 1
+	}
+	return min(max(stats.ratio, ratioLeast), ratioMost)
+}
+
+// remaining returns the expected time along the longest path of steps that are not done.
+func (s *Scheduler) remaining(o *occurrence) time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(o.steps))
+	for i, st := range o.steps {
+		for _, before := range st.spec.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		if st.left > 0 {
+			ends[i] += s.expected(st)
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// objective returns the latency objective of one occurrence.
+func (s *Scheduler) objective(o *occurrence) time.Duration {
+	q := &o.job.queue
+	return time.Duration(q.Stretch*s.ratio(o.job)*float64(o.job.spec.Chain())) + q.Target
+}
+
+// rankStep places a step in the order of waiting work.
+func (s *Scheduler) rankStep(st *step, now time.Time) rank {
+	o := st.occurrence
+	begin := o.due
+	if begin.IsZero() {
+		begin = o.job.spec.Submitted
+	}
+	objective, remaining := s.objective(o), s.remaining(o)
+	r := rank{step: st, start: begin.Add(objective - remaining)}
+	end := now.Add(remaining)
+	limit := begin.Add(time.Duration(lateFactor * float64(objective)))
+	switch {
+	case o.job.queue.Priority == 0 && s.withinGuarantee(o.job):
+		r.class = guaranteed
+	case st.spec.Permanent:
+		r.class = onTime
+	case o.job.queue.Priority == 0 && !end.After(limit):
+		r.class = urgent
+	case !end.After(begin.Add(objective)):
+		r.class = onTime
+	case !end.After(limit):
+		r.class = late
+	default:
+		r.class = overdue
+	}
+	return r
+}
+
+// withinGuarantee reports whether the urgent jobs of the job's customer need no more than the customer's guarantee.
+func (s *Scheduler) withinGuarantee(j *job) bool {
+	c := s.c.Catalog.Get()
+	return c != nil && s.loads[j.spec.Customer] <= c.Guarantee(j.spec.Customer)
+}
+
+// sortRanks orders waiting work.
+func sortRanks(ranks []rank) {
+	slices.SortStableFunc(ranks, func(a, b rank) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), a.start.Compare(b.start))
+	})
+}
--- /dev/null
+++ b/internal/ledger/records.go
@@ -0,0 +1,172 @@
+package ledger
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
+)
+
+// Kinds of keys in JobsTopic; the rest of the key is the job's id.
+const (
+	submissionKey   = 'j'
+	cancellationKey = 'c'
+	outcomeKey      = 'o'
+)
+
+// State is a job's state as customers see it.
+type State uint8
+
+// States of a job. Completed, Failed and Cancelled are final.
+const (
+	Queued State = iota
+	Running
+	Completed
+	Failed
+	Cancelled
+)
+
+var stateNames = [...]string{"queued", "running", "completed", "failed", "cancelled"}
+
+// String returns the state's name.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return fmt.Sprintf("state %d", uint8(s))
+}
+
+// Final reports whether the job has ended.
+func (s State) Final() bool { return s >= Completed }
+
+// Outcome is what the scheduler says of a job.
+type Outcome struct {
+	State  State     `msgpack:"s"`
+	Reason string    `msgpack:"r,omitempty"`
+	Time   time.Time `msgpack:"t"`
+}
+
+// Cancellation is a customer's request to end a job.
+type Cancellation struct {
+	Time time.Time `msgpack:"t"`
+}
+
+// UnitState is where a unit (a task, or a whole gang) stands.
+type UnitState uint8
+
+// States of a unit.
+const (
+	UnitWaiting UnitState = iota
+	UnitActive            // started, or about to be
+	UnitDone
+)
+
+// Unit is the durable state of a unit.
+type Unit struct {
+	State      UnitState `msgpack:"s"`
+	Run        int       `msgpack:"n"`           // number of the latest start
+	Failures   int       `msgpack:"f,omitempty"` // runs that ended as failed
+	Checkpoint string    `msgpack:"c,omitempty"`
+	Workers    []string  `msgpack:"w,omitempty"` // worker of each member of the active run
+}
+
+// UnitName identifies a unit. Index is -1 for a gang.
+type UnitName struct {
+	Job                     string
+	Occurrence, Step, Index int
+}
+
+// Key returns the record key of the unit.
+func (n UnitName) Key() string {
+	return workload.TaskName{Job: n.Job, Occurrence: n.Occurrence, Step: n.Step, Index: n.Index + 1}.String()
+}
+
+// ParseUnitName is the inverse of Key.
+func ParseUnitName(key string) (UnitName, error) {
+	name, err := workload.ParseTaskName(key)
+	return UnitName{name.Job, name.Occurrence, name.Step, name.Index - 1}, err
+}
+
+// encode returns the msgpack form of a value that always has one.
+func encode(value any) []byte {
+	data, err := msgpack.Marshal(value)
+	if err != nil {
+		panic(fmt.Sprintf("encode %T: %v", value, err)) // only possible for types that msgpack does not know
+	}
+	return data
+}
+
+// SubmissionRecord returns the record of an accepted job.
+func SubmissionRecord(job *workload.Job) Record {
+	return Record{Key: string(submissionKey) + job.ID, Value: encode(job)}
+}
+
+// CancellationRecord returns the record of a cancellation.
+func CancellationRecord(id string, at time.Time) Record {
+	return Record{Key: string(cancellationKey) + id, Value: encode(Cancellation{at})}
+}
+
+// OutcomeRecord returns the record of a job's state.
+func OutcomeRecord(id string, o Outcome) Record {
+	return Record{Key: string(outcomeKey) + id, Value: encode(o)}
+}
+
+// RemovalRecords delete all that JobsTopic keeps of a job.
+func RemovalRecords(id string) []Record {
+	return []Record{{Key: string(submissionKey) + id}, {Key: string(cancellationKey) + id}, {Key: string(outcomeKey) + id}}
+}
+
+// UnitRecord returns the record of a unit's state.
+func UnitRecord(name UnitName, u Unit) Record { return Record{Key: name.Key(), Value: encode(u)} }
+
+// DecodeUnit reads a record of RunsTopic.
+func DecodeUnit(r Record) (UnitName, Unit, error) {
+	name, err := ParseUnitName(r.Key)
+	if err != nil {
+		return UnitName{}, Unit{}, err
+	}
+	var u Unit
+	if err := msgpack.Unmarshal(r.Value, &u); err != nil {
+		return name, u, fmt.Errorf("decode unit %s: %w", r.Key, err)
+	}
+	return name, u, nil
+}
+
+// Entry is one decoded record of JobsTopic. Exactly one of the pointers is set, none for a removal.
+type Entry struct {
+	ID           string
+	Submission   *workload.Job
+	Cancellation *Cancellation
+	Outcome      *Outcome
+}
+
+// DecodeEntry reads a record of JobsTopic.
+func DecodeEntry(r Record) (Entry, error) {
+	if len(r.Key) < 2 {
+		return Entry{}, fmt.Errorf("record key %q is too short", r.Key)
+	}
+	e := Entry{ID: r.Key[1:]}
+	if len(r.Value) == 0 {
+		return e, nil
+	}
+	var target any
+	switch r.Key[0] {
+	case submissionKey:
+		e.Submission = &workload.Job{}
+		target = e.Submission
+	case cancellationKey:
+		e.Cancellation = &Cancellation{}
+		target = e.Cancellation
+	case outcomeKey:
+		e.Outcome = &Outcome{}
+		target = e.Outcome
+	default:
+		return Entry{}, fmt.Errorf("record key %q has an unknown kind", r.Key)
+	}
+	if err := msgpack.Unmarshal(r.Value, target); err != nil {
+		return Entry{}, fmt.Errorf("decode record %q: %w", r.Key, err)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/node/lead.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/dispatch"
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/leadership"
+	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
+	"dogwoodnotch.example/dogwoodnotch/platform"
+)
+
+// Timings of a takeover.
+const (
+	fenceTimeout = 700 * time.Millisecond // of one call; a healthy one takes about 10 ms
+	takeoverWait = 100 * time.Millisecond // after a call without an answer
+)
+
+// schedulerProducer names the writer of outcomes and runs. Its epoch is the term.
+const schedulerProducer = "scheduler"
+
+// lead schedules until the term ends.
+func (n *Node) lead(term *leadership.Term) {
+	ctx := term.Context
+	if !n.fence(ctx, term.Number) {
+		return
+	}
+	outcomes := ledger.NewWriter(n.store, ledger.JobsTopic, schedulerProducer, term.Number, true)
+	runs := ledger.NewWriter(n.store, ledger.RunsTopic, schedulerProducer, term.Number, true)
+	previous := leadership.AuthorityLimit
+	if term.Orderly {
+		previous = 0
+	}
+	s := dispatch.New(dispatch.Config{
+		Fleet: n.workers, Jobs: outcomes, Runs: runs, Term: term, Token: term.Number, Catalog: &n.current,
+		Bounds: n.settings.Bounds.dispatchBounds(), Events: n.events, Metrics: n.scope, Now: time.Now, Previous: previous,
+	})
+	jobs := n.jobsFeed(s)
+	if !retry(ctx, n, func() error { return jobs.Load(ctx) }) {
+		return
+	}
+	var units ledger.Batch
+	loadUnits := func() (err error) {
+		units, err = n.store.Newest(ctx, ledger.RunsTopic)
+		return err
+	}
+	if !retry(ctx, n, loadUnits) {
+		return
+	}
+	s.Recover(units.Records)
+	n.conduct(term, s, jobs, outcomes, runs)
+}
+
+// conduct runs the parts of a scheduler until the term ends.
+func (n *Node) conduct(term *leadership.Term, s *dispatch.Scheduler, jobs *ledger.Reader, writers ...*ledger.Writer) {
+	group, ctx := errgroup.WithContext(term.Context)
+	for _, w := range writers {
+		group.Go(func() error {
+			err := w.Run(ctx)
+			term.Lose(err)
+			return err
+		})
+	}
+	feed := platform.WorkerReader(n.store, s, func(err error) {
+		n.events.Emit(eventBadEntry, event.F("cause", err))
+	})
+	group.Go(func() error { feed.Run(ctx); return nil })
+	group.Go(func() error { jobs.Tail(ctx); return nil })
+	group.Go(func() error { s.Run(ctx); return nil })
+	_ = group.Wait() // the reason is logged by the elector as the cause of the term's end
+}
+
+// fence makes the log refuse records of earlier terms.
+func (n *Node) fence(ctx context.Context, term int64) bool {
+	for _, topic := range []string{ledger.JobsTopic, ledger.RunsTopic} {
+		call := func() error {
+			callCtx, cancel := context.WithTimeout(ctx, fenceTimeout)
+			defer cancel()
+			_, err := n.store.Append(callCtx, topic, nil, ledger.Writing{Producer: schedulerProducer, Epoch: term})
+			return err
+		}
+		if !retry(ctx, n, call) {
+			return false
+		}
+	}
+	return true
+}
+
+// retry repeats a call until it succeeds, and reports whether it did before ctx ended.
+func retry(ctx context.Context, n *Node, call func() error) bool {
+	for ctx.Err() == nil {
+		err := call()
+		if err == nil {
+			return true
+		}
+		n.events.Emit(eventLogLost, event.F("topic", "takeover"), event.F("cause", err))
+		select {
+		case <-ctx.Done():
+		case <-time.After(takeoverWait):
+		}
+	}
+	return false
+}
+
+// jobsFeed hands each record of the jobs topic to a scheduler.
+func (n *Node) jobsFeed(s *dispatch.Scheduler) *ledger.Reader {
+	return &ledger.Reader{
+		Log: n.store, Topic: ledger.JobsTopic, Failed: n.readFailed("jobs"),
+		Record: func(r ledger.Record) {
+			e, err := ledger.DecodeEntry(r)
+			if err != nil {
+				n.events.Emit(eventBadEntry, event.F("key", r.Key), event.F("cause", err))
+				return
+			}
+			s.Load(e)
+		},
+	}
+}
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,92 @@
+// Package node runs an entry instance on a platform that has no control machines and no disks: it answers callers, follows
+// the log, and schedules while it holds the term.
+package node
+
+import (
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/dispatch"
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+)
+
+// Settings of an instance, in YAML.
+type Settings struct {
+	Instance   string  `yaml:"instance"`
+	DataCentre string  `yaml:"data_centre"`
+	Listen     Listen  `yaml:"listen"`
+	Store      string  `yaml:"store"` // address of the platform's log, host:port
+	Machine    Machine `yaml:"machine"`
+	Bounds     Bounds  `yaml:"bounds"`
+}
+
+// Listen holds the addresses to listen on, host:port.
+type Listen struct {
+	Jobs      string `yaml:"jobs"`
+	Readiness string `yaml:"readiness"`
+	Control   string `yaml:"control"` // metrics and state dump; empty for none
+}
+
+// Machine says what the instance may use.
+type Machine struct {
+	ProcessorShare float64 `yaml:"processor_share"` // of a core
+	MemoryMB       int64   `yaml:"memory_mb"`
+}
+
+// Bounds are the platform's figures. Those in seconds may have fractions.
+type Bounds struct {
+	LeaseMS     int64   `yaml:"lease_ms"`      // longest lease of a task
+	GangWaitMS  int64   `yaml:"gang_wait_ms"`  // how long a member of a gang waits for the others
+	StopMS      int64   `yaml:"stop_ms"`       // longest time that a stop takes
+	ReclaimMS   int64   `yaml:"reclaim_ms"`    // within which a guaranteed job must begin
+	EarlyMS     int64   `yaml:"early_ms"`      // by which a scheduled job may begin before its time
+	NoticeMS    int64   `yaml:"notice_ms"`     // for which a permanent task counts as taken down
+	Remote      float64 `yaml:"remote_factor"` // of the run time away from the data
+	KeepStatusS float64 `yaml:"keep_status_s"`
+	ApplyMS     int64   `yaml:"apply_ms"` // within which a configuration must be in force
+	GraceS      float64 `yaml:"grace_s"`  // between SIGTERM and SIGKILL
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Invalid, "check the path of the settings", "cannot read the settings")
+	}
+	var s Settings
+	if err := yaml.UnmarshalWithOptions(data, &s, yaml.Strict()); err != nil {
+		return nil, errkind.Wrap(err, errkind.Invalid, "correct the settings file", "cannot understand the settings %s", path)
+	}
+	return &s, s.check()
+}
+
+func (s *Settings) check() error {
+	required := []struct{ name, value string }{
+		{"instance", s.Instance}, {"listen.jobs", s.Listen.Jobs}, {"listen.readiness", s.Listen.Readiness}, {"store", s.Store},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return errkind.New(errkind.Invalid, "give a value", "the setting %s is missing", r.name)
+		}
+	}
+	if s.Bounds.LeaseMS <= 0 {
+		return errkind.New(errkind.Invalid, "give a positive number of milliseconds", "the setting bounds.lease_ms is %d", s.Bounds.LeaseMS)
+	}
+	if s.Machine.ProcessorShare < 0 || s.Machine.MemoryMB < 0 {
+		return errkind.New(errkind.Invalid, "give numbers of 0 or more", "the settings of the machine are negative")
+	}
+	return nil
+}
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
+// dispatchBounds returns the bounds that the scheduler keeps to.
+func (b Bounds) dispatchBounds() dispatch.Bounds {
+	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	return dispatch.Bounds{
+		Lease: ms(b.LeaseMS), GangWait: ms(b.GangWaitMS), Stop: ms(b.StopMS), Reclaim: ms(b.ReclaimMS), Early: ms(b.EarlyMS),
+		KeepStatus: seconds(b.KeepStatusS), Remote: max(b.Remote, 1), Unavailable: ms(b.NoticeMS),
+	}
+}
--- /dev/null
+++ b/internal/workload/workload.go
@@ -0,0 +1,198 @@
+// Package workload models jobs that consist of steps of tasks: what a customer asks for, independent of where it runs.
+package workload
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
+)
+
+// Limits of one job. They bound the memory that a single submission can claim.
+const (
+	maxSteps        = 64
+	maxTasksPerStep = 10_000
+	maxSpecBytes    = 4_000 // the platform's limit for the text that is handed to each task
+	maxOccurrences  = 10_000
+)
+
+// Room is an amount of a worker's resources.
+type Room struct {
+	CPU          int64 `msgpack:"c,omitempty"` // thousandths of a core
+	MemoryMB     int64 `msgpack:"m,omitempty"`
+	Accelerators int64 `msgpack:"g,omitempty"`
+}
+
+// Fits reports whether r is at most free in every resource.
+func (r Room) Fits(free Room) bool {
+	return r.CPU <= free.CPU && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
+}
+
+// Plus returns the sum.
+func (r Room) Plus(o Room) Room {
+	return Room{r.CPU + o.CPU, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Minus returns the difference, which may be negative.
+func (r Room) Minus(o Room) Room {
+	return Room{r.CPU - o.CPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Times returns n times r.
+func (r Room) Times(n int) Room {
+	k := int64(n)
+	return Room{r.CPU * k, r.MemoryMB * k, r.Accelerators * k}
+}
+
+// Count returns how many times r fits into free.
+func (r Room) Count(free Room) int {
+	n := int64(maxTasksPerStep)
+	for _, pair := range [][2]int64{{r.CPU, free.CPU}, {r.MemoryMB, free.MemoryMB}, {r.Accelerators, free.Accelerators}} {
+		if pair[0] > 0 {
+			n = min(n, pair[1]/pair[0])
+		}
+	}
+	return int(max(n, 0))
+}
+
+// Step is a set of equal tasks.
+type Step struct {
+	Count          int           `msgpack:"n"`
+	Room           Room          `msgpack:"r"`            // of each task
+	Estimate       time.Duration `msgpack:"e,omitempty"`  // customer's rough guess of one task's run time
+	After          []int         `msgpack:"a,omitempty"`  // indices of earlier steps that must be done first
+	Checkpoints    bool          `msgpack:"s,omitempty"`  // tasks save their progress
+	Gang           bool          `msgpack:"g,omitempty"`  // tasks work only while all of them run
+	SameRack       bool          `msgpack:"k,omitempty"`  // tasks are slower when spread over several racks
+	Label          string        `msgpack:"l,omitempty"`  // required label of the worker
+	DataRack       string        `msgpack:"d,omitempty"`  // rack that holds the data; elsewhere tasks are slower
+	MaxPerWorker   int           `msgpack:"p,omitempty"`  // most tasks of the step on one worker, 0 for no limit
+	Races          bool          `msgpack:"x,omitempty"`  // several copies of a task may run; the first end counts
+	Permanent      bool          `msgpack:"f,omitempty"`  // tasks run until the job is cancelled
+	Image          string        `msgpack:"i,omitempty"`  // tasks of one image behave alike
+	TargetLatency  time.Duration `msgpack:"t,omitempty"`  // bound for the tail latency of a permanent task
+	UsesLeftover   bool          `msgpack:"u,omitempty"`  // CPU is not booked; tasks use what the others leave
+	MaxUnavailable int           `msgpack:"mu,omitempty"` // most tasks of a permanent step that the scheduler may take down at once
+}
+
+// Units returns the number of parts of the step that start and end on their own: one for a gang, else one per task.
+func (s *Step) Units() int {
+	if s.Gang {
+		return 1
+	}
+	return s.Count
+}
+
+// Schedule repeats a job at fixed times. The zero value means once, at once.
+type Schedule struct {
+	First       time.Time     `msgpack:"f"`
+	Interval    time.Duration `msgpack:"i,omitempty"`
+	Occurrences int           `msgpack:"n,omitempty"`
+}
+
+// Job is a customer's job as it was accepted.
+type Job struct {
+	ID        string    `msgpack:"id"`
+	Customer  string    `msgpack:"cu"`
+	Queue     string    `msgpack:"q"`
+	Spec      string    `msgpack:"sp"` // opaque text handed to each task
+	Steps     []Step    `msgpack:"st"`
+	Schedule  Schedule  `msgpack:"sc"`
+	Submitted time.Time `msgpack:"t"`
+}
+
+// Occurrences returns how often the steps run, at least 1.
+func (j *Job) Occurrences() int { return max(j.Schedule.Occurrences, 1) }
+
+// Due returns when occurrence k may start; the zero time means at once.
+func (j *Job) Due(k int) time.Time {
+	if j.Schedule.Occurrences == 0 {
+		return time.Time{}
+	}
+	return j.Schedule.First.Add(time.Duration(k) * j.Schedule.Interval)
+}
+
+// Validate checks what does not depend on the fleet.
+func (j *Job) Validate() error {
+	if len(j.Spec) > maxSpecBytes {
+		return invalid("shorten the text", "the task text has %d bytes, at most %d are allowed", len(j.Spec), maxSpecBytes)
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
+		return invalid("give 1 to 64 steps", "the job has %d steps", len(j.Steps))
+	}
+	if j.Schedule.Occurrences < 0 || j.Schedule.Occurrences > maxOccurrences {
+		return invalid("repeat the job at most 10000 times", "the job repeats %d times", j.Schedule.Occurrences)
+	}
+	for i := range j.Steps {
+		if err := j.Steps[i].validate(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Step) validate(index int) error {
+	if s.Count < 1 || s.Count > maxTasksPerStep {
+		return invalid("give 1 to 10000 tasks", "step %d has %d tasks", index, s.Count)
+	}
+	if s.Room.CPU < 0 || s.Room.MemoryMB < 0 || s.Room.Accelerators < 0 {
+		return invalid("give amounts of 0 or more", "step %d asks for a negative amount", index)
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= index {
+			return invalid("name earlier steps only", "step %d depends on step %d", index, before)
+		}
+	}
+	return nil
+}
+
+func invalid(remedy, format string, args ...any) error {
+	return errkind.New(errkind.Invalid, remedy, format, args...)
+}
+
+// Chain returns the sum of estimates along the longest path of dependent steps of one occurrence.
+func (j *Job) Chain() time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(j.Steps))
+	for i := range j.Steps {
+		start := time.Duration(0)
+		for _, before := range j.Steps[i].After {
+			start = max(start, ends[before])
+		}
+		ends[i] = start + j.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// TaskName identifies a task: job, occurrence, step and index within the step.
+type TaskName struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns JOB.OCCURRENCE.STEP.INDEX, the form that workers use.
+func (n TaskName) String() string {
+	return n.Job + "." + strconv.Itoa(n.Occurrence) + "." + strconv.Itoa(n.Step) + "." + strconv.Itoa(n.Index)
+}
+
+// ParseTaskName is the inverse of String.
+func ParseTaskName(text string) (TaskName, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskName{}, fmt.Errorf("task name %q does not have four parts", text)
+	}
+	numbers := [3]int{}
+	for i := range numbers {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil || n < 0 {
+			return TaskName{}, fmt.Errorf("task name %q has a part that is not a number", text)
+		}
+		numbers[i] = n
+	}
+	return TaskName{parts[0], numbers[0], numbers[1], numbers[2]}, nil
+}
