Drop a job's unit records only behind its durable outcome; record a failure when it is seen

Cause: (1) Outcomes and units are written to two topics. Ruled out: pages of the newest records (all 392 units were loaded), a run number used again after a stop. Change: units are removed once the outcome is durable and nothing runs; a failure is counted once a run and recorded at once. Repeated log lines of one event are bounded to 60 a second.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -15,6 +15,8 @@
 	state       ledger.State  // last recorded or about to be
 	cancelled   bool
 	endedAt     time.Time
+	recorded    bool          // the final state is durable
+	dropped     bool          // the records of its units are deleted
 	occurrences []*occurrence // index is the occurrence
 	begun       int           // occurrences that were materialised
 }
@@ -45,7 +47,7 @@
 	state      unitState
 	run        int
 	failures   int
-	failed     bool // a member of the current run ended as failed
+	failedRun  int // latest run that counts as a failure
 	checkpoint string
 	members    []*member // of the current run
 	notBefore  time.Time
@@ -136,7 +138,7 @@
 
 // record returns the unit's durable form.
 func (u *unit) record() ledger.Record {
-	r := ledger.Unit{Run: u.run, Failures: u.failures, Checkpoint: u.checkpoint}
+	r := ledger.Unit{Run: u.run, Failures: u.failures, FailedRun: u.failedRun, Checkpoint: u.checkpoint}
 	switch u.state {
 	case active, closing:
 		r.State = ledger.UnitActive
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -69,7 +69,7 @@
 
 // restore sets a unit to its recorded state.
 func (s *Scheduler) restore(u *unit, state ledger.Unit) {
-	u.run, u.failures, u.checkpoint = state.Run, state.Failures, state.Checkpoint
+	u.run, u.failures, u.failedRun, u.checkpoint = state.Run, state.Failures, state.FailedRun, state.Checkpoint
 	switch state.State {
 	case ledger.UnitDone:
 		u.state = done
@@ -88,6 +88,12 @@
 		for i, id := range state.Workers {
 			s.restoreMember(u, i, id)
 		}
+		if u.failedRun == u.run {
+			u.state = closing
+			for _, m := range u.members {
+				s.stopMember(m, "a member of the gang failed")
+			}
+		}
 	}
 }
 
@@ -123,7 +129,6 @@
 	if !left {
 		s.countLoad(j, -1)
 		s.conclude(j, ledger.Completed, "all tasks are done")
-		s.dropUnits(j)
 		return
 	}
 	for _, o := range j.occurrences {
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -137,6 +137,7 @@
 // forget drops jobs whose state need no longer be told.
 func (s *Scheduler) forget(now time.Time) {
 	for id, j := range s.jobs {
+		s.dropUnits(j)
 		if j.endedAt.IsZero() || now.Sub(j.endedAt) < s.c.Bounds.KeepStatus+forgetSlack {
 			continue
 		}
@@ -205,7 +206,7 @@
 	}
 	j.state = o.State
 	if o.State.Final() {
-		j.endedAt = time.Now()
+		j.endedAt, j.recorded = time.Now(), true
 	}
 }
 
@@ -238,7 +239,11 @@
 	}
 	j.state = state
 	j.endedAt = time.Now()
-	s.c.Jobs.Put(nil, ledger.OutcomeRecord(j.spec.ID, ledger.Outcome{State: state, Reason: reason, Time: s.c.Now()}))
+	s.c.Jobs.Put(func(err error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		j.recorded = err == nil
+	}, ledger.OutcomeRecord(j.spec.ID, ledger.Outcome{State: state, Reason: reason, Time: s.c.Now()}))
 	s.meters.job(j, state, s.c.Now().Sub(j.spec.Submitted))
 	s.c.Events.Emit(eventConcluded, event.F("job", j.spec.ID), event.F("state", state), event.F("reason", reason), event.F("age_ms", s.c.Now().Sub(j.spec.Submitted).Milliseconds()))
 }
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -13,7 +13,7 @@
 // activate records a run of a unit on the given workers, one for each member, and starts it when the record is durable.
 func (s *Scheduler) activate(u *unit, workers []*worker, now time.Time) {
 	u.run++
-	u.state, u.failed, u.startedAt = active, false, now
+	u.state, u.startedAt = active, now
 	u.step.waiting--
 	u.reserved = nil
 	u.members = make([]*member, len(workers))
@@ -110,8 +110,8 @@
 		return
 	}
 	if how == EndFailed {
-		u.failed = true
 		u.avoidWorker(m.worker)
+		s.countFailure(u)
 	}
 	if u.state == active {
 		u.state = closing
@@ -127,6 +127,17 @@
 	s.settle(u, how, m)
 }
 
+// countFailure counts the current run as failed, once for all members of a gang. It is recorded at once, since the worker
+// forgets the end as soon as it is acknowledged, which may be long before the other members have ended.
+func (s *Scheduler) countFailure(u *unit) {
+	if u.failedRun == u.run || u.step.spec.Permanent {
+		return
+	}
+	u.failedRun = u.run
+	u.failures++
+	s.c.Runs.Put(nil, u.record())
+}
+
 func (u *unit) avoidWorker(w *worker) {
 	if u.avoid == nil {
 		u.avoid = map[string]time.Time{}
@@ -160,12 +171,16 @@
 	if !j.ended() {
 		s.countLoad(j, -1)
 		s.conclude(j, ledger.Completed, "all tasks are done")
-		s.dropUnits(j)
 	}
 }
 
-// dropUnits deletes the records of a job's units, which nobody needs once the job has ended and nothing of it runs.
+// dropUnits deletes the records of a job's units once the job's final state is durable and nothing of it runs. Without them
+// and without that state, a later term would start the job anew.
 func (s *Scheduler) dropUnits(j *job) {
+	if !j.recorded || j.dropped || j.runs() {
+		return
+	}
+	j.dropped = true
 	var removals []ledger.Record
 	for _, o := range j.occurrences {
 		if o == nil {
@@ -187,16 +202,13 @@
 // settle decides what follows a run that ended without success and of which no member is left.
 func (s *Scheduler) settle(u *unit, how Ending, last *member) {
 	j := u.job()
-	if u.failed && !u.step.spec.Permanent {
-		u.failures++
-	}
 	u.state, u.members = waiting, nil
 	u.step.waiting++
 	now := time.Now()
 	u.waitingAt = now
-	u.notBefore = now.Add(requeuePause)
-	if !u.failed {
-		u.notBefore = now
+	u.notBefore = now
+	if u.failedRun == u.run {
+		u.notBefore = now.Add(requeuePause)
 	}
 	s.c.Events.Emit(eventUnitEnded, event.F("job", j.spec.ID), event.F("unit", u.name().Key()), event.F("run", u.run), event.F("how", how),
 		event.F("worker", last.worker.info.ID), event.F("failures", u.failures), event.F("reason", last.reason), event.F("checkpoint", u.checkpoint), event.F("ran_ms", now.Sub(u.startedAt).Milliseconds()))
@@ -207,3 +219,22 @@
 		s.stopAll(j, "the job failed")
 	}
 }
+
+// runs reports whether a worker may still have a run of the job.
+func (j *job) runs() bool {
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, st := range o.steps {
+			for _, u := range st.units {
+				for _, m := range u.members {
+					if m.state != ended {
+						return true
+					}
+				}
+			}
+		}
+	}
+	return false
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -77,19 +77,37 @@
 	ring     []Record
 	sequence uint64
 	changed  chan struct{}
+	budgets  map[int]*budget
+}
+
+// linesPerSecond bounds the lines of one event. An instance's events stay far below it except when a fault repeats itself.
+const linesPerSecond = 60
+
+// budget counts the lines of one event in the present second.
+type budget struct {
+	second  int64
+	lines   int
+	leftOut int // since the last line that was written
 }
 
 // NewLog returns a log that writes JSON lines to w.
 func NewLog(w io.Writer, instance string) *Log {
 	logger := zerolog.New(w).With().Timestamp().Str("instance", instance).Logger()
-	return &Log{logger: logger, changed: make(chan struct{})}
+	return &Log{logger: logger, changed: make(chan struct{}), budgets: map[int]*budget{}}
 }
 
 // Discard returns a log that writes nothing; events are still kept in memory.
 func Discard() *Log { return NewLog(io.Discard, "") }
 
-// Emit writes an event.
+// Emit writes an event. Beyond linesPerSecond of one event, lines are left out; the next one says how many in left_out.
 func (l *Log) Emit(d Definition, fields ...Field) {
+	leftOut, write := l.admit(d.Number, time.Now().Unix())
+	if !write {
+		return
+	}
+	if leftOut > 0 {
+		fields = append(fields, F("left_out", leftOut))
+	}
 	line := l.logger.WithLevel(d.Level).Int("event", d.Number)
 	record := Record{Time: time.Now().UTC(), Number: d.Number, Name: d.Name, Fields: make(map[string]string, len(fields))}
 	for _, f := range fields {
@@ -100,6 +118,27 @@
 	l.append(record)
 }
 
+// admit reports whether another line of an event may be written, and how many were left out before it.
+func (l *Log) admit(number int, second int64) (leftOut int, write bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.budgets[number]
+	if b == nil {
+		b = &budget{}
+		l.budgets[number] = b
+	}
+	if b.second != second {
+		b.second, b.lines = second, 0
+	}
+	if b.lines >= linesPerSecond {
+		b.leftOut++
+		return 0, false
+	}
+	b.lines++
+	leftOut, b.leftOut = b.leftOut, 0
+	return leftOut, true
+}
+
 func (l *Log) append(record Record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -39,6 +39,7 @@
 	eventResigned = event.Define(2402, "term resigned", zerolog.InfoLevel, "This instance gave the scheduler role up because it stops.", "")
 	eventObserved = event.Define(2403, "term observed", zerolog.InfoLevel, "This instance learnt who the scheduler is.", "")
 	eventFailed   = event.Define(2404, "term log call failed", zerolog.WarnLevel, "A call to the log for the election had no usable answer. Repeats are counted, not logged.", "Check the log service when it lasts.")
+	eventAnswered = event.Define(2405, "term log answers again", zerolog.InfoLevel, "A call to the log for the election was answered after failures.", "")
 )
 
 // State is the record of the current holder.
@@ -74,6 +75,7 @@
 	current   State
 	end       int64
 	confirmed time.Duration // when the heartbeat that was last confirmed was sent
+	failures  int           // calls in a row without a usable answer
 }
 
 // Config of an elector.
@@ -164,6 +166,7 @@
 	if err != nil {
 		return err
 	}
+	e.answered()
 	e.observe(batch)
 	return nil
 }
@@ -179,6 +182,7 @@
 	if err != nil {
 		return false, err
 	}
+	e.answered()
 	e.observe(batch)
 	return len(batch.Records) > 0, nil
 }
@@ -236,6 +240,7 @@
 	if err != nil {
 		return err
 	}
+	e.answered()
 	e.mu.Lock()
 	e.end = end
 	e.mu.Unlock()
@@ -324,10 +329,29 @@
 	e.events.Emit(eventResigned, event.F("term", term.Number))
 }
 
+// failed notes a call without a usable answer. Only the first of a row is logged.
 func (e *Elector) failed(ctx context.Context, err error) {
-	if ctx.Err() == nil {
+	if ctx.Err() != nil {
+		return
+	}
+	e.mu.Lock()
+	e.failures++
+	first := e.failures == 1
+	e.mu.Unlock()
+	if first {
 		e.events.Emit(eventFailed, event.F("cause", err))
-		sleep(ctx, retryPause)
+	}
+	sleep(ctx, retryPause)
+}
+
+// answered ends a row of failed calls.
+func (e *Elector) answered() {
+	e.mu.Lock()
+	failures := e.failures
+	e.failures = 0
+	e.mu.Unlock()
+	if failures > 0 {
+		e.events.Emit(eventAnswered, event.F("failed_calls", failures))
 	}
 }
 
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -68,6 +68,7 @@
 	State      UnitState `msgpack:"s"`
 	Run        int       `msgpack:"n"`           // number of the latest start
 	Failures   int       `msgpack:"f,omitempty"` // runs that ended as failed
+	FailedRun  int       `msgpack:"r,omitempty"` // latest of them
 	Checkpoint string    `msgpack:"c,omitempty"`
 	Workers    []string  `msgpack:"w,omitempty"` // worker of each member of the active run
 }
