Ask the store less; keep a queue's terms with its jobs; refuse at once while the store is out

Change: reads of the jobs topic every 400 ms and on a question for a state; terms stored with the job and no claim without a configuration; waiting records are given back when the log becomes suspect; final outcomes win over cancellations at a takeover. Ruled out: a shorter pause between board reads (the price is per call).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -6,21 +6,19 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
 
-// Queue takes jobs of one kind and names the service whose workers run them.
+// Queue takes jobs of one kind. Its terms name the service whose workers run them.
 type Queue struct {
-	Name        string
-	Host        string // of the requests that address the queue
-	Prefix      string // of their paths
-	Service     string
-	Priority    int // 0 is the most urgent and may preempt the others
-	MaxAttempts int // runs of a task that may end as failed
-	Stretch     float64
-	Target      time.Duration // added to Stretch times the job's chain, this gives its latency objective
-	Timeout     time.Duration
-	Open        bool // needs no key
-	Advice      *Advice
+	Name    string
+	Host    string // of the requests that address the queue
+	Prefix  string // of their paths
+	Terms   workload.Terms
+	Timeout time.Duration
+	Open    bool // needs no key
+	Advice  *Advice
 }
 
 // Advice says that an outside service must allow the workers of each step.
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"dogwoodnotch.example/dogwoodnotch/internal/catalog"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
@@ -11,8 +10,8 @@
 // job is an accepted job that has not been forgotten.
 type job struct {
 	spec        *workload.Job
-	queue       catalog.Queue // as last configured
-	state       ledger.State  // last recorded or about to be
+	terms       workload.Terms // of its queue, as last configured
+	state       ledger.State   // last recorded or about to be
 	cancelled   bool
 	endedAt     time.Time
 	recorded    bool          // the final state is durable
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -129,7 +129,7 @@
 // place starts the waiting units of a step as far as they fit.
 func (p *plan) place(r rank) {
 	st := r.step
-	pl := p.pools[st.occurrence.job.queue.Service]
+	pl := p.pools[st.occurrence.job.terms.Service]
 	if pl == nil {
 		return
 	}
@@ -151,7 +151,7 @@
 
 // placeUnit starts a unit and reports whether it fitted.
 func (p *plan) placeUnit(pl *pool, r rank, u *unit) bool {
-	sh := shape{r.step.occurrence.job.queue.Service, r.step.spec.Label, r.step.spec.DataRack, r.step.room()}
+	sh := shape{r.step.occurrence.job.terms.Service, r.step.spec.Label, r.step.spec.DataRack, r.step.room()}
 	if u.index >= 0 && p.misfits[sh] && r.class > urgent {
 		return false
 	}
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -62,7 +62,7 @@
 
 // objective returns the latency objective of one occurrence.
 func (s *Scheduler) objective(o *occurrence) time.Duration {
-	q := &o.job.queue
+	q := &o.job.terms
 	return time.Duration(q.Stretch*s.ratio(o.job)*float64(o.job.spec.Chain())) + q.Target
 }
 
@@ -78,11 +78,11 @@
 	end := now.Add(remaining)
 	limit := begin.Add(time.Duration(lateFactor * float64(objective)))
 	switch {
-	case o.job.queue.Priority == 0 && s.withinGuarantee(o.job):
+	case o.job.terms.Priority == 0 && s.withinGuarantee(o.job):
 		r.class = guaranteed
 	case st.spec.Permanent:
 		r.class = onTime
-	case o.job.queue.Priority == 0 && !end.After(limit):
+	case o.job.terms.Priority == 0 && !end.After(limit):
 		r.class = urgent
 	case !end.After(begin.Add(objective)):
 		r.class = onTime
--- a/internal/dispatch/reclaim.go
+++ b/internal/dispatch/reclaim.go
@@ -142,7 +142,7 @@
 	if v.step.spec.Permanent || v.state != active {
 		return false
 	}
-	if v.job().queue.Priority > 0 {
+	if v.job().terms.Priority > 0 {
 		return true
 	}
 	return r.class == guaranteed && !p.s.withinGuarantee(v.job())
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -13,6 +13,7 @@
 func (s *Scheduler) Recover(records []ledger.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.loading = false
 	kept := 0
 	var stale []ledger.Record
 	for _, r := range records {
@@ -116,6 +117,10 @@
 	if j.spec == nil {
 		return
 	}
+	if j.cancelled && !j.state.Final() {
+		s.endCancelled(j)
+		return
+	}
 	if j.ended() {
 		s.stopAll(j, "the job has ended")
 		return
@@ -137,7 +142,7 @@
 		}
 		for _, st := range o.steps {
 			for _, u := range st.units {
-				if u.state == waiting && u.failures >= max(j.queue.MaxAttempts, 1) && !j.ended() {
+				if u.state == waiting && u.failures >= max(j.terms.MaxAttempts, 1) && !j.ended() {
 					s.countLoad(j, -1)
 					s.conclude(j, ledger.Failed, "a task failed as often as its queue allows")
 					s.stopAll(j, "the job failed")
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -68,6 +68,7 @@
 	unknown map[string]bool // workers named in records that discovery has not shown
 
 	mu      sync.Mutex
+	loading bool // the records of the terms before are being taken over
 	jobs    map[string]*job
 	live    []*job // in order of arrival, ended ones are removed by the passes
 	workers map[string]*worker
@@ -80,7 +81,7 @@
 	return &Scheduler{
 		c: c, meters: newMeters(c.Metrics), begun: time.Now(), kick: make(chan struct{}, 1),
 		jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*queueStats{}, loads: map[string]int64{},
-		ctx: context.Background(),
+		ctx: context.Background(), loading: true,
 	}
 }
 
@@ -171,12 +172,12 @@
 	if j.spec != nil {
 		return
 	}
-	j.spec = spec
+	j.spec, j.terms = spec, spec.Terms
 	j.occurrences = make([]*occurrence, spec.Occurrences())
 	s.refreshQueue(j)
 	s.live = append(s.live, j)
 	if j.ended() {
-		if !j.state.Final() {
+		if !j.state.Final() && !s.loading {
 			s.endCancelled(j)
 		}
 		return
@@ -189,7 +190,7 @@
 func (s *Scheduler) refreshQueue(j *job) {
 	if c := s.c.Catalog.Get(); c != nil && j.spec != nil {
 		if q := c.Queue(j.spec.Queue); q != nil {
-			j.queue = *q
+			j.terms = q.Terms
 		}
 	}
 }
@@ -204,10 +205,13 @@
 	if j.state.Final() {
 		return
 	}
-	j.state = o.State
 	if o.State.Final() {
+		if j.spec != nil && !j.ended() {
+			s.countLoad(j, -1)
+		}
 		j.endedAt, j.recorded = time.Now(), true
 	}
+	j.state = o.State
 }
 
 // cancel ends a job at its customer's request.
@@ -221,8 +225,11 @@
 		return
 	}
 	j.cancelled = true
-	if j.spec != nil {
-		s.countLoad(j, -1)
+	if j.spec == nil {
+		return
+	}
+	s.countLoad(j, -1)
+	if !s.loading { // while loading, the job's outcome may follow
 		s.endCancelled(j)
 	}
 }
@@ -277,7 +284,7 @@
 
 // countLoad keeps the accelerators that each customer's unfinished urgent jobs need.
 func (s *Scheduler) countLoad(j *job, by int64) {
-	if j.queue.Priority == 0 {
+	if j.terms.Priority == 0 {
 		s.loads[j.spec.Customer] += by * j.demand()
 	}
 }
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -213,7 +213,7 @@
 	s.c.Events.Emit(eventUnitEnded, event.F("job", j.spec.ID), event.F("unit", u.name().Key()), event.F("run", u.run), event.F("how", how),
 		event.F("worker", last.worker.info.ID), event.F("failures", u.failures), event.F("reason", last.reason), event.F("checkpoint", u.checkpoint), event.F("ran_ms", now.Sub(u.startedAt).Milliseconds()))
 	s.c.Runs.Put(nil, u.record())
-	if !j.ended() && u.failures >= max(j.queue.MaxAttempts, 1) {
+	if !j.ended() && u.failures >= max(j.terms.MaxAttempts, 1) {
 		s.countLoad(j, -1)
 		s.conclude(j, ledger.Failed, "a task failed as often as its queue allows")
 		s.stopAll(j, "the job failed")
--- a/internal/entry/desk.go
+++ b/internal/entry/desk.go
@@ -19,6 +19,10 @@
 const (
 	recordPatience = 1500 * time.Millisecond // for the log to answer; a caller learns of an open outcome while it can still retry
 	staleAfter     = 2500 * time.Millisecond // a view older than this cannot tell that a job does not exist
+	readyWithin    = 1700 * time.Millisecond // age of the view up to which an instance is ready; two open reads and a pause
+	refreshWithin  = 80 * time.Millisecond   // for the log's news before a job's state is told
+	youngOutage    = time.Second             // up to this age the log may be out for this instance only, so callers retry elsewhere at once
+	outagePause    = time.Second             // told to callers when the log is out for longer
 )
 
 var (
@@ -32,14 +36,15 @@
 // Desk answers callers. It is safe for concurrent use.
 type Desk struct {
 	board  *ledger.Board
+	reader *ledger.Reader // of the board
 	writer *ledger.Writer
 	events *event.Log
 	scope  tally.Scope
 }
 
-// New returns a desk that answers from a board and records with a writer.
-func New(board *ledger.Board, writer *ledger.Writer, events *event.Log, scope tally.Scope) *Desk {
-	return &Desk{board: board, writer: writer, events: events, scope: scope}
+// New returns a desk that answers from a board, which reader keeps, and records with a writer.
+func New(board *ledger.Board, reader *ledger.Reader, writer *ledger.Writer, events *event.Log, scope tally.Scope) *Desk {
+	return &Desk{board: board, reader: reader, writer: writer, events: events, scope: scope}
 }
 
 // Submit accepts a job. Errors are of kind Unavailable when the job was not accepted and Unknown when that is open.
@@ -73,7 +78,7 @@
 // Cancel ends a job. Errors are of kind NotFound when there is no such job, and Unavailable or Unknown when the caller must
 // retry.
 func (d *Desk) Cancel(ctx context.Context, customer, id string) error {
-	view, err := d.find(customer, id)
+	view, err := d.find(ctx, customer, id)
 	if err != nil {
 		return err
 	}
@@ -93,21 +98,36 @@
 }
 
 // State returns a job's state. Errors are of kind NotFound when there is no such job, and Unavailable when that cannot be told.
-func (d *Desk) State(customer, id string) (ledger.State, error) {
-	view, err := d.find(customer, id)
+func (d *Desk) State(ctx context.Context, customer, id string) (ledger.State, error) {
+	view, err := d.find(ctx, customer, id)
 	return view.State, err
 }
 
+// RetryAfter returns when a caller that was refused should come back: at once, and so to another instance, while the log may
+// be out for this instance only.
+func (d *Desk) RetryAfter() time.Duration {
+	if d.writer.Unable() < youngOutage {
+		return 0
+	}
+	return outagePause
+}
+
 // Pending returns the number of a queue's jobs that have not begun.
 func (d *Desk) Pending(queue string) int { return d.board.Pending(queue) }
 
 // Ready reports whether this instance can accept jobs and tell their states.
 func (d *Desk) Ready() bool {
-	return d.board.Age(time.Now()) < staleAfter && !d.writer.Suspect()
+	return d.board.Age(time.Now()) < readyWithin && !d.writer.Suspect()
 }
 
-func (d *Desk) find(customer, id string) (ledger.JobView, error) {
+func (d *Desk) find(ctx context.Context, customer, id string) (ledger.JobView, error) {
 	view, known := d.board.Find(id)
+	if !known || !view.State.Final() {
+		ctx, cancel := context.WithTimeout(ctx, refreshWithin)
+		d.reader.Refresh(ctx)
+		cancel()
+		view, known = d.board.Find(id)
+	}
 	if known && view.Customer == customer {
 		return view, nil
 	}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -70,6 +70,7 @@
 	size        float64 // processor share, 0 to 1
 	events      *event.Log
 	clock       func() time.Duration // counts time during which the instance was suspended
+	able        func() bool          // whether the instance knows what a scheduler must know
 
 	mu        sync.Mutex
 	current   State
@@ -86,11 +87,12 @@
 	Size        float64
 	Events      *event.Log
 	Clock       func() time.Duration
+	Able        func() bool
 }
 
 // New returns an elector.
 func New(c Config) *Elector {
-	return &Elector{log: c.Log, instance: c.Instance, incarnation: c.Incarnation, size: min(c.Size, 1), events: c.Events, clock: c.Clock}
+	return &Elector{log: c.Log, instance: c.Instance, incarnation: c.Incarnation, size: min(c.Size, 1), events: c.Events, clock: c.Clock, able: c.Able}
 }
 
 // Current returns the last observed holder.
@@ -107,6 +109,10 @@
 		if !ok {
 			return
 		}
+		if !e.able() {
+			sleep(ctx, retryPause)
+			continue
+		}
 		if e.claim(ctx) {
 			e.hold(ctx, lead, orderly)
 		}
--- a/internal/ledger/follow.go
+++ b/internal/ledger/follow.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 )
 
 // Timings of a reader.
 const (
-	readWait     = 800 * time.Millisecond // long poll; short, so that a silent connection is noticed soon
+	readWait     = 600 * time.Millisecond // long poll; short, so that a silent connection is noticed soon
 	readTimeout  = readWait + 900*time.Millisecond
 	newestWithin = 5 * time.Second // whole read of all keys
 	readBackoff  = 150 * time.Millisecond
@@ -31,6 +32,60 @@
 	Failed func(error)
 
 	next int64
+
+	mu      sync.Mutex
+	pausing bool          // between two reads
+	hurry   chan struct{} // ends the pause
+	fresh   chan struct{} // closed after the next answer
+}
+
+// Refresh makes the reader read at once if it is pausing, and waits until it has, at most until ctx ends. While it is not
+// pausing, a read is open that returns each record as soon as it is appended.
+func (r *Reader) Refresh(ctx context.Context) {
+	r.mu.Lock()
+	if !r.pausing {
+		r.mu.Unlock()
+		return
+	}
+	fresh := r.fresh
+	select {
+	case r.hurry <- struct{}{}:
+	default:
+	}
+	r.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-fresh:
+	}
+}
+
+// rest pauses for the reader's pace.
+func (r *Reader) rest(ctx context.Context) {
+	r.mu.Lock()
+	r.pausing = true
+	if r.hurry == nil {
+		r.hurry = make(chan struct{}, 1)
+	}
+	if r.fresh == nil {
+		r.fresh = make(chan struct{})
+	}
+	r.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-time.After(r.Pace):
+	case <-r.hurry:
+	}
+}
+
+// answered tells those who wait for a fresh view.
+func (r *Reader) answered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pausing = false
+	if r.fresh != nil {
+		close(r.fresh)
+		r.fresh = nil
+	}
 }
 
 // Run follows the topic until ctx ends.
@@ -66,9 +121,10 @@
 func (r *Reader) Tail(ctx context.Context) {
 	for ctx.Err() == nil {
 		if r.Pace > 0 {
-			sleep(ctx, r.Pace)
+			r.rest(ctx)
 		}
 		err := r.Step(ctx)
+		r.answered()
 		var trimmed *TrimmedError
 		if errors.As(err, &trimmed) {
 			r.Failed(err)
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -13,8 +13,10 @@
 	retryPause     = 100 * time.Millisecond // between attempts of the same append; the log refuses calls beyond its rate
 	maxBatch       = 400                    // records of one append; far below the log's bytes per call
 	maxBatchBytes  = 256 << 10              // bytes of one append, so that a slow link carries it within appendTimeout
-	suspectAfter   = 900 * time.Millisecond // without an answer for this long, new records are refused unsent
-	refusedRetries = 4                      // attempts of a refused append before its records are given back
+	suspectAfter   = 600 * time.Millisecond // without an answer for this long, records that are not sent yet are refused
+	refusedRetries = 2                      // attempts of a refused append before its records are given back
+	refusedPause   = 30 * time.Millisecond  // between them
+	refusedFor     = 250 * time.Millisecond // after a refusal, new records are refused unsent
 )
 
 // Writer appends records in order, several to a call, each exactly once however often a call is repeated.
@@ -29,6 +31,8 @@
 	pending  []queued
 	wake     chan struct{}
 	failedAt time.Time // since when the append in flight has no answer; zero when the log answers
+	refused  time.Time // when the log last refused records for good
+	lastGood time.Time // when the log last took records or the writer was made
 	ended    error
 }
 
@@ -40,7 +44,7 @@
 
 // NewWriter returns a writer of a topic. A persistent writer repeats refused appends for as long as it runs.
 func NewWriter(log Log, topic, producer string, epoch int64, persistent bool) *Writer {
-	return &Writer{log: log, topic: topic, producer: producer, epoch: epoch, persistent: persistent, wake: make(chan struct{}, 1)}
+	return &Writer{log: log, topic: topic, producer: producer, epoch: epoch, persistent: persistent, wake: make(chan struct{}, 1), lastGood: time.Now()}
 }
 
 // ErrSuspect says that the log does not answer, so the record was not sent.
@@ -79,7 +83,7 @@
 	if w.ended != nil {
 		return w.ended
 	}
-	if !w.persistent && !w.failedAt.IsZero() && time.Since(w.failedAt) > suspectAfter {
+	if !w.persistent && (w.suspect() || time.Since(w.refused) < refusedFor) {
 		return ErrSuspect
 	}
 	return nil
@@ -89,9 +93,39 @@
 func (w *Writer) Suspect() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.suspect()
+}
+
+func (w *Writer) suspect() bool {
 	return !w.failedAt.IsZero() && time.Since(w.failedAt) > suspectAfter
 }
 
+// Unable returns for how long the log has taken nothing, if it refused or left unanswered the last records; else 0.
+func (w *Writer) Unable() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.failedAt.IsZero() && !w.refused.After(w.lastGood) {
+		return 0
+	}
+	return time.Since(w.lastGood)
+}
+
+// shed gives back what has not been sent, once the log is suspect.
+func (w *Writer) shed() {
+	if w.persistent {
+		return
+	}
+	w.mu.Lock()
+	if !w.suspect() {
+		w.mu.Unlock()
+		return
+	}
+	rest := w.pending
+	w.pending = nil
+	w.mu.Unlock()
+	finish(rest, ErrSuspect)
+}
+
 // Run appends until ctx ends or the writer is fenced, and returns the reason.
 func (w *Writer) Run(ctx context.Context) error {
 	sequence := int64(1)
@@ -169,7 +203,8 @@
 	uncertain := false // an earlier attempt may have taken effect
 	for attempt := 1; ; attempt++ {
 		writing := Writing{Producer: w.producer, Epoch: w.epoch, Sequence: *sequence}
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		wait := retryPause
+		callCtx, cancel := context.WithTimeout(ctx, w.patience())
 		_, err := w.log.Append(callCtx, w.topic, records, writing)
 		cancel()
 		var wrongSequence *SequenceError
@@ -189,10 +224,11 @@
 			*sequence = wrongSequence.Expected
 		case IsRefused(err):
 			if !w.persistent && !uncertain && attempt >= refusedRetries {
-				w.note(true)
+				w.noteRefused()
 				return false, nil
 			}
 			w.note(false)
+			wait = refusedPause
 		default:
 			uncertain = true
 			w.note(false)
@@ -200,17 +236,36 @@
 		select {
 		case <-ctx.Done():
 			return false, ctx.Err()
-		case <-time.After(retryPause):
+		case <-time.After(wait):
 		}
+		w.shed()
+	}
+}
+
+// patience returns how long an attempt may take. A first attempt of a caller's record ends when the log becomes suspect, so
+// that records behind it are given back in time.
+func (w *Writer) patience() time.Duration {
+	if w.persistent {
+		return appendTimeout
 	}
+	return suspectAfter
+}
+
+// noteRefused notes that the log refused records for good.
+func (w *Writer) noteRefused() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failedAt = time.Time{}
+	w.refused = time.Now()
 }
 
 func (w *Writer) note(answered bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if answered {
-		w.failedAt = time.Time{}
-	} else if w.failedAt.IsZero() {
-		w.failedAt = time.Now()
+	switch {
+	case answered:
+		w.failedAt, w.lastGood = time.Time{}, time.Now()
+	case w.failedAt.IsZero():
+		w.failedAt = time.Now().Add(-w.patience()) // the attempt has taken this long
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,7 +28,7 @@
 
 // Timings of an instance.
 const (
-	boardPace      = 60 * time.Millisecond   // between reads of the jobs topic by an instance that only answers callers
+	boardPace      = 400 * time.Millisecond  // between reads of the jobs topic; a question for a job's state reads at once
 	headerTimeout  = 3 * time.Second         // for the headers of a request
 	idleTimeout    = 30 * time.Second        // of callers' connections; longer than the platform's own bound
 	leaveDelay     = 2600 * time.Millisecond // between failing readiness and closing the listeners: the balancer needs two misses
@@ -60,6 +60,7 @@
 	workers     *platform.Workers
 	current     catalog.Current
 	board       *ledger.Board
+	boardReader *ledger.Reader
 	front       *platform.Front
 	writer      *ledger.Writer
 	elector     *leadership.Elector
@@ -74,9 +75,11 @@
 	n.store = platform.NewStore(client, s.Store)
 	n.workers = platform.NewWorkers(platform.NewClient())
 	n.writer = ledger.NewWriter(n.store, ledger.JobsTopic, "entry-"+n.incarnation, 1, false)
-	n.front = &platform.Front{Desk: entry.New(n.board, n.writer, n.events, n.scope), Catalog: &n.current}
+	n.boardReader = n.newBoardReader()
+	n.front = &platform.Front{Desk: entry.New(n.board, n.boardReader, n.writer, n.events, n.scope), Catalog: &n.current}
 	n.elector = leadership.New(leadership.Config{
 		Log: n.store, Instance: s.Instance, Incarnation: n.incarnation, Size: s.Machine.ProcessorShare, Events: n.events, Clock: bootTime,
+		Able: func() bool { return n.current.Get() != nil },
 	})
 	return n
 }
@@ -140,7 +143,7 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.configurationReader().Run,
-		n.boardReader().Run,
+		n.boardReader.Run,
 		func(ctx context.Context) { _ = n.writer.Run(ctx) }, // ends with ctx; its epoch is never raised
 	}
 }
@@ -193,7 +196,7 @@
 	return platform.ConfigurationReader(n.store, found, n.readFailed("configuration"))
 }
 
-func (n *Node) boardReader() *ledger.Reader {
+func (n *Node) newBoardReader() *ledger.Reader {
 	failed := n.readFailed("jobs")
 	lost := false
 	return &ledger.Reader{
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -92,6 +92,15 @@
 	Occurrences int           `msgpack:"n,omitempty"`
 }
 
+// Terms are what a queue promises and demands of its jobs.
+type Terms struct {
+	Service     string        `msgpack:"s"`
+	Priority    int           `msgpack:"p"`  // 0 is the most urgent and may preempt the others
+	MaxAttempts int           `msgpack:"a"`  // runs of a task that may end as failed
+	Stretch     float64       `msgpack:"st"` // of the job's chain, for its latency objective
+	Target      time.Duration `msgpack:"t"`  // added to the stretched chain
+}
+
 // Job is a customer's job as it was accepted.
 type Job struct {
 	ID        string    `msgpack:"id"`
@@ -101,6 +110,7 @@
 	Steps     []Step    `msgpack:"st"`
 	Schedule  Schedule  `msgpack:"sc"`
 	Submitted time.Time `msgpack:"t"`
+	Terms     Terms     `msgpack:"te"` // of the queue when the job was accepted; they hold on if the queue is removed
 }
 
 // Occurrences returns how often the steps run, at least 1.
