--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -32,12 +32,13 @@
 
 // plan is the state of one pass.
 type plan struct {
-	s       *Scheduler
-	now     time.Time
-	pools   map[string]*pool
-	blocked map[*worker]*step         // kept free for a step
-	claimed map[*worker]workload.Room // of blocked workers, by single tasks of the step that wait for it
-	misfits map[shape]bool            // found to fit nowhere
+	s        *Scheduler
+	now      time.Time
+	pools    map[string]*pool
+	blocked  map[*worker]*step         // kept free for a step
+	claimed  map[*worker]workload.Room // of blocked workers, by single tasks of the step that wait for it
+	headroom map[*worker]bool          // kept free for urgent work
+	misfits  map[shape]bool            // found to fit nowhere
 }
 
 // pass starts what can start.
@@ -48,7 +49,7 @@
 		return
 	}
 	sortRanks(ranks)
-	p := &plan{s: s, now: now, pools: map[string]*pool{}, blocked: map[*worker]*step{}, claimed: map[*worker]workload.Room{}, misfits: map[shape]bool{}}
+	p := &plan{s: s, now: now, pools: map[string]*pool{}, blocked: map[*worker]*step{}, claimed: map[*worker]workload.Room{}, misfits: map[shape]bool{}, headroom: map[*worker]bool{}}
 	for _, w := range s.workers {
 		if w.usable(now) {
 			p.add(w)
@@ -56,6 +57,7 @@
 	}
 	for _, pl := range p.pools {
 		pl.sort()
+		p.keepHeadroom(pl)
 	}
 	for _, r := range ranks {
 		p.place(r)
@@ -242,6 +244,9 @@
 	if holder := p.blocked[w]; holder != nil && holder != u.step {
 		return false
 	}
+	if p.headroom[w] && u.job().terms.Priority > 0 {
+		return false
+	}
 	return u.step.spec.Label == "" || slices.Contains(w.info.Labels, u.step.spec.Label)
 }
 
