Add stand-ins of the store and of task workers, tests of whole instances, advice on workers and pace of leftover work

Cause: the path from a caller to a worker had no test without the bench; queues with advice were never served, since their starts need tickets; work that uses leftovers could disturb tasks with a target. Found by the new tests: the scheduler stopped reading new jobs after the log had dropped unread history (a reader that must load anew ended instead); two instances in one process shared a metrics registry and the second one panicked. Change: both mended; internal/standin/store and taskworker; advice and pace in internal/dispatch.

--- a/cmd/dogwoodnotch/main.go
+++ b/cmd/dogwoodnotch/main.go
@@ -42,7 +42,7 @@
 		return err
 	}
 	out := diode.NewWriter(os.Stdout, logBuffer, 0, nil)
-	defer out.Close()
+	defer func() { _ = out.Close() }() // nothing can be logged about the log
 	n := node.New(s, out)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,13 +18,6 @@
 	Terms   workload.Terms
 	Timeout time.Duration
 	Open    bool // needs no key
-	Advice  *Advice
-}
-
-// Advice says that an outside service must allow the workers of each step.
-type Advice struct {
-	Decision, PerWorker time.Duration // what one question takes
-	Validity            time.Duration // of an answer
 }
 
 // Service is a pool of workers.
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -30,6 +30,9 @@
 	eventTrusted    = event.Define(2519, "worker trusted again", zerolog.InfoLevel, "A probe succeeded on a suspected worker.", "")
 	eventBadRecord  = event.Define(2520, "record not understood", zerolog.ErrorLevel, "A record of the log cannot be decoded and is left out.", "Check which program wrote it.")
 	eventTakeover   = event.Define(2521, "state taken over", zerolog.InfoLevel, "The scheduler loaded jobs and runs of the term before.", "")
+	eventAdvised    = event.Define(2524, "advice received", zerolog.InfoLevel, "The advisor said which workers may run a step.", "")
+	eventUnadvised  = event.Define(2525, "advice missing", zerolog.WarnLevel, "The advisor did not answer; the question is repeated.", "Check the advisor when it lasts.")
+	eventPaced      = event.Define(2526, "leftover work paced", zerolog.InfoLevel, "Work that uses leftover processor time was slowed or sped up for the sake of a task with a target.", "")
 	eventReclaiming = event.Define(2522, "room reclaimed", zerolog.InfoLevel, "Less urgent work is stopped so that an urgent job can begin.", "")
 )
 
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -100,6 +100,28 @@
 	Start(ctx context.Context, to Target, o StartOrder) (clock int64, err error)
 	Stop(ctx context.Context, to Target, o StopOrder) (clock int64, err error)
 	Hold(ctx context.Context, to Target, o HoldOrder) (HoldReport, error)
+	Pace(ctx context.Context, to Target, o PaceOrder) error
+}
+
+// PaceOrder sets the share of its speed at which a run works.
+type PaceOrder struct {
+	Task    workload.TaskName
+	Run     int
+	Percent int // 0 to 100
+	Token   int64
+}
+
+// Advisor is the outside service that says which workers may run a step.
+type Advisor interface {
+	// Ask returns a ticket for each of the workers that may run the step, and for how long the tickets hold. ErrAdvisorBusy
+	// says that too many questions wait.
+	Ask(ctx context.Context, step StepName, workers []string) (tickets map[string]string, validity time.Duration, err error)
+}
+
+// StepName identifies a step of an occurrence of a job.
+type StepName struct {
+	Job              string
+	Occurrence, Step int
 }
 
 // Refusal is why a worker did nothing.
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -83,6 +83,7 @@
 	mu     sync.Mutex
 	starts []StartOrder
 	stops  []StopOrder
+	paces  []PaceOrder
 	answer func(StartOrder) error // nil: taken
 	stop   func(StopOrder) error  // nil: taken
 }
@@ -112,6 +113,19 @@
 	return HoldReport{}, ctx.Err()
 }
 
+func (f *scriptedFleet) Pace(_ context.Context, _ Target, o PaceOrder) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.paces = append(f.paces, o)
+	return nil
+}
+
+func (f *scriptedFleet) paced() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.paces)
+}
+
 func (f *scriptedFleet) started() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -71,6 +71,9 @@
 		order.Deadline = s.lease(w, now)
 		if w.recorded == w.processed {
 			order.Wait = holdWait
+			if w.mixed() {
+				order.Wait = mixedWait
+			}
 		}
 	}
 	return order, Target{w.info.ID, w.info.Address}
@@ -165,10 +168,12 @@
 		if r.Percent > m.percent || m.advancedAt.IsZero() {
 			m.percent, m.advancedAt = r.Percent, now
 		}
+		m.gauge = r.Gauge
 		if r.Checkpoint != "" {
 			m.checkpoint = r.Checkpoint
 		}
 	}
+	s.steerPace(w)
 }
 
 // missing takes in that a run which the worker must know is in neither list, so it is lost.
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -37,6 +37,7 @@
 	units      []*unit
 	waiting    int // units that wait for a start
 	left       int // units that are not done
+	advice     advice
 }
 
 // unit is what starts and ends as a whole: a task, or all tasks of a gang.
@@ -81,6 +82,8 @@
 
 	since      time.Time // when it was first listed as running
 	percent    int
+	pace       int       // share of its speed that was last ordered, in percent; meaningful for leftover work only
+	gauge      int64     // see RunReport
 	advancedAt time.Time // when percent last rose
 	checkpoint string
 	reason     string // why it is to end
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -21,7 +21,7 @@
 func (s *Scheduler) orderFor(m *member) StartOrder {
 	return StartOrder{
 		Task: m.name(), Run: m.run, Spec: m.unit.job().spec.Spec, Deadline: s.lease(m.worker, time.Now()),
-		Token: s.c.Token, Checkpoint: m.unit.checkpoint,
+		Token: s.c.Token, Checkpoint: m.unit.checkpoint, Ticket: m.unit.step.advice.tickets[m.worker.info.ID],
 	}
 }
 
@@ -72,6 +72,8 @@
 		s.c.Term.Lose(fmt.Errorf("worker %s has seen a later term", m.worker.info.ID))
 	case RefusedOther:
 		m.worker.answered = false
+	case RefusedTicket:
+		m.unit.step.advice.until = time.Time{}
 	}
 	s.endMember(m, EndLost, "")
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -19,6 +19,7 @@
 type shape struct {
 	service, label, rack string
 	room                 workload.Room
+	advised              *step // a step whose workers need to be allowed is like no other
 }
 
 // pool is the usable workers of one service during a pass.
@@ -138,6 +139,9 @@
 	if st.waiting == 0 || st.occurrence.job.ended() {
 		return
 	}
+	if st.occurrence.job.terms.Advised {
+		p.seekAdvice(pl, st)
+	}
 	for _, u := range st.units {
 		if u.state != waiting || p.now.Before(u.notBefore) {
 			continue
@@ -153,7 +157,13 @@
 
 // placeUnit starts a unit and reports whether it fitted.
 func (p *plan) placeUnit(pl *pool, r rank, u *unit) bool {
-	sh := shape{r.step.occurrence.job.terms.Service, r.step.spec.Label, r.step.spec.DataRack, r.step.room()}
+	if u.job().terms.Advised && u.step.advice.until.Before(p.now) {
+		return false
+	}
+	sh := shape{r.step.occurrence.job.terms.Service, r.step.spec.Label, r.step.spec.DataRack, r.step.room(), nil}
+	if u.job().terms.Advised {
+		sh.advised = u.step
+	}
 	if u.index >= 0 && p.misfits[sh] && r.class > urgent {
 		return false
 	}
@@ -247,9 +257,18 @@
 	if p.headroom[w] && u.job().terms.Priority > 0 {
 		return false
 	}
+	if u.job().terms.Advised && !u.step.advice.allows(w, p.now) {
+		return false
+	}
 	return u.step.spec.Label == "" || slices.Contains(w.info.Labels, u.step.spec.Label)
 }
 
+// poor reports whether a worker is a last resort for a unit: it failed there, or it would disturb or be disturbed there.
+func (p *plan) poor(w *worker, u *unit) bool {
+	_, bad := u.avoid[w.info.ID]
+	return bad || w.disturbs(u.step.spec)
+}
+
 // spreadLeft returns how many more tasks of the unit's step the worker may run.
 func (u *unit) spreadLeft(w *worker) int {
 	limit := u.step.spec.MaxPerWorker
@@ -276,7 +295,7 @@
 			continue
 		}
 		key := [3]int64{0, have.Accelerators, have.CPU}
-		if _, bad := u.avoid[w.info.ID]; bad {
+		if p.poor(w, u) {
 			key[0] = 1
 		}
 		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
@@ -304,8 +323,7 @@
 		if n == 0 {
 			continue
 		}
-		_, bad := u.avoid[w.info.ID]
-		seats = append(seats, seat{w, n, bad})
+		seats = append(seats, seat{w, n, p.poor(w, u)})
 		sum += n
 	}
 	if sum < need {
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -103,7 +103,7 @@
 	if w == nil {
 		w = s.addWorker(id)
 	}
-	m := &member{unit: u, run: u.run, index: i, worker: w, room: u.step.room(), state: running}
+	m := &member{unit: u, run: u.run, index: i, worker: w, room: u.step.room(), state: running, pace: fullPace}
 	if u.index >= 0 {
 		m.index = u.index
 	}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -46,8 +46,9 @@
 // Config of a scheduler.
 type Config struct {
 	Fleet    Fleet
-	Jobs     Ledger // of ledger.JobsTopic
-	Runs     Ledger // of ledger.RunsTopic
+	Advisor  Advisor // nil if there is none
+	Jobs     Ledger  // of ledger.JobsTopic
+	Runs     Ledger  // of ledger.RunsTopic
 	Term     Authority
 	Token    int64 // fencing token of the term
 	Catalog  *catalog.Current
@@ -60,12 +61,11 @@
 
 // Scheduler holds the jobs and workers of one term. It is safe for concurrent use.
 type Scheduler struct {
-	c       Config
-	meters  meters
-	ctx     context.Context
-	begun   time.Time
-	kick    chan struct{}
-	unknown map[string]bool // workers named in records that discovery has not shown
+	c      Config
+	meters meters
+	ctx    context.Context
+	begun  time.Time
+	kick   chan struct{}
 
 	mu      sync.Mutex
 	loading bool // the records of the terms before are being taken over
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -19,7 +19,7 @@
 	u.members = make([]*member, len(workers))
 	room := u.step.room()
 	for i, w := range workers {
-		m := &member{unit: u, run: u.run, index: max(u.index, i), worker: w, room: room, waits: true}
+		m := &member{unit: u, run: u.run, index: max(u.index, i), worker: w, room: room, waits: true, pace: fullPace}
 		if u.index < 0 {
 			m.index = i
 		}
--- a/internal/entry/desk.go
+++ b/internal/entry/desk.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -148,7 +149,7 @@
 		if err == nil {
 			return nil
 		}
-		if ledger.IsRefused(err) || err == ledger.ErrSuspect {
+		if ledger.IsRefused(err) || errors.Is(err, ledger.ErrSuspect) {
 			return errkind.Wrap(err, errkind.Unavailable, "retry after a second", "the log does not take records now")
 		}
 		return errkind.Wrap(err, errkind.Unknown, "retry with the same id", "the outcome is open")
--- a/internal/ledger/follow.go
+++ b/internal/ledger/follow.go
@@ -31,7 +31,8 @@
 	// Failed is called for each call without a usable answer.
 	Failed func(error)
 
-	next int64
+	next   int64
+	loaded bool
 
 	mu      sync.Mutex
 	pausing bool          // between two reads
@@ -88,14 +89,16 @@
 	}
 }
 
-// Run follows the topic until ctx ends.
+// Run follows the topic until ctx ends. It goes on from an earlier Load.
 func (r *Reader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := r.Load(ctx); err != nil {
-			r.pause(ctx, err)
-			continue
+		if !r.loaded {
+			if err := r.Load(ctx); err != nil {
+				r.pause(ctx, err)
+				continue
+			}
 		}
-		r.Tail(ctx)
+		r.tail(ctx)
 	}
 }
 
@@ -113,12 +116,12 @@
 	}
 	r.deliver(batch)
 	r.synced(sent)
-	r.next = batch.End
+	r.next, r.loaded = batch.End, true
 	return nil
 }
 
-// Tail reads on after Load, until the topic must be loaded anew or ctx ends.
-func (r *Reader) Tail(ctx context.Context) {
+// tail reads on after Load, until the topic must be loaded anew or ctx ends.
+func (r *Reader) tail(ctx context.Context) {
 	for ctx.Err() == nil {
 		if r.Pace > 0 {
 			r.rest(ctx)
@@ -127,6 +130,7 @@
 		r.answered()
 		var trimmed *TrimmedError
 		if errors.As(err, &trimmed) {
+			r.loaded = false
 			r.Failed(err)
 			return
 		}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -16,7 +17,8 @@
 // New returns the root scope, the handler that serves its values in the Prometheus text format, and the closer that
 // flushes it.
 func New(tags map[string]string) (tally.Scope, http.Handler, io.Closer) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry() // of its own, so that a process may hold several instances
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	options := tally.ScopeOptions{
 		Prefix:         "dogwoodnotch",
 		Tags:           tags,
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -34,8 +34,12 @@
 	if term.Orderly {
 		previous = 0
 	}
+	var advisor dispatch.Advisor
+	if n.settings.Advisor != "" {
+		advisor = platform.NewAdvisor(n.client, n.settings.Advisor)
+	}
 	s := dispatch.New(dispatch.Config{
-		Fleet: n.workers, Jobs: outcomes, Runs: runs, Term: term, Token: term.Number, Catalog: &n.current,
+		Fleet: n.workers, Advisor: advisor, Jobs: outcomes, Runs: runs, Term: term, Token: term.Number, Catalog: &n.current,
 		Bounds: n.settings.Bounds.dispatchBounds(), Events: n.events, Metrics: n.scope, Now: time.Now, Previous: previous,
 	})
 	jobs := n.jobsFeed(s)
@@ -68,7 +72,7 @@
 		n.events.Emit(eventBadEntry, event.F("cause", err))
 	})
 	group.Go(func() error { feed.Run(ctx); return nil })
-	group.Go(func() error { jobs.Tail(ctx); return nil })
+	group.Go(func() error { jobs.Run(ctx); return nil })
 	group.Go(func() error { s.Run(ctx); return nil })
 	_ = group.Wait() // the reason is logged by the elector as the cause of the term's end
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,7 @@
 	metrics  http.Handler
 	closer   io.Closer
 
+	client      *platform.Client
 	store       *platform.Store
 	workers     *platform.Workers
 	current     catalog.Current
@@ -70,7 +71,7 @@
 // New builds an instance. Log lines go to out.
 func New(s *Settings, out io.Writer) *Node {
 	client := platform.NewClient()
-	n := &Node{settings: s, events: event.NewLog(out, s.Instance), board: ledger.NewBoard(), incarnation: newIncarnation()}
+	n := &Node{client: client, settings: s, events: event.NewLog(out, s.Instance), board: ledger.NewBoard(), incarnation: newIncarnation()}
 	n.scope, n.metrics, n.closer = metrics.New(map[string]string{"instance": s.Instance})
 	n.store = platform.NewStore(client, s.Store)
 	n.workers = platform.NewWorkers(platform.NewClient())
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,313 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/store"
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/taskworker"
+)
+
+// deployment is entry instances against stand-ins, in one process.
+type deployment struct {
+	t       *testing.T
+	store   *store.Store
+	fleet   *taskworker.Fleet
+	nodes   []*instance
+	workers string // address
+}
+
+type instance struct {
+	jobs, ready string
+	stop        context.CancelFunc
+	ended       chan struct{}
+	log         *lockedBuffer
+}
+
+// lockedBuffer collects log lines of several goroutines.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+const testConfig = `{"version":%d,"routes":[{"name":"plans","host":"jobs.example","path_prefix":"/plans/","timeout_ms":3000,
+"target_latency_ms":1000,"priority":1,"service":"render","max_attempts":3,"stretch":3.0}],
+"services":[{"name":"render"}],"limits":{"max_body_bytes":65536},"tenants":[{"name":"club","api_keys":["%s"],"guaranteed":{"gpu":4}}]}`
+
+func deploy(t *testing.T, instances int, workers ...string) *deployment {
+	d := &deployment{t: t, store: store.New(), fleet: taskworker.New(workers...)}
+	platform := httptest.NewServer(d.store)
+	fleet := httptest.NewServer(d.fleet)
+	t.Cleanup(platform.Close)
+	t.Cleanup(fleet.Close)
+	d.workers = fleet.Listener.Addr().String()
+	d.store.Put("keyed.op", "config", fmt.Appendf(nil, testConfig, 1, "secret"))
+	for _, id := range workers {
+		d.announce(id, "ready")
+	}
+	for i := range instances {
+		d.nodes = append(d.nodes, d.start(i, platform.Listener.Addr().String()))
+	}
+	t.Cleanup(func() { // runs first, so that all instances leave at the same time
+		for _, n := range d.nodes {
+			n.stop()
+		}
+	})
+	for _, n := range d.nodes {
+		d.awaitReady(n)
+	}
+	return d
+}
+
+// announce writes a worker's entry into the list.
+func (d *deployment) announce(id, state string) {
+	d.store.Put("keyed.servers", id, fmt.Appendf(nil, `{"service":"render","address":%q,"zone":"z1","state":%q,"slots":8,
+"capacity":{"cpu":64000,"mem_mb":262144,"gpu":8},"labels":["a","r1-1"],"remaining_ms":500,"sequence":1}`, d.workers, state))
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (d *deployment) start(i int, storeAddress string) *instance {
+	s := &Settings{
+		Instance: fmt.Sprintf("entry-%d", i), DataCentre: "z1", Store: storeAddress,
+		Listen: Listen{Jobs: freeAddress(d.t), Readiness: freeAddress(d.t)},
+		Bounds: Bounds{LeaseMS: 3000, StopMS: 500, KeepStatusS: 60, Remote: 3},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &instance{jobs: s.Listen.Jobs, ready: s.Listen.Readiness, stop: cancel, ended: make(chan struct{}), log: &lockedBuffer{}}
+	node := New(s, n.log)
+	go func() {
+		defer close(n.ended)
+		if err := node.Run(ctx); err != nil {
+			d.t.Errorf("instance %d: %v", i, err)
+		}
+	}()
+	d.t.Cleanup(func() {
+		cancel()
+		<-n.ended
+	})
+	return n
+}
+
+func (d *deployment) call(n *instance, method, path, body string) (status int, answer map[string]any) {
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+n.jobs+path, bytes.NewBufferString(body))
+	assert.NilError(d.t, err)
+	req.Host = "jobs.example"
+	req.Header.Set("Authorization", "Bearer secret")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(d.t, err)
+	if len(data) > 0 {
+		_ = json.Unmarshal(data, &answer) // refusals carry text
+	}
+	return resp.StatusCode, answer
+}
+
+func (d *deployment) awaitReady(n *instance) {
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		resp, err := http.Get("http://" + n.ready + "/v1/readiness")
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return poll.Continue("status %d", resp.StatusCode)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+func (d *deployment) awaitState(n *instance, id, want string) {
+	d.t.Helper()
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		status, answer := d.call(n, http.MethodGet, "/plans/"+id, "")
+		if status == http.StatusOK && answer["state"] == want {
+			return poll.Success()
+		}
+		return poll.Continue("status %d, %v", status, answer)
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(50*time.Millisecond))
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
+
+func jobBody(tasks, takesMS int) string {
+	return fmt.Sprintf(`{"spec":"{\"takes_ms\":%d}","phases":[{"count":%d,"cpu":1000,"mem_mb":1000,"gpu":1,"estimate_ms":%d}]}`, takesMS, tasks, takesMS)
+}
+
+// submit hands a job in until it is accepted.
+func (d *deployment) submit(n *instance, id, body string) {
+	d.t.Helper()
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		if status, _ := d.call(n, http.MethodPost, "/plans/"+id, body); status != http.StatusOK {
+			return poll.Continue("status %d", status)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(100*time.Millisecond))
+}
+
+// Guards against a path on which a job is accepted and not run, told differently by different instances, or run twice when
+// it is handed in twice.
+func TestJobRunsOnceAndEveryInstanceTellsItsState(t *testing.T) {
+	d := deploy(t, 2, "w1", "w2")
+	d.submit(d.nodes[0], jobID(1), jobBody(12, 50))
+	d.submit(d.nodes[1], jobID(1), jobBody(12, 50))
+	for _, n := range d.nodes {
+		d.awaitState(n, jobID(1), "completed")
+	}
+	report := d.fleet.Report()
+	assert.Equal(t, report.Done, 12)
+	assert.Equal(t, report.Doubled, 0)
+	status, answer := d.call(d.nodes[1], http.MethodGet, "/plans/", "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, answer["pending"], 0.0)
+}
+
+// Guards against tasks that are lost, doubled or stopped because the scheduler changes.
+func TestRunningTasksSurviveAChangeOfTheScheduler(t *testing.T) {
+	d := deploy(t, 3, "w1", "w2")
+	d.submit(d.nodes[0], jobID(1), jobBody(8, 3000))
+	d.awaitState(d.nodes[0], jobID(1), "running")
+	for _, n := range d.nodes[:2] { // one of the three remains, whichever held the term
+		n.stop()
+	}
+	d.awaitState(d.nodes[2], jobID(1), "completed")
+	report := d.fleet.Report()
+	assert.Equal(t, report.Started, 8, "no task was started anew")
+	assert.Equal(t, report.Doubled+report.Lapsed, 0)
+}
+
+// Guards against a refusal that is not true, and against work that ends because the store does.
+func TestOutageOfTheStoreRefusesNewJobsAndKeepsRunningOnes(t *testing.T) {
+	d := deploy(t, 2, "w1")
+	d.submit(d.nodes[0], jobID(1), jobBody(4, 5000))
+	d.awaitState(d.nodes[0], jobID(1), "running")
+	d.store.SetFaults(store.Faults{Outage: true})
+	status, _ := d.call(d.nodes[0], http.MethodPost, "/plans/"+jobID(2), jobBody(1, 10))
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	time.Sleep(4 * time.Second) // longer than a lease
+	d.store.SetFaults(store.Faults{})
+	d.awaitState(d.nodes[1], jobID(1), "completed")
+	status, _ = d.call(d.nodes[1], http.MethodGet, "/plans/"+jobID(2), "")
+	assert.Equal(t, status, http.StatusGone, "a refused job does not exist")
+	report := d.fleet.Report()
+	assert.Equal(t, report.Started, 4)
+	assert.Equal(t, report.Lapsed, 0)
+}
+
+// Guards against jobs that are doubled or lost when the store takes records without answering.
+func TestLostAnswersOfTheStoreNeitherLoseNorDoubleJobs(t *testing.T) {
+	d := deploy(t, 2, "w1", "w2")
+	d.store.SetFaults(store.Faults{LoseAnswers: 0.3})
+	for i := range 10 {
+		d.submit(d.nodes[i%2], jobID(i), jobBody(3, 20))
+	}
+	d.store.SetFaults(store.Faults{})
+	for i := range 10 {
+		d.awaitState(d.nodes[0], jobID(i), "completed")
+	}
+	report := d.fleet.Report()
+	assert.Equal(t, report.Done, 30)
+	assert.Equal(t, report.Doubled, 0)
+}
+
+// Guards against tasks that run twice at once because a worker that is cut off still runs them.
+func TestTasksOfACutOffWorkerRestartOnlyAfterTheirLease(t *testing.T) {
+	d := deploy(t, 1, "w1", "w2")
+	d.submit(d.nodes[0], jobID(1), jobBody(16, 2000))
+	d.awaitState(d.nodes[0], jobID(1), "running")
+	d.fleet.Freeze("w1", true)
+	d.awaitState(d.nodes[0], jobID(1), "completed")
+	assert.Equal(t, d.fleet.Report().Doubled, 0)
+}
+
+// Guards against an older configuration that replaces a newer one, and against keys that are accepted after their removal.
+func TestConfigurationAdvancesAndNeverReturns(t *testing.T) {
+	d := deploy(t, 1, "w1")
+	d.store.Put("keyed.op", "config", fmt.Appendf(nil, testConfig, 7, "other"))
+	revoked := func(poll.LogT) poll.Result {
+		if status, _ := d.call(d.nodes[0], http.MethodGet, "/plans/", ""); status != http.StatusUnauthorized {
+			return poll.Continue("status %d", status)
+		}
+		return poll.Success()
+	}
+	poll.WaitOn(t, revoked, poll.WithTimeout(2*time.Second), poll.WithDelay(10*time.Millisecond))
+	d.store.Put("keyed.op", "config", fmt.Appendf(nil, testConfig, 5, "secret"))
+	time.Sleep(300 * time.Millisecond)
+	assert.Assert(t, revoked(nil) == poll.Success())
+}
+
+// Guards against entries of other writers that stop the scheduler or are used as workers.
+func TestUnreadableEntriesAreLeftOut(t *testing.T) {
+	d := deploy(t, 1, "w1")
+	for id, entry := range map[string]string{"x1": "not json", "x2": `{"service":7}`, "x3": `{"service":"render","address":"127.0.0.1:1","state":"asleep"}`, "x4": `[]`} {
+		d.store.Put("keyed.servers", id, []byte(entry))
+	}
+	d.store.Put("keyed.op", "config", []byte("{"))
+	d.store.Put("keyed.jobs", "jzz", []byte("\xff\xff"))
+	d.submit(d.nodes[0], jobID(1), jobBody(4, 20))
+	d.awaitState(d.nodes[0], jobID(1), "completed")
+}
+
+// Guards against history that the store drops between two reads.
+func TestDroppedHistoryIsLoadedAnew(t *testing.T) {
+	d := deploy(t, 2, "w1")
+	for i := range 5 {
+		d.submit(d.nodes[0], jobID(i), jobBody(2, 20))
+		d.store.Trim("keyed.jobs")
+		d.store.Trim("keyed.runs")
+		d.store.Trim("keyed.servers")
+	}
+	for i := range 5 {
+		d.awaitState(d.nodes[1], jobID(i), "completed")
+	}
+	assert.Equal(t, d.fleet.Report().Doubled, 0)
+}
+
+// Guards against a cancelled job whose tasks run on.
+func TestCancelledJobStops(t *testing.T) {
+	d := deploy(t, 2, "w1")
+	d.submit(d.nodes[0], jobID(1), jobBody(4, 60_000))
+	d.awaitState(d.nodes[0], jobID(1), "running")
+	status, _ := d.call(d.nodes[1], http.MethodDelete, "/plans/"+jobID(1), "")
+	assert.Equal(t, status, http.StatusOK)
+	d.awaitState(d.nodes[0], jobID(1), "cancelled")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := d.fleet.Report().Acknowledged; got != 4 {
+			return poll.Continue("%d of 4 ends", got)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -17,7 +17,8 @@
 	Instance   string  `yaml:"instance"`
 	DataCentre string  `yaml:"data_centre"`
 	Listen     Listen  `yaml:"listen"`
-	Store      string  `yaml:"store"` // address of the platform's log, host:port
+	Store      string  `yaml:"store"`   // address of the platform's log, host:port
+	Advisor    string  `yaml:"advisor"` // address of the service that allows workers, host:port; empty for none
 	Machine    Machine `yaml:"machine"`
 	Bounds     Bounds  `yaml:"bounds"`
 }
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -95,10 +95,11 @@
 // Terms are what a queue promises and demands of its jobs.
 type Terms struct {
 	Service     string        `msgpack:"s"`
-	Priority    int           `msgpack:"p"`  // 0 is the most urgent and may preempt the others
-	MaxAttempts int           `msgpack:"a"`  // runs of a task that may end as failed
-	Stretch     float64       `msgpack:"st"` // of the job's chain, for its latency objective
-	Target      time.Duration `msgpack:"t"`  // added to the stretched chain
+	Priority    int           `msgpack:"p"`           // 0 is the most urgent and may preempt the others
+	MaxAttempts int           `msgpack:"a"`           // runs of a task that may end as failed
+	Stretch     float64       `msgpack:"st"`          // of the job's chain, for its latency objective
+	Target      time.Duration `msgpack:"t"`           // added to the stretched chain
+	Advised     bool          `msgpack:"d,omitempty"` // an outside service must allow the workers of each step
 }
 
 // Job is a customer's job as it was accepted.
