--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,11 @@
 DEPLOYMENT ?= swan-coast
 FUZZTIME ?= 30s
 
-.PHONY: build test race lint fmt-check vet tidy-check fuzz bench demo clean
+SEED ?= 1
+RUNS ?= 1
+LENGTH ?= 30s
+
+.PHONY: build test race lint fmt-check vet tidy-check fuzz bench demo demo-platform soak clean
 
 build:
 	go build -o bin/dogwoodnotch ./cmd/dogwoodnotch
@@ -11,9 +15,9 @@
 test:
 	go test -p 2 -timeout 10m $$(.ci/skip-args) ./...
 
-# internal/demo only starts other processes, so the race detector would see nothing there.
+# internal/demo and internal/soak only start other processes, so the race detector would see nothing there.
 race:
-	go test -race -p 2 -timeout 15m $$(.ci/skip-args) $$(go list ./... | grep -v /internal/demo$$)
+	go test -race -p 2 -timeout 15m $$(.ci/skip-args) $$(go list ./... | grep -v -e /internal/demo$$ -e /internal/soak$$)
 
 lint:
 	golangci-lint run ./...
@@ -45,6 +49,16 @@
 	go build -o bin/demo ./cmd/demo
 	./bin/demo --daemon bin/dogwoodnotch --standin bin/standin --text examples/$(DEPLOYMENT)/text.yaml
 
+# Plays RUNS runs of seeded faults from SEED on, each of LENGTH, with the programs that the users' platform runs.
+soak: build
+	go build -o bin/standin ./cmd/standin
+	go build -o bin/soak ./cmd/soak
+	./bin/soak --daemon bin/dogwoodnotch --standin bin/standin --seed $(SEED) --runs $(RUNS) --length $(LENGTH)
+
+# Runs the programs of deploy/system.toml against stand-ins of the users' platform, with a few faults.
+demo-platform:
+	$(MAKE) soak SEED=1 LENGTH=20s
+
 # Runs every measure, the naive version and ours in one run, and prints one line each.
 bench:
 	DOGWOODNOTCH_MEASURE=1 go test -run 'TestMeasure' -count=1 -timeout 20m -v ./... | grep -E '^ *measure |FAIL|^ok' | sed 's/^ *//'
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,6 +17,8 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/instancelist"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/logservice"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/minion"
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/store"
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/taskworker"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/worker"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
@@ -70,6 +72,23 @@
 	return group.Wait()
 }
 
+type storeCommand struct {
+	Listen string `required:"" help:"Address of the store."`
+}
+
+func (c *storeCommand) Run(ctx context.Context) error {
+	return serve(ctx, c.Listen, &http.Server{Handler: store.New(), ReadHeaderTimeout: readHeaderTimeout})
+}
+
+type taskWorkersCommand struct {
+	Listen string   `required:"" help:"Address that all workers of this process share."`
+	Worker []string `required:"" help:"Identifier of a worker; repeat for more."`
+}
+
+func (c *taskWorkersCommand) Run(ctx context.Context) error {
+	return serve(ctx, c.Listen, &http.Server{Handler: taskworker.New(c.Worker...), ReadHeaderTimeout: readHeaderTimeout})
+}
+
 // serve runs a server until ctx ends.
 func serve(ctx context.Context, address string, server *http.Server) error {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
@@ -86,9 +105,11 @@
 
 func main() {
 	var commands struct {
-		Platform platformCommand `cmd:"" help:"Log service and instance list."`
-		Workers  workersCommand  `cmd:"" help:"Workers of one rack or more."`
-		Minions  minionsCommand  `cmd:"" help:"Minions, each at its own address."`
+		Platform platformCommand    `cmd:"" help:"Log service and instance list."`
+		Workers  workersCommand     `cmd:"" help:"Workers of one rack or more."`
+		Minions  minionsCommand     `cmd:"" help:"Minions, each at its own address."`
+		Store    storeCommand       `cmd:"" help:"Metadata store of the users' platform."`
+		Tasks    taskWorkersCommand `cmd:"" help:"Workers of the users' platform."`
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/process"
 	"dogwoodnotch.example/dogwoodnotch/internal/spec"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
@@ -45,7 +46,7 @@
 	fleet     *fleet
 	client    *http.Client
 	balancer  *balancer
-	processes map[string]*process
+	processes map[string]*process.Process
 	verdict   Verdict
 
 	background context.Context // ends with the demonstration
@@ -99,7 +100,7 @@
 		fleet:     plan,
 		client:    client,
 		balancer:  &balancer{client: client},
-		processes: map[string]*process{},
+		processes: map[string]*process.Process{},
 	}, nil
 }
 
@@ -134,7 +135,7 @@
 }
 
 func (r *run) startHost(h host) error {
-	p, err := start(r.options.Directory, h.name, h.program, h.args...)
+	p, err := process.Start(r.options.Directory, h.name, h.program, h.args...)
 	if err != nil {
 		return err
 	}
@@ -321,7 +322,7 @@
 		var group sync.WaitGroup
 		for _, h := range hosts {
 			if p := r.processes[h.name]; p != nil {
-				group.Go(func() { _ = p.stop() }) // how it ends no longer matters
+				group.Go(func() { _ = p.Stop() }) // how it ends no longer matters
 			}
 		}
 		group.Wait()
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/process"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/instancelist"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/logservice"
 )
@@ -94,7 +95,7 @@
 	pause(ctx, firstFault)
 	victim := r.fleet.entries[1]
 	victim.killed.Store(true)
-	r.processes[victim.id].kill()
+	r.processes[victim.id].Kill()
 	r.say("killed %s with SIGKILL", victim.id)
 	pause(ctx, listLag)
 	return r.fleet.deleteInstance(ctx, r.client, victim.id)
@@ -109,7 +110,7 @@
 func (r *run) freezeOne(ctx context.Context) error {
 	pause(ctx, firstFault)
 	victim := r.fleet.entries[0]
-	child := r.processes[victim.id].command.Process
+	child := r.processes[victim.id]
 	if err := child.Signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
@@ -172,7 +173,7 @@
 		return err
 	}
 	began := time.Now()
-	if err := r.processes[e.id].stop(); err != nil {
+	if err := r.processes[e.id].Stop(); err != nil {
 		r.verdict.problem("draining %s: %v", e.id, err)
 	}
 	r.say("drained %s in %.1f s", e.id, time.Since(began).Seconds())
@@ -204,7 +205,7 @@
 
 // addEntry starts one more entry instance in a data centre.
 func (r *run) addEntry(ctx context.Context, index int, dataCentre string) (*entry, error) {
-	addresses, err := freeAddresses(2)
+	addresses, err := process.FreeAddresses(2)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -12,6 +12,7 @@
 	"strconv"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	"dogwoodnotch.example/dogwoodnotch/internal/process"
 	"dogwoodnotch.example/dogwoodnotch/internal/spec"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
@@ -44,7 +45,7 @@
 // the workers that the specification declares.
 func planFleet(directory, daemon, standin string, text *spec.Text) (*fleet, error) {
 	f := &fleet{directory: directory}
-	addresses, err := freeAddresses(1 + 2*entryInstances + totalMinions + len(text.DataCentres))
+	addresses, err := process.FreeAddresses(1 + 2*entryInstances + totalMinions + len(text.DataCentres))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/demo/fleet_test.go
+++ b/internal/demo/fleet_test.go
@@ -66,7 +66,7 @@
 		if len(victims) > 0 {
 			victim = victims[(i+1)%len(victims)]
 			victim.killed.Store(true)
-			c.run.processes[victim.id].kill()
+			c.run.processes[victim.id].Kill()
 		}
 		began := <-published
 		assert.Assert(t, !began.IsZero(), "change %d was not accepted", i)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -254,6 +254,9 @@
 	if holder := p.blocked[w]; holder != nil && holder != u.step {
 		return false
 	}
+	if w.health.pause > 0 && (u.index < 0 || len(w.members) > 0) {
+		return false // a probe is one task, and no gang is risked on it
+	}
 	if p.headroom[w] && u.job().terms.Priority > 0 {
 		return false
 	}
--- /dev/null
+++ b/internal/ledger/board_test.go
@@ -0,0 +1,71 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
+)
+
+// Guards against states and counts that depend on how often or in which order the newest records are read, as after history
+// was dropped.
+func TestBoardIsTheSameHoweverOftenRecordsAreRepeated(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		job := &workload.Job{ID: "1", Customer: "club", Queue: "plans"}
+		entries := []Entry{
+			{ID: "1", Submission: job},
+			{ID: "1", Cancellation: &Cancellation{}},
+			{ID: "1", Outcome: &Outcome{State: Completed}},
+		}
+		board := NewBoard()
+		for _, i := range rapid.SliceOfN(rapid.IntRange(0, 2), 0, 8).Draw(rt, "repeated") {
+			board.Apply(entries[i])
+		}
+		for _, i := range rapid.Permutation([]int{0, 1, 2}).Draw(rt, "order") {
+			board.Apply(entries[i])
+		}
+		view, known := board.Find("1")
+		assert.Assert(rt, known)
+		assert.Equal(rt, view.State, Completed)
+		assert.Equal(rt, board.Pending("plans"), 0)
+	})
+}
+
+// Guards against jobs that are told to exist before they are in the log, and against counts that include begun jobs.
+func TestBoardCountsAcceptedJobsThatHaveNotBegun(t *testing.T) {
+	board := NewBoard()
+	board.Apply(Entry{ID: "1", Outcome: &Outcome{State: Running}})
+	_, known := board.Find("1")
+	assert.Assert(t, !known)
+	for _, id := range []string{"1", "2", "3"} {
+		board.Apply(Entry{ID: id, Submission: &workload.Job{ID: id, Queue: "plans"}})
+	}
+	assert.Equal(t, board.Pending("plans"), 2)
+	board.Apply(Entry{ID: "2", Cancellation: &Cancellation{}})
+	assert.Equal(t, board.Pending("plans"), 1)
+	board.Apply(Entry{ID: "3"})
+	assert.Equal(t, board.Pending("plans"), 0)
+}
+
+// Guards against records that another version or program wrote and that stop a reader.
+func TestRecordsSurviveTheirCodecAndOthersAreErrors(t *testing.T) {
+	job := &workload.Job{ID: "00ff", Customer: "club", Steps: []workload.Step{{Count: 2, Gang: true, After: []int{0}}}, Terms: workload.Terms{Stretch: 1.5}}
+	e, err := DecodeEntry(SubmissionRecord(job))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, e.Submission.Steps, job.Steps)
+	assert.DeepEqual(t, e.Submission.Terms, job.Terms)
+	name := UnitName{Job: "00ff", Step: 1, Index: -1}
+	got, unit, err := DecodeUnit(UnitRecord(name, Unit{State: UnitActive, Run: 3, Workers: []string{"a"}}))
+	assert.NilError(t, err)
+	assert.Equal(t, got, name)
+	assert.Equal(t, unit.Run, 3)
+	for _, r := range []Record{{Key: "", Value: []byte("x")}, {Key: "j1", Value: []byte("\xff")}, {Key: "x1", Value: []byte("x")}} {
+		_, err := DecodeEntry(r)
+		assert.Assert(t, err != nil, "%q", r.Key)
+	}
+	_, err = DecodeEntry(CancellationRecord("1", time.Now()))
+	assert.NilError(t, err)
+}
--- /dev/null
+++ b/internal/ledger/writer_test.go
@@ -0,0 +1,153 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// scriptedLog answers appends one after the other as scripted, then successfully.
+type scriptedLog struct {
+	mu      sync.Mutex
+	answers []error
+	calls   []Writing
+	batches [][]Record
+	block   chan struct{} // appends wait for it, if set
+}
+
+func (l *scriptedLog) Append(ctx context.Context, _ string, records []Record, w Writing) (int64, error) {
+	if l.block != nil {
+		select {
+		case <-l.block:
+		case <-ctx.Done():
+			return 0, &UnknownError{ctx.Err()}
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls = append(l.calls, w)
+	l.batches = append(l.batches, records)
+	if len(l.answers) > 0 {
+		err := l.answers[0]
+		l.answers = l.answers[1:]
+		return 0, err
+	}
+	return 0, nil
+}
+
+func (l *scriptedLog) Read(context.Context, string, int64, time.Duration) (Batch, error) {
+	return Batch{}, nil
+}
+
+func (l *scriptedLog) Newest(context.Context, string) (Batch, error) { return Batch{}, nil }
+
+func runWriter(t *testing.T, log Log, persistent bool) *Writer {
+	w := NewWriter(log, JobsTopic, "p", 1, persistent)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = w.Run(ctx) // ends with ctx or by the script
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return w
+}
+
+func put(w *Writer, key string) error {
+	outcome := make(chan error, 1)
+	w.Put(func(err error) { outcome <- err }, Record{Key: key, Value: []byte("v")})
+	return <-outcome
+}
+
+// Guards against a record that is written twice, or lost, because an answer of the log was lost.
+func TestAppendWithoutAnswerIsRepeatedWithItsSequenceNumber(t *testing.T) {
+	log := &scriptedLog{answers: []error{&UnknownError{errors.New("lost")}}}
+	w := runWriter(t, log, false)
+	assert.NilError(t, put(w, "a"))
+	assert.NilError(t, put(w, "b"))
+	assert.Equal(t, log.calls[0].Sequence, log.calls[1].Sequence)
+	assert.Equal(t, log.calls[2].Sequence, log.calls[1].Sequence+1)
+}
+
+// Guards against an outcome that stays open although the log has the record: the repeated call is older than the answers that
+// the log remembers, so it names the number that follows.
+func TestLostAttemptThatTookEffectCountsAsWritten(t *testing.T) {
+	log := &scriptedLog{answers: []error{&UnknownError{errors.New("lost")}, &SequenceError{Expected: 2}}}
+	w := runWriter(t, log, false)
+	assert.NilError(t, put(w, "a"))
+	assert.NilError(t, put(w, "b"))
+	assert.Equal(t, log.calls[2].Sequence, int64(2))
+}
+
+// Guards against callers that are told "not accepted" of a record that may be in the log.
+func TestRefusalAfterAnOpenAttemptIsNotPassedOn(t *testing.T) {
+	log := &scriptedLog{answers: []error{&UnknownError{errors.New("lost")}, &RefusedError{503}, &RefusedError{503}, &RefusedError{503}}}
+	w := runWriter(t, log, false)
+	assert.NilError(t, put(w, "a"))
+}
+
+// Guards against callers that wait for a log that refuses all records.
+func TestRefusedRecordsAreGivenBackAndFollowersRefusedUnsent(t *testing.T) {
+	log := &scriptedLog{answers: []error{&RefusedError{503}, &RefusedError{503}}}
+	w := runWriter(t, log, false)
+	assert.Assert(t, IsRefused(put(w, "a")))
+	assert.ErrorIs(t, put(w, "b"), ErrSuspect)
+	assert.Equal(t, len(log.calls), refusedRetries)
+	assert.Assert(t, w.Unable() > 0)
+}
+
+// Guards against records that are held behind an append without an answer until their callers' deadlines.
+func TestRecordsBehindAnUnansweredAppendAreGivenBack(t *testing.T) {
+	log := &scriptedLog{block: make(chan struct{})}
+	w := runWriter(t, log, false)
+	first := make(chan error, 1)
+	w.Put(func(err error) { first <- err }, Record{Key: "a", Value: []byte("v")})
+	time.Sleep(20 * time.Millisecond) // the first append is under way
+	begun := time.Now()
+	assert.ErrorIs(t, put(w, "b"), ErrSuspect)
+	assert.Assert(t, time.Since(begun) < 2*suspectAfter)
+	assert.Assert(t, w.Suspect())
+	close(log.block)
+	assert.NilError(t, <-first)
+	assert.Assert(t, !w.Suspect())
+}
+
+// Guards against an acknowledgement that overtakes the records before it.
+func TestBarrierFollowsTheRecordsBeforeIt(t *testing.T) {
+	log := &scriptedLog{answers: []error{&UnknownError{errors.New("lost")}}}
+	w := runWriter(t, log, true)
+	var mu sync.Mutex
+	var order []string
+	note := func(name string) func(error) {
+		return func(error) {
+			mu.Lock()
+			defer mu.Unlock()
+			order = append(order, name)
+		}
+	}
+	w.Put(note("record"), Record{Key: "a", Value: []byte("v")})
+	done := make(chan struct{})
+	w.Put(note("barrier"))
+	w.Put(func(error) { close(done) })
+	<-done
+	mu.Lock()
+	defer mu.Unlock()
+	assert.DeepEqual(t, order, []string{"record", "barrier"})
+}
+
+// Guards against a scheduler of an older term that goes on after a newer one has begun.
+func TestFencedWriterEnds(t *testing.T) {
+	w := NewWriter(&scriptedLog{answers: []error{&FencedError{}}}, RunsTopic, "scheduler", 1, true)
+	ended := make(chan error, 1)
+	go func() { ended <- w.Run(context.Background()) }()
+	w.Put(nil, Record{Key: "a", Value: []byte("v")})
+	assert.Assert(t, IsFenced(<-ended))
+	assert.Assert(t, IsFenced(put(w, "b")))
+}
--- a/internal/demo/process.go
+++ b/internal/process/process.go
@@ -1,6 +1,5 @@
-// Package demo drives the demonstration: it starts the stand-ins and the entry instances as separate processes, loads them
-// as callers would, and counts what happened from outside the daemon.
-package demo
+// Package process starts, signals and ends child processes for the demonstration and the soak.
+package process
 
 import (
 	"context"
@@ -17,28 +16,28 @@
 // stopTimeout bounds how long a process may take to end after SIGTERM.
 const stopTimeout = 40 * time.Second
 
-// process is a child process started by the demonstration, with its output in a file.
-type process struct {
+// Process is a child process with its output in a file.
+type Process struct {
 	name    string
 	command *exec.Cmd
 	done    chan struct{}
 	err     error // how it ended; read after done is closed
 }
 
-// start runs a program with its output in dir/name.log.
-func start(dir, name, program string, args ...string) (*process, error) {
+// Start runs a program with its output in dir/name.log.
+func Start(dir, name, program string, args ...string) (*Process, error) {
 	logFile, err := os.Create(filepath.Join(dir, name+".log"))
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = logFile.Close() }()    // the child has its own descriptor
-	command := exec.Command(program, args...) //nolint:noctx // a process outlives the call; stop ends it
+	command := exec.Command(program, args...) //nolint:noctx // a process outlives the call; Stop ends it
 	command.Stdout = logFile
 	command.Stderr = logFile
 	if err := command.Start(); err != nil {
 		return nil, fmt.Errorf("cannot start %s: %w", name, err)
 	}
-	p := &process{name: name, command: command, done: make(chan struct{})}
+	p := &Process{name: name, command: command, done: make(chan struct{})}
 	go func() {
 		p.err = command.Wait()
 		close(p.done)
@@ -46,20 +45,26 @@
 	return p, nil
 }
 
-// kill ends the process with SIGKILL.
-func (p *process) kill() {
+// Signal sends a signal to the process. It is an error when the process has ended.
+func (p *Process) Signal(sig syscall.Signal) error { return p.command.Process.Signal(sig) }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Kill ends the process with SIGKILL.
+func (p *Process) Kill() {
 	_ = p.command.Process.Kill() // it may have ended by itself
 	<-p.done
 }
 
-// stop asks the process to drain and end, and kills it when it takes too long. It returns how it ended.
-func (p *process) stop() error {
+// Stop asks the process to drain and end, and kills it when it takes too long. It returns how it ended.
+func (p *Process) Stop() error {
 	_ = p.command.Process.Signal(syscall.SIGTERM) // it may have ended by itself
 	select {
 	case <-p.done:
 		return p.err
 	case <-time.After(stopTimeout):
-		p.kill()
+		p.Kill()
 		return fmt.Errorf("%s did not end within %v of SIGTERM", p.name, stopTimeout)
 	}
 }
@@ -72,8 +77,8 @@
 	portProbes  = 10_000
 )
 
-// freeAddresses returns n loopback addresses whose ports were free a moment ago.
-func freeAddresses(n int) ([]string, error) {
+// FreeAddresses returns n loopback addresses whose ports were free a moment ago.
+func FreeAddresses(n int) ([]string, error) {
 	addresses := make([]string, 0, n)
 	for range portProbes {
 		if len(addresses) == n {
--- a/internal/server/catalogue_test.go
+++ b/internal/server/catalogue_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	_ "dogwoodnotch.example/dogwoodnotch/internal/node"   // for its events
 	_ "dogwoodnotch.example/dogwoodnotch/internal/server" // defines the events of every package of the daemon
 )
 
