Repeat an unanswered start before it is withdrawn

Change: the same order is sent up to three times, 350 ms each, before it is withdrawn; a worker runs it once however often it comes.

--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -10,11 +10,12 @@
 
 // Timings of orders.
 const (
-	startTimeout = 700 * time.Millisecond // a healthy worker answers within a few milliseconds
-	stopTimeout  = 700 * time.Millisecond
-	stopPause    = 150 * time.Millisecond // between attempts to stop a run
-	lapseSlack   = 500 * time.Millisecond // for the way of an order and for rounding
-	clockDrift   = 1.03                   // workers' clocks may be 2 % slow; 1 % in reserve
+	startTimeout  = 350 * time.Millisecond // a healthy worker answers within a few milliseconds
+	startAttempts = 3                      // the same order, before it is withdrawn; well within the time that a gang waits
+	stopTimeout   = 500 * time.Millisecond
+	stopPause     = 150 * time.Millisecond // between attempts to stop a run
+	lapseSlack    = 500 * time.Millisecond // for the way of an order and for rounding
+	clockDrift    = 1.03                   // workers' clocks may be 2 % slow; 1 % in reserve
 )
 
 // orderFor builds the order that starts a member and notes until when its lease can last.
@@ -42,9 +43,7 @@
 		s.endMember(m, EndLost, "") // never sent
 		return
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
-	_, err := s.c.Fleet.Start(ctx, Target{m.worker.info.ID, m.worker.info.Address}, o)
-	cancel()
+	err := s.repeatStart(m, o)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m.state == ended {
@@ -78,6 +77,29 @@
 	s.endMember(m, EndLost, "")
 }
 
+// repeatStart sends an order until it is answered, startAttempts times at most. A worker that has the run already, or takes an
+// earlier copy up later, runs it once.
+func (s *Scheduler) repeatStart(m *member, o StartOrder) (err error) {
+	target := Target{m.worker.info.ID, m.worker.info.Address}
+	for range startAttempts {
+		ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
+		_, err = s.c.Fleet.Start(ctx, target, o)
+		cancel()
+		if err == nil || refusalOf(err) != "" || !s.stillStarting(m) {
+			return err
+		}
+		s.meters.order("start", "repeated")
+	}
+	return err
+}
+
+// stillStarting reports whether a member's start is open and wanted.
+func (s *Scheduler) stillStarting(m *member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return m.state == starting && !m.stop && s.ctx.Err() == nil && s.c.Term.Authority()
+}
+
 // started notes that a member runs.
 func (s *Scheduler) started(m *member) {
 	if m.state == starting {
--- a/internal/dispatch/recover_test.go
+++ b/internal/dispatch/recover_test.go
@@ -165,12 +165,37 @@
 	b.pass()
 	awaitStops(t, b.fleet, 1)
 	b.pass()
-	assert.Equal(t, b.fleet.started(), 1)
+	assert.Equal(t, b.fleet.started(), startAttempts)
+	for _, o := range b.fleet.starts {
+		assert.Equal(t, o.Run, 1, "only the same run is ordered again")
+	}
 	b.awaitStopAnswered(w)
 	b.fleet.mu.Lock()
 	b.fleet.answer = nil
 	b.fleet.mu.Unlock()
 	b.report(w, HoldReport{}) // the worker has neither the run nor its end
 	b.pass()
-	awaitStarts(t, b.fleet, 2)
+	awaitStarts(t, b.fleet, startAttempts+1)
+	assert.Equal(t, b.fleet.starts[startAttempts].Run, 2)
+}
+
+// Guards against a gang that is given up, with all that its members have begun, because one order had no answer.
+func TestUnansweredStartIsRepeatedBeforeItIsWithdrawn(t *testing.T) {
+	b := newBench(t, newMemoryLedger(), newMemoryLedger())
+	lost := true
+	b.fleet.answer = func(StartOrder) error { // called with the fleet's lock held
+		if lost {
+			lost = false
+			return errors.New("no answer")
+		}
+		return nil
+	}
+	w := b.worker("w1", "r1", 8)
+	step := tasks(3)
+	step.Gang = true
+	b.submit(jobOf(1, step))
+	b.pass()
+	b.awaitRunning(w, 3)
+	assert.Equal(t, b.fleet.started(), 4)
+	assert.Equal(t, b.fleet.stopped(), 0)
 }
