Leave a start open when only its repetition was refused; let priorities order long work

Change: (1) a refusal after an open attempt leaves the start open, so it is withdrawn by a stop; test seen failing before. (2) each priority moves work back by 10 s in the order of latest starts.

--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -78,19 +78,28 @@
 }
 
 // repeatStart sends an order until it is answered, startAttempts times at most. A worker that has the run already, or takes an
-// earlier copy up later, runs it once.
-func (s *Scheduler) repeatStart(m *member, o StartOrder) (err error) {
+// earlier copy up later, runs it once. A refusal of a later copy says nothing of the earlier ones, so it leaves the start open.
+func (s *Scheduler) repeatStart(m *member, o StartOrder) error {
 	target := Target{m.worker.info.ID, m.worker.info.Address}
+	var open error
 	for range startAttempts {
 		ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
-		_, err = s.c.Fleet.Start(ctx, target, o)
+		_, err := s.c.Fleet.Start(ctx, target, o)
 		cancel()
-		if err == nil || refusalOf(err) != "" || !s.stillStarting(m) {
+		reason := refusalOf(err)
+		switch {
+		case err == nil, reason == RefusedFenced, reason != "" && open == nil:
 			return err
+		case reason != "":
+			return open
+		}
+		open = err
+		if !s.stillStarting(m) {
+			return open
 		}
 		s.meters.order("start", "repeated")
 	}
-	return err
+	return open
 }
 
 // stillStarting reports whether a member's start is open and wanted.
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -20,6 +20,10 @@
 
 const (
 	lateFactor = 3.0 // an end within this many times the objective still counts for something
+	// priorityStep moves work of each lower priority back in the order of latest starts. It is a fraction of the slack that
+	// long jobs have, so that priorities decide under high load and none is put off for ever.
+	priorityStep = 10 * time.Second
+
 	ratioLeast = 0.4 // bounds of the learnt ratio of run time to estimate
 	ratioMost  = 2.5
 )
@@ -74,7 +78,7 @@
 		begin = o.job.spec.Submitted
 	}
 	objective, remaining := s.objective(o), s.remaining(o)
-	r := rank{step: st, start: begin.Add(objective - remaining)}
+	r := rank{step: st, start: begin.Add(objective - remaining + time.Duration(o.job.terms.Priority)*priorityStep)}
 	end := now.Add(remaining)
 	limit := begin.Add(time.Duration(lateFactor * float64(objective)))
 	switch {
--- a/internal/dispatch/recover_test.go
+++ b/internal/dispatch/recover_test.go
@@ -199,3 +199,24 @@
 	assert.Equal(t, b.fleet.started(), 4)
 	assert.Equal(t, b.fleet.stopped(), 0)
 }
+
+// Guards against a task that is started elsewhere while it runs: a worker that took an order up without answering may refuse
+// its repetition.
+func TestRefusalOfARepeatedStartLeavesTheFirstOneOpen(t *testing.T) {
+	for _, reason := range []Refusal{RefusedUnhealthy, RefusedNoRoom, RefusedOld, RefusedLate} {
+		b := newBench(t, newMemoryLedger(), newMemoryLedger())
+		b.fleet.answer = func(StartOrder) error { // called with the fleet's lock held
+			if len(b.fleet.starts) == 1 {
+				return errors.New("no answer")
+			}
+			return &RefusalError{reason}
+		}
+		w := b.worker("w1", "r1", 8)
+		b.submit(jobOf(1, tasks(1)))
+		b.pass()
+		awaitStops(t, b.fleet, 1)
+		b.pass()
+		assert.Equal(t, len(w.members), 1, "after %s the run may still be there", reason)
+		assert.Equal(t, b.fleet.started(), 2)
+	}
+}
