--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -50,6 +50,7 @@
 	Events  eventsCommand  `cmd:"" help:"Show the latest events of an instance."`
 	Explain explainCommand `cmd:"" help:"Show why a job waits or ended."`
 	Dump    dumpCommand    `cmd:"" help:"Show the whole state of an instance."`
+	Trace   traceCommand   `cmd:"" help:"Put the log lines of one job, task or worker from several instances in order."`
 	Job     jobCommand     `cmd:"" help:"Submit, show, wait for and cancel jobs."`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Install or print shell completions."`
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -80,6 +80,10 @@
 	budgets  map[int]*budget
 }
 
+func init() {
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00" // lines of several instances are put in order by it
+}
+
 // linesPerSecond bounds the lines of one event. An instance's events stay far below it except when a fault repeats itself.
 const linesPerSecond = 60
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -103,5 +103,6 @@
 		return false
 	}
 	status, ok := exit.Sys().(syscall.WaitStatus)
-	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM
+	return ok && status.Signaled() && //nolint:misspell // the standard library's name
+		status.Signal() == syscall.SIGTERM
 }
