Drop settings and configuration fields that nothing reads; move the soak to the stand-ins

Cause: bounds and services were translated and never used, which a reader would take for behaviour; the soak speaks the platform's wire as callers and the operator do, so it belongs to the stand-ins (found by TestWireNamesStayInThisFolder).

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -10,7 +10,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"dogwoodnotch.example/dogwoodnotch/internal/soak"
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/soak"
 )
 
 func main() {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,4 +1,4 @@
-// Package catalog holds the configuration in force: queues, services and customers, as one immutable version.
+// Package catalog holds the configuration in force: queues and customers, as one immutable version.
 package catalog
 
 import (
@@ -20,14 +20,6 @@
 	Open    bool // needs no key
 }
 
-// Service is a pool of workers.
-type Service struct {
-	Name          string
-	ChecksRoom    bool // its workers refuse tasks that do not fit
-	Off           bool // its machines are switched off
-	MaxConnection int
-}
-
 // Customer owns jobs and may hold a guarantee.
 type Customer struct {
 	Name                   string
@@ -35,19 +27,12 @@
 	GuaranteedAccelerators int64
 }
 
-// Limits bound the requests of callers. A zero value means no limit of its own.
-type Limits struct {
-	HeaderBytes, BodyBytes     int
-	HeaderTimeout, IdleTimeout time.Duration
-}
-
 // Catalog is one version of the configuration. It does not change after Build.
 type Catalog struct {
 	Version   int64
 	Queues    []Queue
-	Services  []Service
 	Customers []Customer
-	Limits    Limits
+	BodyBytes int64 // largest body of a request, 0 for the default
 
 	byHost     map[string][]*Queue // longest prefix first
 	byName     map[string]*Queue
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -176,7 +176,7 @@
 	b.s = New(Config{
 		Fleet: b.fleet, Jobs: jobs, Runs: runs, Term: b.term, Token: 1, Catalog: &current, Events: event.Discard(),
 		Metrics: tally.NoopScope, Now: time.Now, Previous: 8 * time.Second,
-		Bounds: Bounds{Lease: testLease, Stop: time.Second, KeepStatus: time.Minute, Remote: 3},
+		Bounds: Bounds{Lease: testLease, KeepStatus: time.Minute},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -22,14 +22,8 @@
 
 // Bounds are the platform's figures that the scheduler must keep to.
 type Bounds struct {
-	Lease       time.Duration // longest lease of a task
-	GangWait    time.Duration // how long a member of a gang waits for the others
-	Stop        time.Duration // longest time that a stop takes
-	Reclaim     time.Duration // within which a guaranteed job must begin
-	Early       time.Duration // by which a scheduled job may begin before its time
-	KeepStatus  time.Duration // for which an ended job's state is told
-	Remote      float64       // factor of the run time away from the data, or of a gang spread over racks
-	Unavailable time.Duration // for which a permanent task counts as taken down
+	Lease      time.Duration // longest lease of a task
+	KeepStatus time.Duration // for which an ended job's state is told
 }
 
 // Authority is the term on whose behalf orders are given.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -100,7 +100,7 @@
 	s := &Settings{
 		Instance: fmt.Sprintf("entry-%d", i), DataCentre: "z1", Store: storeAddress,
 		Listen: Listen{Jobs: freeAddress(d.t), Readiness: freeAddress(d.t)},
-		Bounds: Bounds{LeaseMS: 3000, StopMS: 500, KeepStatusS: 60, Remote: 3},
+		Bounds: Bounds{LeaseMS: 3000, KeepStatusS: 60},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &instance{jobs: s.Listen.Jobs, ready: s.Listen.Readiness, stop: cancel, ended: make(chan struct{}), log: &lockedBuffer{}}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -36,18 +36,10 @@
 	MemoryMB       int64   `yaml:"memory_mb"`
 }
 
-// Bounds are the platform's figures. Those in seconds may have fractions.
+// Bounds are the platform's figures.
 type Bounds struct {
 	LeaseMS     int64   `yaml:"lease_ms"`      // longest lease of a task
-	GangWaitMS  int64   `yaml:"gang_wait_ms"`  // how long a member of a gang waits for the others
-	StopMS      int64   `yaml:"stop_ms"`       // longest time that a stop takes
-	ReclaimMS   int64   `yaml:"reclaim_ms"`    // within which a guaranteed job must begin
-	EarlyMS     int64   `yaml:"early_ms"`      // by which a scheduled job may begin before its time
-	NoticeMS    int64   `yaml:"notice_ms"`     // for which a permanent task counts as taken down
-	Remote      float64 `yaml:"remote_factor"` // of the run time away from the data
-	KeepStatusS float64 `yaml:"keep_status_s"`
-	ApplyMS     int64   `yaml:"apply_ms"` // within which a configuration must be in force
-	GraceS      float64 `yaml:"grace_s"`  // between SIGTERM and SIGKILL
+	KeepStatusS float64 `yaml:"keep_status_s"` // for which an ended job's state is told
 }
 
 // Load reads and checks a settings file.
@@ -85,9 +77,5 @@
 
 // dispatchBounds returns the bounds that the scheduler keeps to.
 func (b Bounds) dispatchBounds() dispatch.Bounds {
-	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
-	return dispatch.Bounds{
-		Lease: ms(b.LeaseMS), GangWait: ms(b.GangWaitMS), Stop: ms(b.StopMS), Reclaim: ms(b.ReclaimMS), Early: ms(b.EarlyMS),
-		KeepStatus: seconds(b.KeepStatusS), Remote: max(b.Remote, 1), Unavailable: ms(b.NoticeMS),
-	}
+	return dispatch.Bounds{Lease: time.Duration(b.LeaseMS) * time.Millisecond, KeepStatus: seconds(b.KeepStatusS)}
 }
--- a/internal/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -1,4 +1,5 @@
-// Package soak runs entry instances as separate processes against stand-ins of the users' platform, injects faults from
+// Package soak stands in for callers and the operator of the users' platform: it runs entry instances as separate processes
+// against the other stand-ins, injects faults from
 // outside, and checks what callers and workers see: each accepted job ends once, no task runs twice, refusals are true.
 package soak
 
@@ -142,7 +143,7 @@
 	for i := range r.o.Instances {
 		n := &node{name: fmt.Sprintf("entry-%d", i), address: addresses[2+3*i]}
 		n.settings = filepath.Join(r.o.Directory, n.name+".yaml")
-		text := fmt.Sprintf("instance: %s\ndata_centre: z1\nlisten: {jobs: %q, readiness: %q, control: %q}\nstore: %q\nbounds: {lease_ms: 4000, stop_ms: 500, keep_status_s: 300, remote_factor: 3}\n",
+		text := fmt.Sprintf("instance: %s\ndata_centre: z1\nlisten: {jobs: %q, readiness: %q, control: %q}\nstore: %q\nbounds: {lease_ms: 4000, keep_status_s: 300}\n",
 			n.name, n.address, addresses[3+3*i], addresses[4+3*i], r.store)
 		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 			return err
--- a/internal/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -21,7 +21,7 @@
 func TestSeededFaultsBreakNoPromise(t *testing.T) {
 	bin := t.TempDir()
 	for _, program := range []string{"dogwoodnotch", "standin"} {
-		build := exec.Command("go", "build", "-o", filepath.Join(bin, program), "../../cmd/"+program)
+		build := exec.Command("go", "build", "-o", filepath.Join(bin, program), "../../../cmd/"+program)
 		output, err := build.CombinedOutput()
 		assert.NilError(t, err, "%s", output)
 	}
