--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -1,6 +1,6 @@
 // Package soak stands in for callers and the operator of the users' platform: it runs entry instances as separate processes
-// against the other stand-ins, injects faults from
-// outside, and checks what callers and workers see: each accepted job ends once, no task runs twice, refusals are true.
+// against the other stand-ins, injects faults from outside, and checks what callers and workers see: each accepted job ends
+// once, no task runs twice, refusals are true.
 package soak
 
 import (
