Take the targets of orders under the scheduler's lock

Cause: starts and stops of stray runs read a worker's address without the lock while discovery may replace it (found by reading; the race detector shows it with the new test on the code before). Change: one method gives the target, and goroutines get it from callers that hold the lock. No decision changed.

--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -76,7 +76,7 @@
 			}
 		}
 	}
-	return order, Target{w.info.ID, w.info.Address}
+	return order, w.target()
 }
 
 func (s *Scheduler) unheard(w *worker, err error) {
@@ -158,7 +158,7 @@
 		m := w.members[key]
 		if m == nil {
 			s.c.Events.Emit(eventStray, event.F("worker", w.info.ID), event.F("task", r.Task), event.F("run", r.Run))
-			go s.stopStray(w, key)
+			go s.stopStray(w.target(), key)
 			continue
 		}
 		if m.state == starting {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -118,6 +118,9 @@
 	cancel    func()
 }
 
+// target returns where to send orders. Calls that are made without the scheduler's lock take it beforehand.
+func (w *worker) target() Target { return Target{w.info.ID, w.info.Address} }
+
 // runKey identifies a run on a worker.
 type runKey struct {
 	task workload.TaskName
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -36,14 +36,14 @@
 }
 
 // start sends an order and takes in the answer.
-func (s *Scheduler) start(m *member, o StartOrder) {
+func (s *Scheduler) start(m *member, target Target, o StartOrder) {
 	if !s.c.Term.Authority() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.endMember(m, EndLost, "") // never sent
 		return
 	}
-	err := s.repeatStart(m, o)
+	err := s.repeatStart(m, target, o)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m.state == ended {
@@ -79,8 +79,7 @@
 
 // repeatStart sends an order until it is answered, startAttempts times at most. A worker that has the run already, or takes an
 // earlier copy up later, runs it once. A refusal of a later copy says nothing of the earlier ones, so it leaves the start open.
-func (s *Scheduler) repeatStart(m *member, o StartOrder) error {
-	target := Target{m.worker.info.ID, m.worker.info.Address}
+func (s *Scheduler) repeatStart(m *member, target Target, o StartOrder) error {
 	var open error
 	for range startAttempts {
 		ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
@@ -124,7 +123,7 @@
 	order := StopOrder{Task: m.name(), Run: m.run, Token: s.c.Token}
 	for s.ctx.Err() == nil {
 		s.mu.Lock()
-		target := Target{m.worker.info.ID, m.worker.info.Address}
+		target := m.worker.target()
 		s.mu.Unlock()
 		if target.Address == "" || !s.c.Term.Authority() {
 			if m.over(s) {
@@ -168,13 +167,13 @@
 }
 
 // stopStray ends a run that is not planned on a worker.
-func (s *Scheduler) stopStray(w *worker, key runKey) {
+func (s *Scheduler) stopStray(target Target, key runKey) {
 	if !s.c.Term.Authority() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, stopTimeout)
 	defer cancel()
-	if _, err := s.c.Fleet.Stop(ctx, Target{w.info.ID, w.info.Address}, StopOrder{key.task, key.run, s.c.Token}); err != nil {
+	if _, err := s.c.Fleet.Stop(ctx, target, StopOrder{key.task, key.run, s.c.Token}); err != nil {
 		s.meters.order("stop", "unanswered") // the next look shows the run again
 	}
 }
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -67,7 +67,7 @@
 		if pace != m.pace {
 			m.pace = pace
 			s.c.Events.Emit(eventPaced, event.F("worker", w.info.ID), event.F("task", m.name()), event.F("percent", pace), event.F("worst_share_of_target", worst))
-			go s.sendPace(m, PaceOrder{Task: m.name(), Run: m.run, Percent: pace, Token: s.c.Token}, Target{w.info.ID, w.info.Address})
+			go s.sendPace(m, PaceOrder{Task: m.name(), Run: m.run, Percent: pace, Token: s.c.Token}, w.target())
 		}
 	}
 }
--- a/internal/dispatch/recover_test.go
+++ b/internal/dispatch/recover_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 )
@@ -220,3 +221,25 @@
 		assert.Equal(t, b.fleet.started(), 2)
 	}
 }
+
+// Guards against an order that is sent to an address which discovery is replacing at that moment; the race detector shows it.
+func TestOrdersAndDiscoveryDoNotRace(t *testing.T) {
+	b := newBench(t, newMemoryLedger(), newMemoryLedger())
+	w := b.worker("w1", "r1", 8)
+	info := w.info
+	b.fleet.answer = func(StartOrder) error { return errors.New("no answer") }
+	b.submit(jobOf(1, tasks(8)))
+	b.pass()
+	for range 50 {
+		info.Remaining++
+		b.s.Observe(info)
+	}
+	b.report(w, HoldReport{Running: []RunReport{{Task: task(jobOf(2, tasks(1)), 0), Run: 1}}}) // a stray run
+	b.s.Observe(info)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.fleet.stopped() == 0 {
+			return poll.Continue("nothing stopped")
+		}
+		return poll.Success()
+	})
+}
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		m.state = starting
-		go s.start(m, s.orderFor(m))
+		go s.start(m, m.worker.target(), s.orderFor(m))
 	}
 }
 
