Use one function for pauses that end with their context

Cause: reading the whole change showed the same function written three times anew beside two that stood already, and a comment on endMember that promised a result it does not have. Change: internal/wait, used by ledger, leadership, dispatch, node, peer and configuration/stream; the demonstration keeps its own, whose callers have variables of that name. No decision and no check changed.

--- a/internal/configuration/stream/follow.go
+++ b/internal/configuration/stream/follow.go
@@ -9,6 +9,7 @@
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/platform"
+	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 )
 
 var errNoSnapshot = errors.New("the stream has no snapshot to start from")
@@ -33,7 +34,7 @@
 		if ctx.Err() == nil {
 			r.failed(err)
 		}
-		pause(ctx, delay.NextBackOff())
+		wait.For(ctx, delay.NextBackOff())
 	}
 	return nil
 }
@@ -213,12 +214,3 @@
 	r.moveTo(s.AsOf + 1)
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/configuration/stream/snapshot.go
+++ b/internal/configuration/stream/snapshot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 )
 
 const (
@@ -46,11 +47,11 @@
 func (r *Reader) renew(ctx context.Context) error {
 	check := min(maxRenewCheck, max(minRenewCheck, r.options.Retention/renewChecks))
 	for ctx.Err() == nil {
-		pause(ctx, check/2+rand.N(check))
+		wait.For(ctx, check/2+rand.N(check))
 		if !r.due() {
 			continue
 		}
-		pause(ctx, rand.N(4*check))
+		wait.For(ctx, rand.N(4*check))
 		if ctx.Err() == nil && r.due() {
 			r.writeSnapshot(ctx)
 		}
--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 )
 
 // Timings of looks at workers.
@@ -31,7 +32,7 @@
 func (s *Scheduler) watch(ctx context.Context, w *worker) {
 	for ctx.Err() == nil {
 		if !s.c.Term.Authority() {
-			pause(ctx, holdRetry)
+			wait.For(ctx, holdRetry)
 			continue
 		}
 		s.mu.Lock()
@@ -46,14 +47,14 @@
 		}
 		if err != nil {
 			s.unheard(w, err)
-			pause(ctx, holdRetry)
+			wait.For(ctx, holdRetry)
 			continue
 		}
 		s.mu.Lock()
 		s.report(w, sent, time.Now(), report)
-		wait := w.recorded < w.processed
+		unrecorded := w.recorded < w.processed
 		s.mu.Unlock()
-		if wait {
+		if unrecorded {
 			select {
 			case <-ctx.Done():
 			case <-w.ack:
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 )
 
 // Timings of orders.
@@ -129,7 +130,7 @@
 			if m.over(s) {
 				return
 			}
-			pause(s.ctx, stopPause)
+			wait.For(s.ctx, stopPause)
 			continue
 		}
 		ctx, cancel := context.WithTimeout(s.ctx, stopTimeout)
@@ -155,7 +156,7 @@
 		if over {
 			return
 		}
-		pause(s.ctx, stopPause)
+		wait.For(s.ctx, stopPause)
 	}
 }
 
@@ -177,10 +178,3 @@
 		s.meters.order("stop", "unanswered") // the next look shows the run again
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -84,7 +84,7 @@
 	return true
 }
 
-// endMember takes in that a member's run is over, and returns the record to write, if any.
+// endMember takes in that a member's run is over.
 func (s *Scheduler) endMember(m *member, how Ending, checkpoint string) {
 	if m.state == ended {
 		return
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -15,6 +15,7 @@
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
+	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 )
 
 // Timings of the election.
@@ -110,7 +111,7 @@
 			return
 		}
 		if !e.able() {
-			sleep(ctx, retryPause)
+			wait.For(ctx, retryPause)
 			continue
 		}
 		if e.claim(ctx) {
@@ -135,7 +136,7 @@
 		}
 		if state := e.Current(); e.vacant(state) {
 			if state.Term > 0 {
-				sleep(ctx, time.Duration(rand.Int64N(int64(claimSpread)))+e.handicap()/2)
+				wait.For(ctx, time.Duration(rand.Int64N(int64(claimSpread)))+e.handicap()/2)
 			}
 			return state.Resigned || state.Term == 0, ctx.Err() == nil
 		}
@@ -347,7 +348,7 @@
 	if first {
 		e.events.Emit(eventFailed, event.F("cause", err))
 	}
-	sleep(ctx, retryPause)
+	wait.For(ctx, retryPause)
 }
 
 // answered ends a row of failed calls.
@@ -374,10 +375,3 @@
 	defer t.elector.mu.Unlock()
 	return t.elector.clock()-t.elector.confirmed < AuthorityLimit
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/ledger/follow.go
+++ b/internal/ledger/follow.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 )
 
 // Timings of a reader.
@@ -174,13 +176,6 @@
 func (r *Reader) pause(ctx context.Context, err error) {
 	if ctx.Err() == nil {
 		r.Failed(err)
-		sleep(ctx, readBackoff)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		wait.For(ctx, readBackoff)
 	}
 }
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -10,6 +10,7 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/leadership"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
+	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 	"dogwoodnotch.example/dogwoodnotch/platform"
 )
 
@@ -101,10 +102,7 @@
 			return true
 		}
 		n.events.Emit(eventLogLost, event.F("topic", "takeover"), event.F("cause", err))
-		select {
-		case <-ctx.Done():
-		case <-time.After(takeoverWait):
-		}
+		wait.For(ctx, takeoverWait)
 	}
 	return false
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -18,6 +18,7 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
+	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 )
 
 // Bounds of connections and calls.
@@ -167,7 +168,7 @@
 			if !temporary(err) {
 				return errkind.Wrap(err, errkind.Internal, "check peer_listen", "cannot accept peer connections")
 			}
-			pause(ctx, redialPause)
+			wait.For(ctx, redialPause)
 			continue
 		}
 		n.accept(conn)
@@ -177,15 +178,6 @@
 // temporary reports whether accepting may work again, for example after running out of file descriptors.
 func temporary(err error) bool { return !errors.Is(err, net.ErrClosed) }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Close closes all connections, ends running handlers' contexts and waits for the node's goroutines.
 func (n *Node) Close() {
 	n.mu.Lock()
