Predict run times from each queue's past instead of scaling estimates

Change: a regression of the log of run times on the log of estimates for each queue, and the mean of a step's own units once some have ended; runs far from their data, repeated runs and runs of an earlier term are not learnt from. Ruled out: a ratio in log units only, since the slope lies at 0.06 to 0.42 and residuals fall to 0.24 to 0.43.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -12,7 +12,6 @@
 	suspectFirst     = 4 * time.Second  // pause before the first probe
 	suspectMost      = 16 * time.Second // longest pause between probes
 	stallAfter       = 3 * time.Second  // without progress that a worker several times slower than usual would show
-	learnWeight      = 0.15             // of the newest run in the averages of its queue
 )
 
 // health is what the scheduler believes of a worker.
@@ -85,22 +84,3 @@
 		}
 	}
 }
-
-// queueStats is what was learnt of a queue's jobs.
-type queueStats struct {
-	ratio float64 // run time to estimate
-}
-
-// learn takes in how long a unit ran.
-func (s *Scheduler) learn(j *job, u *unit, m *member, now time.Time) {
-	if u.run > 1 || u.step.spec.Estimate <= 0 || m.since.IsZero() {
-		return
-	}
-	ratio := float64(now.Sub(m.since)) / float64(u.step.spec.Estimate)
-	st := s.queues[j.spec.Queue]
-	if st == nil {
-		s.queues[j.spec.Queue] = &queueStats{ratio: ratio}
-		return
-	}
-	st.ratio += learnWeight * (ratio - st.ratio)
-}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -38,6 +38,8 @@
 	waiting    int // units that wait for a start
 	left       int // units that are not done
 	advice     advice
+	took       time.Duration // mean run time of its timed units
+	timed      int           // units of which an undisturbed run ended well
 }
 
 // unit is what starts and ends as a whole: a task, or all tasks of a gang.
@@ -52,6 +54,7 @@
 	members    []*member // of the current run
 	notBefore  time.Time
 	startedAt  time.Time
+	restored   bool                 // the current run began in an earlier term
 	waitingAt  time.Time            // since when it waits
 	avoid      map[string]time.Time // workers on which it did not go well, with the time
 	reserved   []*worker            // on which room is being reclaimed for it
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -23,9 +23,6 @@
 	// priorityStep moves work of each lower priority back in the order of latest starts. It is a fraction of the slack that
 	// long jobs have, so that priorities decide under high load and none is put off for ever.
 	priorityStep = 10 * time.Second
-
-	ratioLeast = 0.4 // bounds of the learnt ratio of run time to estimate
-	ratioMost  = 2.5
 )
 
 // rank is a step's place in the order of waiting work.
@@ -35,41 +32,6 @@
 	start time.Time // latest start that keeps the objective
 }
 
-// expected returns how long one task of a step is expected to take.
-func (s *Scheduler) expected(st *step) time.Duration {
-	return time.Duration(float64(st.spec.Estimate) * s.ratio(st.occurrence.job))
-}
-
-func (s *Scheduler) ratio(j *job) float64 {
-	stats := s.queues[j.spec.Queue]
-	if stats == nil {
-		return 1
-	}
-	return min(max(stats.ratio, ratioLeast), ratioMost)
-}
-
-// remaining returns the expected time along the longest path of steps that are not done.
-func (s *Scheduler) remaining(o *occurrence) time.Duration {
-	longest := time.Duration(0)
-	ends := make([]time.Duration, len(o.steps))
-	for i, st := range o.steps {
-		for _, before := range st.spec.After {
-			ends[i] = max(ends[i], ends[before])
-		}
-		if st.left > 0 {
-			ends[i] += s.expected(st)
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
-// objective returns the latency objective of one occurrence.
-func (s *Scheduler) objective(o *occurrence) time.Duration {
-	q := &o.job.terms
-	return time.Duration(q.Stretch*s.ratio(o.job)*float64(o.job.spec.Chain())) + q.Target
-}
-
 // rankStep places a step in the order of waiting work.
 func (s *Scheduler) rankStep(st *step, now time.Time) rank {
 	o := st.occurrence
@@ -77,7 +39,8 @@
 	if begin.IsZero() {
 		begin = o.job.spec.Submitted
 	}
-	objective, remaining := s.objective(o), s.remaining(o)
+	whole, remaining := s.chain(o)
+	objective := objective(o, whole)
 	r := rank{step: st, start: begin.Add(objective - remaining + time.Duration(o.job.terms.Priority)*priorityStep)}
 	end := now.Add(remaining)
 	limit := begin.Add(time.Duration(lateFactor * float64(objective)))
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -85,7 +85,7 @@
 		}
 		u.state = active
 		u.step.waiting--
-		u.startedAt = time.Now()
+		u.startedAt, u.restored = time.Now(), true
 		for i, id := range state.Workers {
 			s.restoreMember(u, i, id)
 		}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -66,7 +66,7 @@
 	jobs    map[string]*job
 	live    []*job // in order of arrival, ended ones are removed by the passes
 	workers map[string]*worker
-	queues  map[string]*queueStats
+	queues  map[string]*runTimes
 	loads   map[string]int64 // accelerators that each customer's unfinished urgent jobs need
 }
 
@@ -74,7 +74,7 @@
 func New(c Config) *Scheduler {
 	return &Scheduler{
 		c: c, meters: newMeters(c.Metrics), begun: time.Now(), kick: make(chan struct{}, 1),
-		jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*queueStats{}, loads: map[string]int64{},
+		jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]*runTimes{}, loads: map[string]int64{},
 		ctx: context.Background(), loading: true,
 	}
 }
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -13,7 +13,7 @@
 // activate records a run of a unit on the given workers, one for each member, and starts it when the record is durable.
 func (s *Scheduler) activate(u *unit, workers []*worker, now time.Time) {
 	u.run++
-	u.state, u.startedAt = active, now
+	u.state, u.startedAt, u.restored = active, now, false
 	u.step.waiting--
 	u.reserved = nil
 	u.members = make([]*member, len(workers))
@@ -151,7 +151,7 @@
 	u.step.left--
 	now := time.Now()
 	j := u.job()
-	s.learn(j, u, m, now)
+	s.learn(u, now)
 	s.meters.run.RecordDuration(now.Sub(u.startedAt))
 	s.c.Events.Emit(eventUnitEnded, event.F("job", j.spec.ID), event.F("unit", u.name().Key()), event.F("run", u.run), event.F("how", EndDone), event.F("worker", m.worker.info.ID), event.F("ran_ms", now.Sub(u.startedAt).Milliseconds()))
 	s.c.Runs.Put(nil, u.record())
