Refuse what was not sent: probe a silent log first, and take records back that still wait

Change: all calls of an instance go through one contact, which notes when the store last answered anything; records are not sent to a store that was silent for 0.55 s until a probe is answered, and meanwhile are refused at once; a record that was not sent is taken back when its caller's time ends. Ruled out: a Retry-After of up to 3 s by slack (tried: callers give up after 3 s in all, so it only takes tries away); jobs that arrive in the first 1 to 2 s of an outage of 4 to 5 s cannot be kept by any answer.

--- a/internal/entry/desk.go
+++ b/internal/entry/desk.go
@@ -23,7 +23,7 @@
 	readyWithin    = 1700 * time.Millisecond // age of the view up to which an instance is ready; two open reads and a pause
 	refreshWithin  = 80 * time.Millisecond   // for the log's news before a job's state is told
 	youngOutage    = time.Second             // up to this age the log may be out for this instance only, so callers retry elsewhere at once
-	outagePause    = time.Second             // told to callers when the log is out for longer
+	outagePause    = time.Second             // told to callers when the log is out for longer; they give up after a few seconds
 )
 
 var (
@@ -39,13 +39,14 @@
 	board  *ledger.Board
 	reader *ledger.Reader // of the board
 	writer *ledger.Writer
+	log    *ledger.Contact // that all of these use
 	events *event.Log
 	scope  tally.Scope
 }
 
-// New returns a desk that answers from a board, which reader keeps, and records with a writer.
-func New(board *ledger.Board, reader *ledger.Reader, writer *ledger.Writer, events *event.Log, scope tally.Scope) *Desk {
-	return &Desk{board: board, reader: reader, writer: writer, events: events, scope: scope}
+// New returns a desk that answers from a board, which reader keeps, and records with a writer. Both use log.
+func New(board *ledger.Board, reader *ledger.Reader, writer *ledger.Writer, log *ledger.Contact, events *event.Log, scope tally.Scope) *Desk {
+	return &Desk{board: board, reader: reader, writer: writer, log: log, events: events, scope: scope}
 }
 
 // Submit accepts a job. Errors are of kind Unavailable when the job was not accepted and Unknown when that is open.
@@ -107,7 +108,7 @@
 // RetryAfter returns when a caller that was refused should come back: at once, and so to another instance, while the log may
 // be out for this instance only.
 func (d *Desk) RetryAfter() time.Duration {
-	if d.writer.Unable() < youngOutage {
+	if max(d.writer.Unable(), d.log.Silence()) < youngOutage {
 		return 0
 	}
 	return outagePause
@@ -143,21 +144,34 @@
 	ctx, cancel := context.WithTimeout(ctx, recordPatience)
 	defer cancel()
 	outcome := make(chan error, 1)
-	d.writer.Put(func(err error) { outcome <- err }, r)
+	withdraw := d.writer.Offer(func(err error) { outcome <- err }, r)
 	select {
 	case err := <-outcome:
-		if err == nil {
-			return nil
-		}
-		if ledger.IsRefused(err) || errors.Is(err, ledger.ErrSuspect) {
-			return errkind.Wrap(err, errkind.Unavailable, "retry after a second", "the log does not take records now")
-		}
-		return errkind.Wrap(err, errkind.Unknown, "retry with the same id", "the outcome is open")
+		return recordError(err)
 	case <-ctx.Done():
+	}
+	if withdraw() {
+		return errkind.Wrap(ctx.Err(), errkind.Unavailable, "retry after a second", "the record was not sent in time")
+	}
+	select {
+	case err := <-outcome: // it became known at the last moment
+		return recordError(err)
+	default:
 		return errkind.Wrap(ctx.Err(), errkind.Unknown, "retry with the same id", "the log did not answer in time")
 	}
 }
 
+// recordError translates the outcome of writing a record.
+func recordError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case ledger.IsRefused(err), errors.Is(err, ledger.ErrSuspect), errors.Is(err, ledger.ErrQuiet):
+		return errkind.Wrap(err, errkind.Unavailable, "retry after a second", "the log does not take records now")
+	}
+	return errkind.Wrap(err, errkind.Unknown, "retry with the same id", "the outcome is open")
+}
+
 func (d *Desk) count(call, outcome string) {
 	d.scope.Tagged(map[string]string{"call": call, "outcome": outcome}).Counter("calls").Inc(1)
 }
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 )
@@ -26,9 +27,11 @@
 	producer   string
 	epoch      int64
 	persistent bool // repeats refused appends until they succeed
+	probe      func(context.Context) error
 
 	mu       sync.Mutex
 	pending  []queued
+	offers   int64 // records that can be taken back so far
 	wake     chan struct{}
 	failedAt time.Time // since when the append in flight has no answer; zero when the log answers
 	refused  time.Time // when the log last refused records for good
@@ -39,7 +42,8 @@
 type queued struct {
 	record  Record
 	done    func(error)
-	barrier bool // carries no record
+	barrier bool  // carries no record
+	offer   int64 // names a record that can be taken back, 0 for none
 }
 
 // NewWriter returns a writer of a topic. A persistent writer repeats refused appends for as long as it runs.
@@ -47,6 +51,10 @@
 	return &Writer{log: log, topic: topic, producer: producer, epoch: epoch, persistent: persistent, wake: make(chan struct{}, 1), lastGood: time.Now()}
 }
 
+// ProbeWith sets a check to be made before each append. When it fails, the records are given back unsent with its error. It is
+// called before Run.
+func (w *Writer) ProbeWith(probe func(context.Context) error) { w.probe = probe }
+
 // ErrSuspect says that the log does not answer, so the record was not sent.
 var ErrSuspect = errors.New("the log does not answer at present")
 
@@ -54,24 +62,45 @@
 // done nothing; it may be nil. Without records it is called when all that was queued before is known. It is never called
 // by the goroutine that calls Put.
 func (w *Writer) Put(done func(error), records ...Record) {
-	w.mu.Lock()
-	if err := w.refusal(); err != nil {
-		w.mu.Unlock()
-		if done != nil {
-			go done(err)
-		}
-		return
-	}
 	if len(records) == 0 {
-		w.pending = append(w.pending, queued{done: done, barrier: true})
+		w.queue(queued{done: done, barrier: true})
+		return
 	}
+	batch := make([]queued, len(records))
 	for i, r := range records {
-		q := queued{record: r}
-		if i == len(records)-1 {
-			q.done = done
+		batch[i].record = r
+	}
+	batch[len(batch)-1].done = done
+	w.queue(batch...)
+}
+
+// Offer queues one record, as Put does. The returned function takes the record back and reports whether it could: true says
+// that the record was not sent and never will be, and done is not called.
+func (w *Writer) Offer(done func(error), r Record) (withdraw func() bool) {
+	w.mu.Lock()
+	w.offers++
+	number := w.offers
+	w.mu.Unlock()
+	w.queue(queued{record: r, done: done, offer: number})
+	return func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		i := slices.IndexFunc(w.pending, func(q queued) bool { return q.offer == number })
+		if i >= 0 {
+			w.pending = slices.Concat(w.pending[:i], w.pending[i+1:])
 		}
-		w.pending = append(w.pending, q)
+		return i >= 0
 	}
+}
+
+func (w *Writer) queue(batch ...queued) {
+	w.mu.Lock()
+	if err := w.refusal(); err != nil {
+		w.mu.Unlock()
+		go finish(batch, err)
+		return
+	}
+	w.pending = append(w.pending, batch...)
 	w.mu.Unlock()
 	select {
 	case w.wake <- struct{}{}:
@@ -139,6 +168,13 @@
 			}
 			continue
 		}
+		if w.probe != nil {
+			if err := w.probe(ctx); err != nil {
+				w.noteRefused()
+				finish(batch, err)
+				continue
+			}
+		}
 		written, err := w.append(ctx, batch, &sequence)
 		if err != nil {
 			return w.end(err, batch)
--- a/internal/ledger/writer_test.go
+++ b/internal/ledger/writer_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // scriptedLog answers appends one after the other as scripted, then successfully.
@@ -151,3 +153,87 @@
 	assert.Assert(t, IsFenced(<-ended))
 	assert.Assert(t, IsFenced(put(w, "b")))
 }
+
+// Guards against an outcome that is told as open although the record was never sent: it waits behind an append without an
+// answer, and its caller cannot wait any longer.
+func TestUnsentRecordIsTakenBack(t *testing.T) {
+	log := &scriptedLog{block: make(chan struct{})}
+	w := runWriter(t, log, false)
+	first := make(chan error, 1)
+	withdrawFirst := w.Offer(func(err error) { first <- err }, Record{Key: "a", Value: []byte("v")})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if len(w.pending) > 0 {
+			return poll.Continue("the first record is not taken up")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	withdrawSecond := w.Offer(func(error) { t.Error("a record that was taken back has no outcome") }, Record{Key: "b", Value: []byte("v")})
+	assert.Assert(t, withdrawSecond())
+	assert.Assert(t, !withdrawFirst(), "it may have been sent")
+	close(log.block)
+	assert.NilError(t, <-first)
+	assert.NilError(t, put(w, "c"))
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	for _, batch := range log.batches {
+		for _, r := range batch {
+			assert.Assert(t, r.Key != "b", "sent although it was taken back")
+		}
+	}
+}
+
+// Guards against records that are sent to a log which has stopped answering, whose outcome then stays open for seconds.
+func TestNothingIsSentToASilentLog(t *testing.T) {
+	log := &silentLog{scriptedLog: &scriptedLog{}}
+	contact := NewContact(log)
+	w := NewWriter(contact, JobsTopic, "p", 1, false)
+	w.ProbeWith(contact.Probe)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = w.Run(ctx) // ends with ctx
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	assert.NilError(t, put(w, "a"))
+	log.silent.Store(true)
+	time.Sleep(quietAfter)
+	begun := time.Now()
+	assert.ErrorIs(t, put(w, "b"), ErrQuiet)
+	assert.Assert(t, time.Since(begun) < probeTimeout+200*time.Millisecond)
+	log.silent.Store(false)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if err := put(w, "c"); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithDelay(10*time.Millisecond), poll.WithTimeout(2*time.Second))
+	assert.Equal(t, len(log.calls), 2, "only a and c were sent")
+}
+
+// silentLog leaves calls unanswered while silent is set.
+type silentLog struct {
+	*scriptedLog
+	silent atomic.Bool
+}
+
+func (l *silentLog) Append(ctx context.Context, topic string, records []Record, w Writing) (int64, error) {
+	if l.silent.Load() {
+		<-ctx.Done()
+		return 0, &UnknownError{ctx.Err()}
+	}
+	return l.scriptedLog.Append(ctx, topic, records, w)
+}
+
+func (l *silentLog) Newest(ctx context.Context, _ string) (Batch, error) {
+	if l.silent.Load() {
+		<-ctx.Done()
+		return Batch{}, &UnknownError{ctx.Err()}
+	}
+	return Batch{}, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,7 +57,7 @@
 	closer   io.Closer
 
 	client      *platform.Client
-	store       *platform.Store
+	store       *ledger.Contact
 	workers     *platform.Workers
 	current     catalog.Current
 	board       *ledger.Board
@@ -73,11 +73,12 @@
 	client := platform.NewClient()
 	n := &Node{client: client, settings: s, events: event.NewLog(out, s.Instance), board: ledger.NewBoard(), incarnation: newIncarnation()}
 	n.scope, n.metrics, n.closer = metrics.New(map[string]string{"instance": s.Instance})
-	n.store = platform.NewStore(client, s.Store)
+	n.store = ledger.NewContact(platform.NewStore(client, s.Store))
 	n.workers = platform.NewWorkers(platform.NewClient())
 	n.writer = ledger.NewWriter(n.store, ledger.JobsTopic, "entry-"+n.incarnation, 1, false)
+	n.writer.ProbeWith(n.store.Probe)
 	n.boardReader = n.newBoardReader()
-	n.front = &platform.Front{Desk: entry.New(n.board, n.boardReader, n.writer, n.events, n.scope), Catalog: &n.current}
+	n.front = &platform.Front{Desk: entry.New(n.board, n.boardReader, n.writer, n.store, n.events, n.scope), Catalog: &n.current}
 	n.elector = leadership.New(leadership.Config{
 		Log: n.store, Instance: s.Instance, Incarnation: n.incarnation, Size: s.Machine.ProcessorShare, Events: n.events, Clock: bootTime,
 		Able: func() bool { return n.current.Get() != nil },
