Keep reservations from pass to pass, and let gangs use the headroom when as much is free elsewhere

Change: a reservation lasts until its unit starts, 10 s at most, and is held before the headroom is chosen; a gang may start in the headroom if as much is free elsewhere; urgent work may use reserved workers.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -33,6 +33,8 @@
 	eventAdvised    = event.Define(2524, "advice received", zerolog.InfoLevel, "The advisor said which workers may run a step.", "")
 	eventUnadvised  = event.Define(2525, "advice missing", zerolog.WarnLevel, "The advisor did not answer; the question is repeated.", "Check the advisor when it lasts.")
 	eventPaced      = event.Define(2526, "leftover work paced", zerolog.InfoLevel, "Work that uses leftover processor time was slowed or sped up for the sake of a task with a target.", "")
+	eventSurvey     = event.Define(2523, "work waits", zerolog.InfoLevel, "Tasks and gangs wait: how many of each class, and how much of the service is free or kept free.", "")
+	eventReserved   = event.Define(2527, "workers reserved", zerolog.InfoLevel, "Workers are kept free until a gang or large task fits on them.", "")
 	eventReclaiming = event.Define(2522, "room reclaimed", zerolog.InfoLevel, "Less urgent work is stopped so that an urgent job can begin.", "")
 )
 
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -57,7 +57,9 @@
 	restored   bool                 // the current run began in an earlier term
 	waitingAt  time.Time            // since when it waits
 	avoid      map[string]time.Time // workers on which it did not go well, with the time
-	reserved   []*worker            // on which room is being reclaimed for it
+	held       []*worker            // that are kept free until it fits
+	heldAt     time.Time
+	reserved   []*worker // on which room is being reclaimed for it
 	reservedAt time.Time
 }
 
@@ -169,6 +171,11 @@
 	return room
 }
 
+// urgent reports whether the step belongs to a queue of the highest priority, which may stop other work.
+func (s *step) urgent() bool { return s.occurrence.job.terms.Priority == 0 }
+
+func (u *unit) urgent() bool { return u.step.urgent() }
+
 // ready reports whether the steps before it are done.
 func (s *step) ready() bool {
 	for _, before := range s.spec.After {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -5,13 +5,14 @@
 	"slices"
 	"time"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
 
 // Limits of a pass.
 const (
-	reserveShare = 0.3                     // most of a service's accelerators kept free for work that does not fit yet
+	surveyPeriod = 2 * time.Second         // between two log lines on what waits and what is free
 	remoteAfter  = 1500 * time.Millisecond // wait before work runs away from its data or spread, while half the fleet is idle
 )
 
@@ -29,6 +30,7 @@
 	total    int64 // accelerators
 	free     int64 // at the start of the pass
 	reserved int64 // accelerators kept free in this pass
+	headroom int64 // accelerators that less urgent work leaves free
 }
 
 // plan is the state of one pass.
@@ -58,12 +60,57 @@
 	}
 	for _, pl := range p.pools {
 		pl.sort()
+		pl.headroom = int64(headroomShare * float64(pl.total))
+	}
+	p.keepReservations(ranks)
+	for _, pl := range p.pools {
 		p.keepHeadroom(pl)
 	}
 	for _, r := range ranks {
 		p.place(r)
 	}
 	s.meters.pass.RecordDuration(time.Since(begun))
+	p.survey()
+}
+
+// survey tells now and then what waits and what is free, so that the log explains why work that seems to fit waits.
+func (p *plan) survey() {
+	s := p.s
+	if p.now.Sub(s.surveyed) < surveyPeriod {
+		return
+	}
+	waits := map[string][classes]int{}
+	for _, j := range s.live {
+		for _, o := range j.occurrences {
+			if o == nil || o.left == 0 || j.ended() {
+				continue
+			}
+			for _, st := range o.steps {
+				if st.waiting > 0 && st.ready() {
+					perClass := waits[j.terms.Service]
+					perClass[s.rankStep(st, s.c.Now()).class] += st.waiting
+					waits[j.terms.Service] = perClass
+				}
+			}
+		}
+	}
+	for service, perClass := range waits {
+		pl := p.pools[service]
+		if pl == nil {
+			pl = &pool{}
+		}
+		s.surveyed = p.now
+		free, headroom := int64(0), int64(0)
+		for _, w := range pl.workers {
+			free += w.free.Accelerators
+			if p.headroom[w] {
+				headroom += w.free.Accelerators
+			}
+		}
+		s.c.Events.Emit(eventSurvey, event.F("service", service), event.F("workers", len(pl.workers)), event.F("accelerators", pl.total), event.F("free", free),
+			event.F("free_for_urgent_only", headroom), event.F("reserved", pl.reserved), event.F("waiting_guaranteed", perClass[guaranteed]), event.F("waiting_urgent", perClass[urgent]),
+			event.F("waiting_on_time", perClass[onTime]), event.F("waiting_late", perClass[late]), event.F("waiting_overdue", perClass[overdue]))
+	}
 }
 
 // waitingSteps returns the steps that have units to start, and drops ended jobs from the list of live ones.
@@ -167,9 +214,13 @@
 	if u.index >= 0 && p.misfits[sh] && r.class > urgent {
 		return false
 	}
-	chosen := p.choose(pl, u)
-	if chosen != nil {
+	if chosen := p.choose(pl, u); chosen != nil {
+		p.s.activate(u, chosen, p.now)
+		return true
+	}
+	if chosen := p.chooseFromHeadroom(pl, u); chosen != nil {
 		p.s.activate(u, chosen, p.now)
+		p.keepHeadroom(pl)
 		return true
 	}
 	if u.index >= 0 {
@@ -251,13 +302,13 @@
 
 // allowed reports whether a worker may run tasks of a unit at all.
 func (p *plan) allowed(w *worker, u *unit) bool {
-	if holder := p.blocked[w]; holder != nil && holder != u.step {
+	if holder := p.blocked[w]; holder != nil && holder != u.step && !(u.urgent() && !holder.urgent()) {
 		return false
 	}
 	if w.health.pause > 0 && (u.index < 0 || len(w.members) > 0) {
 		return false // a probe is one task, and no gang is risked on it
 	}
-	if p.headroom[w] && u.job().terms.Priority > 0 {
+	if p.headroom[w] && !u.urgent() {
 		return false
 	}
 	if u.job().terms.Advised && !u.step.advice.allows(w, p.now) {
@@ -369,88 +420,6 @@
 	return empty.gangRack(pl, u, whole) != nil
 }
 
-// reserve keeps workers free for a unit that does not fit yet, so that smaller work does not keep it out for ever. It picks
-// the workers, in one rack for a gang that needs one, that are expected to be free first.
-func (p *plan) reserve(pl *pool, u *unit) {
-	budget := int64(reserveShare*float64(pl.total)) - pl.reserved
-	if u.index >= 0 && 2*u.step.room().Accelerators <= pl.workers[0].info.Capacity.Accelerators {
-		return // small tasks find room without help
-	}
-	var best []*worker
-	bestBusy := time.Duration(1 << 62)
-	for _, set := range p.candidateSets(pl, u) {
-		chosen, busy := p.soonest(set, u)
-		if chosen != nil && busy < bestBusy {
-			best, bestBusy = chosen, busy
-		}
-	}
-	kept := int64(0)
-	for _, w := range best {
-		kept += w.info.Capacity.Accelerators
-	}
-	if best == nil || kept > budget {
-		return
-	}
-	pl.reserved += kept
-	for _, w := range best {
-		p.blocked[w] = u.step
-	}
-}
-
-// candidateSets returns the groups of workers in which a unit may be placed whole.
-func (p *plan) candidateSets(pl *pool, u *unit) [][]*worker {
-	spec := u.step.spec
-	if spec.DataRack != "" && len(pl.racks[spec.DataRack]) > 0 {
-		return [][]*worker{pl.racks[spec.DataRack]}
-	}
-	if u.index < 0 && spec.SameRack && p.possibleInOneRack(pl, u) {
-		var sets [][]*worker
-		for _, name := range sortedKeys(pl.racks) {
-			sets = append(sets, pl.racks[name])
-		}
-		return sets
-	}
-	return [][]*worker{pl.workers}
-}
-
-// soonest returns the workers of a set that are expected to have room for the unit first, and when the last of them has.
-func (p *plan) soonest(set []*worker, u *unit) ([]*worker, time.Duration) {
-	room, need := u.step.room(), u.size()
-	type seat struct {
-		w    *worker
-		n    int
-		busy time.Duration
-	}
-	var seats []seat
-	for _, w := range set {
-		if !p.allowed(w, u) {
-			continue
-		}
-		n := room.Count(whole(w))
-		if limit := u.step.spec.MaxPerWorker; limit > 0 {
-			n = min(n, limit)
-		}
-		if n == 0 {
-			continue
-		}
-		busy := time.Duration(0)
-		for _, m := range w.members {
-			busy = max(busy, p.s.expectedLeft(m))
-		}
-		seats = append(seats, seat{w, n, busy})
-	}
-	slices.SortStableFunc(seats, func(a, b seat) int { return cmp.Compare(a.busy, b.busy) })
-	var chosen []*worker
-	for _, st := range seats {
-		chosen = append(chosen, st.w)
-		need -= st.n
-		if need <= 0 {
-			return chosen, st.busy
-		}
-	}
-	return nil, 0
-}
-
 // beginJob records that the first task of a job runs.
 func (s *Scheduler) beginJob(j *job) {
 	if j.state != ledger.Queued {
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -16,6 +16,7 @@
 	onTime                  // can still end within its objective
 	late                    // can still end within lateFactor times its objective
 	overdue                 // no longer of use in time
+	classes    = iota
 )
 
 const (
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -61,13 +61,14 @@
 	begun  time.Time
 	kick   chan struct{}
 
-	mu      sync.Mutex
-	loading bool // the records of the terms before are being taken over
-	jobs    map[string]*job
-	live    []*job // in order of arrival, ended ones are removed by the passes
-	workers map[string]*worker
-	queues  map[string]*runTimes
-	loads   map[string]int64 // accelerators that each customer's unfinished urgent jobs need
+	mu       sync.Mutex
+	loading  bool // the records of the terms before are being taken over
+	jobs     map[string]*job
+	live     []*job // in order of arrival, ended ones are removed by the passes
+	workers  map[string]*worker
+	queues   map[string]*runTimes
+	surveyed time.Time        // when the log last told what waits
+	loads    map[string]int64 // accelerators that each customer's unfinished urgent jobs need
 }
 
 // New returns a scheduler without jobs and workers.
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -15,7 +15,7 @@
 	u.run++
 	u.state, u.startedAt, u.restored = active, now, false
 	u.step.waiting--
-	u.reserved = nil
+	u.reserved, u.held = nil, nil
 	u.members = make([]*member, len(workers))
 	room := u.step.room()
 	for i, w := range workers {
