--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -7,6 +7,7 @@
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/wait"
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
 
 // Timings of looks at workers.
@@ -130,6 +131,8 @@
 				s.started(m)
 			}
 			s.endMember(m, e.How, e.Checkpoint)
+		} else {
+			s.takeLateEnd(w, e)
 		}
 	}
 	if fresh == 0 {
@@ -152,6 +155,40 @@
 	})
 }
 
+// takeLateEnd takes in that a run ended well which counted as lost, since its worker was not heard for longer than its leases last.
+// If the unit has not started again, it need not.
+func (s *Scheduler) takeLateEnd(w *worker, e EndReport) {
+	u := s.unitOf(e.Task)
+	if e.How != EndDone || u == nil || u.state != waiting || u.run != e.Run || u.failedRun == e.Run || u.step.spec.Permanent || u.job().ended() {
+		return
+	}
+	u.step.waiting--
+	u.held, u.reserved = nil, nil
+	u.restored = true // how long it ran is not known
+	s.complete(u, &member{unit: u, run: e.Run, index: e.Task.Index, worker: w, state: ended})
+	s.changed()
+}
+
+// unitOf returns the unit to which a task belongs, nil if it is not known.
+func (s *Scheduler) unitOf(t workload.TaskName) *unit {
+	j := s.jobs[t.Job]
+	if j == nil || t.Occurrence >= len(j.occurrences) || j.occurrences[t.Occurrence] == nil {
+		return nil
+	}
+	steps := j.occurrences[t.Occurrence].steps
+	if t.Step >= len(steps) {
+		return nil
+	}
+	units := steps[t.Step].units
+	if steps[t.Step].spec.Gang {
+		return units[0]
+	}
+	if t.Index >= len(units) {
+		return nil
+	}
+	return units[t.Index]
+}
+
 // takeRuns takes in what runs.
 func (s *Scheduler) takeRuns(w *worker, runs []RunReport, sent, now time.Time) {
 	for _, r := range runs {
--- a/internal/dispatch/recover_test.go
+++ b/internal/dispatch/recover_test.go
@@ -243,3 +243,24 @@
 		return poll.Success()
 	})
 }
+
+// Guards against work that is done again although it had ended well: its worker was not heard until the leases had lapsed, and
+// reports the end before the tasks have started elsewhere.
+func TestEndsOfAWorkerThatIsHeardAgainAreTakenIn(t *testing.T) {
+	b := newBench(t, newMemoryLedger(), newMemoryLedger())
+	w := b.worker("w1", "r1", 8)
+	j := jobOf(1, tasks(2))
+	b.submit(j)
+	b.pass()
+	b.awaitRunning(w, 2)
+	b.s.mu.Lock()
+	w.answered, w.lapse = false, time.Now().Add(-time.Second)
+	b.s.expire(w, time.Now())
+	b.s.mu.Unlock()
+	b.runs.flush()
+	b.report(w, HoldReport{Ended: []EndReport{{1, task(j, 0), 1, EndDone, ""}, {2, task(j, 1), 1, EndDone, ""}}})
+	b.pass()
+	assert.Equal(t, b.state(j.ID), ledger.Completed)
+	assert.Equal(t, b.fleet.started(), 2, "nothing started again")
+	assert.Equal(t, b.next().state(j.ID), ledger.Completed, "a later term knows it too")
+}
--- a/internal/entry/desk.go
+++ b/internal/entry/desk.go
@@ -31,6 +31,8 @@
 	eventRejected   = event.Define(2601, "job refused", zerolog.WarnLevel, "The job was not accepted and never runs, unless an attempt elsewhere is accepted.", "")
 	eventOpen       = event.Define(2602, "job outcome open", zerolog.WarnLevel, "The log did not say in time whether it has the record. The caller is told that the outcome is unknown.", "Check the log service when it lasts.")
 	eventCancelled  = event.Define(2603, "cancellation accepted", zerolog.InfoLevel, "The cancellation's record is in the log.", "")
+	eventRepeated   = event.Define(2605, "job repeated", zerolog.InfoLevel, "A job that is known was handed in again. It remains one job.", "")
+	eventTurnedAway = event.Define(2606, "call turned away", zerolog.WarnLevel, "A call named no queue, no customer or no job that can be understood, judged by the configuration in force.", "")
 	eventCancelOpen = event.Define(2604, "cancellation not recorded", zerolog.WarnLevel, "The log did not take the cancellation in time. The caller is told to retry.", "")
 )
 
@@ -54,6 +56,7 @@
 	begun := time.Now()
 	if view, known := d.board.Find(job.ID); known {
 		d.count("submit", "repeated")
+		d.events.Emit(eventRepeated, event.F("job", job.ID), event.F("queue", job.Queue), event.F("state", view.State), event.F("view_age_ms", d.board.Age(begun).Milliseconds()))
 		if view.Customer != job.Customer {
 			return errkind.New(errkind.Forbidden, "use an id of your own", "job %s belongs to another customer", job.ID)
 		}
@@ -77,6 +80,13 @@
 	return err
 }
 
+// TurnAway notes a call that was rejected before it concerned a job: why, the id it named, and the version of the configuration
+// that decided, 0 for none.
+func (d *Desk) TurnAway(reason, id string, version int64) {
+	d.count("turned_away", reason)
+	d.events.Emit(eventTurnedAway, event.F("job", id), event.F("reason", reason), event.F("configuration", version))
+}
+
 // Cancel ends a job. Errors are of kind NotFound when there is no such job, and Unavailable or Unknown when the caller must
 // retry.
 func (d *Desk) Cancel(ctx context.Context, customer, id string) error {
