Soak: show that its checks can fail

Cause: no run had shown that the checks find a broken promise. Ruled out: a store that keeps what it refuses (tried): callers' next attempts find the job accepted, so it shows as lost records.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -81,12 +81,17 @@
 }
 
 type taskWorkersCommand struct {
-	Listen string   `required:"" help:"Address that all workers of this process share."`
-	Worker []string `required:"" help:"Identifier of a worker; repeat for more."`
+	Listen   string   `required:"" help:"Address that all workers of this process share."`
+	Worker   []string `required:"" help:"Identifier of a worker; repeat for more."`
+	HideRuns bool     `help:"Leave what runs out of the workers' lists, which no worker may do."`
 }
 
 func (c *taskWorkersCommand) Run(ctx context.Context) error {
-	return serve(ctx, c.Listen, &http.Server{Handler: taskworker.New(c.Worker...), ReadHeaderTimeout: readHeaderTimeout})
+	fleet := taskworker.New(c.Worker...)
+	if c.HideRuns {
+		fleet.HideRuns()
+	}
+	return serve(ctx, c.Listen, &http.Server{Handler: fleet, ReadHeaderTimeout: readHeaderTimeout})
 }
 
 // serve runs a server until ctx ends.
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -11,7 +11,7 @@
 // judge waits until all accepted jobs have ended and compares what callers were told with what is.
 func (r *run) judge(ctx context.Context) (Verdict, error) {
 	var v Verdict
-	deadline := time.Now().Add(settleWithin)
+	deadline := time.Now().Add(r.o.Settle)
 	for id, j := range r.jobs {
 		state, exists, err := r.final(ctx, id, j, deadline)
 		if err != nil {
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -90,7 +90,7 @@
 	for _, f := range plan {
 		r.sleepUntil(begun.Add(f.At))
 		if !storeUntil.IsZero() && time.Now().After(storeUntil) {
-			if err := r.setFaults(ctx, store.Faults{}); err != nil {
+			if err := r.setFaults(ctx, r.o.Sabotage.Store); err != nil {
 				return err
 			}
 			storeUntil = time.Time{}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -32,6 +32,7 @@
 	host         = "jobs.example"
 	key          = "soak-key"
 	workerCount  = 6
+	firstJob     = "ffffffffffffffff" // handed in until an instance accepts jobs
 )
 
 // Options of a run.
@@ -42,7 +43,16 @@
 	Seed            uint64 // decides the whole plan
 	Length          time.Duration
 	Progress        io.Writer
-	Faults          []Fault // in order; nil draws them from the seed
+	Faults          []Fault       // in order; nil draws them from the seed
+	Settle          time.Duration // for all accepted jobs to end after the last fault; 0 takes settleWithin
+	Sabotage        Sabotage
+}
+
+// Sabotage breaks promises on purpose, below the product or on the way to its callers, which shows that the checks can fail.
+type Sabotage struct {
+	Store    store.Faults // while no other fault of the store is injected
+	HideRuns bool         // see taskworker.Fleet.HideRuns
+	Deny     bool         // callers are told that nothing was accepted when it was
 }
 
 // Verdict is what callers and workers saw.
@@ -97,6 +107,9 @@
 
 // Run makes one run and returns the verdict. An error means that the run itself failed.
 func Run(ctx context.Context, o Options) (Verdict, error) {
+	if o.Settle == 0 {
+		o.Settle = settleWithin
+	}
 	r := &run{o: o, random: rand.New(rand.NewPCG(o.Seed, 1)), jobs: map[string]*handedIn{}, client: &http.Client{Timeout: callTimeout}}
 	defer r.stopAll()
 	if err := r.start(ctx); err != nil {
@@ -116,6 +129,9 @@
 		defer close(loaded)
 		r.load(loadCtx)
 	}()
+	if err := r.setFaults(ctx, o.Sabotage.Store); err != nil {
+		return Verdict{}, err
+	}
 	if err := r.inject(ctx, plan); err != nil {
 		return Verdict{}, err
 	}
@@ -134,6 +150,9 @@
 	for i := range workerCount {
 		args = append(args, fmt.Sprintf("--worker=w%d", i))
 	}
+	if r.o.Sabotage.HideRuns {
+		args = append(args, "--hide-runs")
+	}
 	for name, argv := range map[string][]string{"store": {"store", "--listen", r.store}, "workers": args} {
 		p, err := process.Start(r.o.Directory, name, r.o.Standin, argv...)
 		if err != nil {
@@ -237,7 +256,7 @@
 // awaitFirst waits until any instance accepts a job.
 func (r *run) awaitFirst(ctx context.Context) error {
 	for deadline := time.Now().Add(startWithin); time.Now().Before(deadline); time.Sleep(pollPause) {
-		if r.submit(ctx, "ffffffffffffffff", r.nodes[0], 1, 10) {
+		if r.submit(ctx, firstJob, r.nodes[0], 1, 10) {
 			return nil
 		}
 	}
@@ -286,6 +305,9 @@
 func (r *run) submit(ctx context.Context, id string, n *node, tasks, takesMS int) bool {
 	body := fmt.Appendf(nil, `{"spec":"{\"takes_ms\":%d}","phases":[{"count":%d,"cpu":1000,"mem_mb":1000,"gpu":1,"estimate_ms":%d}]}`, takesMS, tasks, takesMS)
 	status, _, err := r.call(ctx, n, http.MethodPost, id, body)
+	if r.o.Sabotage.Deny && id != firstJob && err == nil && status == http.StatusOK {
+		status = http.StatusServiceUnavailable
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	j := r.jobs[id]
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -31,6 +31,10 @@
 	Silent      bool    `json:"silent"`       // no call is answered
 	LoseAnswers float64 `json:"lose_answers"` // probability that an append takes effect without an answer, 0 to 1
 	SlowMS      int64   `json:"slow_ms"`      // added to every call
+
+	// Forgets is the probability, 0 to 1, that an idempotent append is acknowledged and not recorded, which no store may do. It
+	// shows that the checks of a soak find broken promises.
+	Forgets float64 `json:"forgets"`
 }
 
 // Store is the store. It is an http.Handler.
@@ -225,7 +229,10 @@
 	if p.begun && sequence != p.sequence+1 {
 		return http.StatusConflict, map[string]any{"reason": "seq", "sequence": p.sequence + 1}
 	}
-	result := t.appendAll(records)
+	result := appended{t.end(), t.end()}
+	if rand.Float64() >= s.faults.Forgets {
+		result = t.appendAll(records)
+	}
 	p.remember(sequence, result)
 	return http.StatusOK, result
 }
--- a/internal/standin/taskworker/taskworker.go
+++ b/internal/standin/taskworker/taskworker.go
@@ -27,6 +27,7 @@
 	mu       sync.Mutex
 	workers  map[string]*worker
 	running  map[string]int  // runs of each task at this moment, over all workers
+	hides    bool            // see HideRuns
 	finished map[string]bool // tasks whose end was acknowledged
 	report   Report
 }
@@ -95,6 +96,14 @@
 	return f.report
 }
 
+// HideRuns makes all workers leave what runs out of their lists, which no worker may do. It shows that the checks of a soak find
+// tasks that run twice.
+func (f *Fleet) HideRuns() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hides = true
+}
+
 // Freeze makes a worker answer nothing while its tasks run on, as a partition does.
 func (f *Fleet) Freeze(id string, frozen bool) {
 	f.mu.Lock()
@@ -272,6 +281,9 @@
 func (f *Fleet) lists(w *worker) map[string]any {
 	running, ends := [][]any{}, [][]any{}
 	for _, r := range w.runs {
+		if f.hides {
+			break
+		}
 		percent := min(100*int64(time.Since(r.begun))/max(int64(r.takes), 1), 100)
 		running = append(running, []any{r.task, r.run, "", percent})
 	}
