--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -302,7 +302,7 @@
 
 // allowed reports whether a worker may run tasks of a unit at all.
 func (p *plan) allowed(w *worker, u *unit) bool {
-	if holder := p.blocked[w]; holder != nil && holder != u.step && !(u.urgent() && !holder.urgent()) {
+	if holder := p.blocked[w]; holder != nil && holder != u.step && (holder.urgent() || !u.urgent()) {
 		return false
 	}
 	if w.health.pause > 0 && (u.index < 0 || len(w.members) > 0) {
--- a/internal/standin/soak/proxy.go
+++ b/internal/standin/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -42,30 +43,32 @@
 }
 
 // newProxy listens on a free loopback address.
-func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newProxy(ctx context.Context, target string) (*proxy, error) {
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	p := &proxy{target: target, listener: l, conns: map[*pair]struct{}{}}
-	p.done.Go(p.serve)
+	p.done.Go(func() { p.serve(ctx) })
 	return p, nil
 }
 
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
-func (p *proxy) serve() {
+func (p *proxy) serve(ctx context.Context) {
 	for {
 		conn, err := p.listener.Accept()
 		if err != nil {
 			return // closed
 		}
-		p.done.Go(func() { p.connect(conn) })
+		p.done.Go(func() { p.connect(ctx, conn) })
 	}
 }
 
-func (p *proxy) connect(conn net.Conn) {
-	server, err := net.Dial("tcp", p.target)
+func (p *proxy) connect(ctx context.Context, conn net.Conn) {
+	var dialer net.Dialer
+	server, err := dialer.DialContext(ctx, "tcp", p.target)
 	if err != nil {
 		reset(conn) // nobody listens there at present
 		return
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -160,7 +160,7 @@
 		}
 		r.procs = append(r.procs, p)
 	}
-	if r.fleetLink, err = newProxy(r.workers); err != nil {
+	if r.fleetLink, err = newProxy(ctx, r.workers); err != nil {
 		return err
 	}
 	if err := r.describe(ctx); err != nil {
@@ -168,7 +168,7 @@
 	}
 	for i := range r.o.Instances {
 		n := &node{name: fmt.Sprintf("entry-%d", i)}
-		if err := n.link(addresses[2+3*i], r.store); err != nil {
+		if err := n.link(ctx, addresses[2+3*i], r.store); err != nil {
 			return err
 		}
 		r.nodes = append(r.nodes, n)
@@ -186,12 +186,12 @@
 }
 
 // link starts the proxies of an instance that listens on jobs.
-func (n *node) link(jobs, store string) (err error) {
-	if n.front, err = newProxy(jobs); err != nil {
+func (n *node) link(ctx context.Context, jobs, store string) (err error) {
+	if n.front, err = newProxy(ctx, jobs); err != nil {
 		return err
 	}
 	n.address = n.front.address()
-	n.storeLink, err = newProxy(store)
+	n.storeLink, err = newProxy(ctx, store)
 	return err
 }
 
