Find the unit of a late end through the function that recovery uses

Cause: unitOf repeated the look-up and the checks of unitNamed. Change: it only maps a task of a gang to the gang's unit and keeps occurrences that have not begun closed. Ruled out: calling unitNamed alone, which opens occurrences.

--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
@@ -169,24 +170,17 @@
 	s.changed()
 }
 
-// unitOf returns the unit to which a task belongs, nil if it is not known.
+// unitOf returns the unit to which a task belongs, nil if it is not known or its occurrence has not begun.
 func (s *Scheduler) unitOf(t workload.TaskName) *unit {
 	j := s.jobs[t.Job]
 	if j == nil || t.Occurrence >= len(j.occurrences) || j.occurrences[t.Occurrence] == nil {
 		return nil
 	}
-	steps := j.occurrences[t.Occurrence].steps
-	if t.Step >= len(steps) {
-		return nil
-	}
-	units := steps[t.Step].units
-	if steps[t.Step].spec.Gang {
-		return units[0]
-	}
-	if t.Index >= len(units) {
-		return nil
+	name := ledger.UnitName{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step, Index: t.Index}
+	if steps := j.occurrences[t.Occurrence].steps; t.Step < len(steps) && steps[t.Step].spec.Gang {
+		name.Index = -1
 	}
-	return units[t.Index]
+	return s.unitNamed(name)
 }
 
 // takeRuns takes in what runs.
