Count lost work and waits by cause

Change: each end of a run without success has a cause (preempted, cancelled, gang broken, lease expired and so on) instead of a free text. The unit's end logs the accelerator and processor time that no checkpoint holds, and counters sum it up by cause. A step notes what it waits for in each pass (room, rack, room kept free, preemption, advice, pause); the job's end logs the sums and its objective, and jobs that end late are counted by queue and main cause. No decision changes, but that a step without any usable worker now notes its wait.

Ruled out: attributing waits for each unit and pass; the first unit of a step that does not fit stands for the others, which need the same.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -58,10 +58,18 @@
 	}
 }
 
-func (m *schedulerMetrics) jobConcluded(j *job, state ledger.State, age time.Duration) {
+// jobConcluded counts a job that has ended, and by the main cause of its waits if it was completed after its objective.
+func (m *schedulerMetrics) jobConcluded(j *job, state ledger.State, age, objective time.Duration) {
 	scope := m.scope.Tagged(map[string]string{"queue": j.spec.Queue, "state": state.String()})
 	scope.Counter("jobs_concluded").Inc(1)
 	scope.Histogram("job_age", latencyBuckets).RecordDuration(age)
+	if state == ledger.Completed && j.spec.Schedule.Occurrences == 0 && age > objective {
+		cause := "runs" // it did not wait, so its runs took longer than expected or were repeated
+		if longest, any := j.waited().main(); any {
+			cause = waitNames[longest]
+		}
+		m.scope.Tagged(map[string]string{"queue": j.spec.Queue, "cause": cause}).Counter("jobs_late").Inc(1)
+	}
 }
 
 func (m *schedulerMetrics) runEnded(ending Ending) {
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -165,18 +165,19 @@
 	jobs      *memoryLedger
 	runs      *memoryLedger
 	term      *fakeTerm
+	metrics   tally.TestScope
 	entries   []ledger.Entry // submissions and cancellations so far
 }
 
 const testLease = 10 * time.Second
 
 func newHarness(t *testing.T, jobs, runs *memoryLedger, entries ...ledger.Entry) *harness {
-	h := &harness{t: t, fleet: &scriptedFleet{}, jobs: jobs, runs: runs, term: &fakeTerm{}, entries: entries}
+	h := &harness{t: t, fleet: &scriptedFleet{}, jobs: jobs, runs: runs, term: &fakeTerm{}, metrics: tally.NewTestScope("", nil), entries: entries}
 	var current catalog.Current
 	current.Advance((&catalog.Catalog{Version: 1, Customers: []catalog.Customer{{Name: "club", GuaranteedAccelerators: 8}}}).Build())
 	h.scheduler = New(Config{
 		Fleet: h.fleet, Jobs: jobs, Runs: runs, Term: h.term, Token: 1, Catalog: &current, Events: event.Discard(),
-		Metrics: tally.NoopScope, Now: time.Now, PreviousAuthority: 8 * time.Second,
+		Metrics: h.metrics, Now: time.Now, PreviousAuthority: 8 * time.Second,
 		Bounds: Bounds{Lease: testLease, StatusRetention: time.Minute},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -80,7 +80,7 @@
 		if !m.progressedAt.IsZero() && w.lastAnswerAt.Sub(m.progressedAt) > maxStall {
 			m.unit.avoidWorker(w)
 			s.quarantineWorker(w, "a run makes no progress")
-			s.stopUnit(m.unit, "no progress")
+			s.stopUnit(m.unit, causeStalled)
 		}
 	}
 }
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -204,9 +204,7 @@
 			m.percent, m.progressedAt = r.Percent, now
 		}
 		m.latencyOrCPU = r.LatencyOrCPU
-		if r.Checkpoint != "" {
-			m.checkpoint = r.Checkpoint
-		}
+		m.noteCheckpoint(r.Checkpoint, now)
 	}
 	s.adjustPace(w)
 }
@@ -225,7 +223,7 @@
 		confirmed := m.state == running && m.startAnsweredAt.Before(sent)
 		withdrawn := !m.stopAnsweredAt.IsZero() && m.stopAnsweredAt.Before(sent)
 		if confirmed || withdrawn {
-			m.endReason = "the worker no longer reports the run"
+			m.noteCause(causeWorkerLost)
 			s.endMember(m, EndLost, "")
 		}
 	}
@@ -236,14 +234,14 @@
 	s.config.Events.Emit(eventWorkerRestarted, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("born", processStart))
 	w.processStart = processStart
 	w.lastHandledEnd, w.lastRecordedEnd = 0, 0
-	s.loseMembers(w, "the worker restarted")
+	s.loseMembers(w, causeWorkerLost)
 }
 
 // loseMembers ends the members on a worker whose runs are certainly over. Members whose run is being recorded are only
 // marked, so that their start order is not sent.
-func (s *Scheduler) loseMembers(w *worker, reason string) {
+func (s *Scheduler) loseMembers(w *worker, cause endCause) {
 	for _, m := range w.members {
-		m.endReason = reason
+		m.noteCause(cause)
 		if m.recordPending {
 			m.stopWanted = true
 			continue
@@ -260,7 +258,7 @@
 	}
 	if len(w.members) > 0 {
 		s.config.Events.Emit(eventLeasesExpired, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("silent_ms", now.Sub(w.lastAnswerAt).Milliseconds()))
-		s.loseMembers(w, "the worker's leases expired")
+		s.loseMembers(w, causeLeaseExpired)
 	}
 	if !w.listed && len(w.members) == 0 {
 		if w.stopHeartbeats != nil {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -40,6 +40,8 @@
 	advice       advice
 	meanRunTime  time.Duration // mean run time of the units counted by timedUnits
 	timedUnits   int           // number of units whose run time was observed, see observeRunTime
+	waited       waits         // how long units of the step have waited, by cause
+	consideredAt time.Time     // when the latest pass found units of the step waiting; zero if none waited then
 }
 
 // unit is what starts and ends as a whole: a single task, or all tasks of a gang.
@@ -52,6 +54,7 @@
 	failedRun        int // latest run that was counted in failures
 	checkpoint       string
 	members          []*member // of the current run
+	cause            endCause  // why the current run ends without success, that of the first member to end
 	notBefore        time.Time // earliest time of the next start
 	startedAt        time.Time
 	runTimeUnknown   bool                 // the current run began in an earlier term or ended while its worker was silent
@@ -85,13 +88,15 @@
 	stopWanted      bool      // the run is to end
 	stopAnsweredAt  time.Time // when the worker answered the stop order
 
-	runningSince time.Time // when the run was first known to run
-	percent      int       // progress that the worker reported
-	pace         int       // last ordered speed in percent of full speed, or paceUnknown; used for spare-CPU work only
-	latencyOrCPU int64     // last reported tail latency or CPU use, see RunReport.LatencyOrCPU
-	progressedAt time.Time // when percent last rose
-	checkpoint   string
-	endReason    string // why the run was stopped or lost
+	runningSince   time.Time // when the run was first known to run
+	percent        int       // progress that the worker reported
+	pace           int       // last ordered speed in percent of full speed, or paceUnknown; used for spare-CPU work only
+	latencyOrCPU   int64     // last reported tail latency or CPU use, see RunReport.LatencyOrCPU
+	progressedAt   time.Time // when percent last rose
+	checkpoint     string
+	checkpointedAt time.Time // when checkpoint was first seen
+	endedAt        time.Time
+	cause          endCause // why the run was stopped or ended without success, empty before
 }
 
 type memberState uint8
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -42,7 +42,8 @@
 	if !s.config.Term.Authority() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.endMember(m, EndLost, "") // the order was never sent
+		m.noteCause(causeStartNotSent)
+		s.endMember(m, EndLost, "")
 		return
 	}
 	err := s.sendStart(m, target, o)
@@ -61,13 +62,13 @@
 	if reason == "" {
 		s.metrics.orderAnswered("start", "unanswered")
 		s.config.Events.Emit(eventStartUnanswered, event.F("task", o.Task), event.F("run", o.Run), event.F("worker", m.worker.info.ID), event.F("cause", err))
-		s.stopMember(m, "the worker did not answer the start order")
+		s.stopMember(m, causeStartUnsure)
 		return
 	}
 	s.metrics.orderAnswered("start", string(reason))
 	s.config.Events.Emit(eventOrderRefused, event.F("order", "start"), event.F("task", o.Task), event.F("run", o.Run), event.F("worker", m.worker.info.ID), event.F("reason", reason))
 	m.unit.avoidWorker(m.worker)
-	m.endReason = "the worker refused the start: " + string(reason)
+	m.cause = causeStartRefused
 	switch reason {
 	case RefusedFenced:
 		s.config.Term.Lose(fmt.Errorf("worker %s has seen a later term", m.worker.info.ID))
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -41,7 +41,11 @@
 	keptFor         map[*worker]*step              // workers kept free for a step
 	claimed         map[*worker]workload.Resources // resources of workers in keptFor that single tasks of that step have claimed
 	headroomWorkers map[*worker]bool               // workers kept free for urgent work
-	fitNowhere      map[taskRequirements]bool      // requirements that no worker satisfied in this pass
+	fitNowhere      map[taskRequirements]waitCause // requirements that no worker satisfied in this pass, and why
+
+	// Why chooseWorkers found no room for the latest unit, see waitCauseOf.
+	noRackFits   bool // neither the rack of its data nor any single rack that it should run in has room
+	roomKeptFree bool // there is room on workers that are kept free for other work
 }
 
 // pass starts all waiting units that may start and fit.
@@ -52,7 +56,7 @@
 		return
 	}
 	sortRanks(ranks)
-	p := &plan{scheduler: s, now: now, pools: map[string]*pool{}, keptFor: map[*worker]*step{}, claimed: map[*worker]workload.Resources{}, fitNowhere: map[taskRequirements]bool{}, headroomWorkers: map[*worker]bool{}}
+	p := &plan{scheduler: s, now: now, pools: map[string]*pool{}, keptFor: map[*worker]*step{}, claimed: map[*worker]workload.Resources{}, fitNowhere: map[taskRequirements]waitCause{}, headroomWorkers: map[*worker]bool{}}
 	for _, w := range s.workers {
 		if w.usable(now) {
 			p.addWorker(w)
@@ -182,59 +186,95 @@
 func (p *plan) placeStep(r rank) {
 	st := r.step
 	pl := p.pools[st.occurrence.job.queueSettings.Service]
-	if pl == nil {
+	if st.unitsWaiting == 0 || st.occurrence.job.ended() {
 		return
 	}
-	if st.unitsWaiting == 0 || st.occurrence.job.ended() {
+	if pl == nil {
+		st.noteWait(waitRoom, p.now)
 		return
 	}
 	if st.occurrence.job.queueSettings.Advised {
 		p.requestAdvice(pl, st)
 	}
+	var cause waitCause
+	waits := false
 	for _, u := range st.units {
-		if u.state != waiting || p.now.Before(u.notBefore) {
+		if u.state != waiting {
+			continue
+		}
+		if p.now.Before(u.notBefore) {
+			if !waits {
+				cause, waits = waitPause, true
+			}
 			continue
 		}
 		if u.waitingAt.IsZero() {
 			u.waitingAt = p.now
 		}
-		if !p.placeUnit(pl, r, u) && u.index >= 0 && r.class > urgent {
-			return // the step's other tasks need the same, so they do not fit either; urgent ones may each preempt
+		placed, why := p.placeUnit(pl, r, u)
+		if placed {
+			continue
+		}
+		if !waits || cause == waitPause {
+			cause, waits = why, true
 		}
+		if u.index >= 0 && r.class > urgent {
+			break // the step's other tasks need the same, so they do not fit either; urgent ones may each preempt
+		}
+	}
+	if waits {
+		st.noteWait(cause, p.now)
+	} else {
+		st.consideredAt = time.Time{}
 	}
 }
 
-// placeUnit starts a unit if it fits, and reports whether it did. Otherwise it may preempt other work or reserve workers
-// for the unit.
-func (p *plan) placeUnit(pl *pool, r rank, u *unit) bool {
+// waitCauseOf returns why a unit that chooseWorkers could not place just now has to wait.
+func (p *plan) waitCauseOf(u *unit) waitCause {
+	switch {
+	case len(u.preemptedWorkers) > 0:
+		return waitPreemption
+	case p.noRackFits:
+		return waitRack
+	case p.roomKeptFree:
+		return waitKeptFree
+	}
+	return waitRoom
+}
+
+// placeUnit starts a unit if it fits, and reports whether it did or why not. Otherwise it may preempt other work or reserve
+// workers for the unit.
+func (p *plan) placeUnit(pl *pool, r rank, u *unit) (placed bool, why waitCause) {
 	if u.job().queueSettings.Advised && u.step.advice.ticketsExpireAt.Before(p.now) {
-		return false
+		return false, waitAdvice
 	}
 	needs := taskRequirements{r.step.occurrence.job.queueSettings.Service, r.step.spec.Label, r.step.spec.DataRack, r.step.resources(), nil}
 	if u.job().queueSettings.Advised {
 		needs.advisedStep = u.step
 	}
-	if u.index >= 0 && p.fitNowhere[needs] && r.class > urgent {
-		return false
+	if why, known := p.fitNowhere[needs]; known && u.index >= 0 && r.class > urgent {
+		return false, why
 	}
+	p.noRackFits, p.roomKeptFree = false, false
 	if chosen := p.chooseWorkers(pl, u); chosen != nil {
 		p.scheduler.startRun(u, chosen, p.now)
-		return true
+		return true, 0
 	}
 	if chosen := p.chooseFromHeadroom(pl, u); chosen != nil {
 		p.scheduler.startRun(u, chosen, p.now)
 		p.markHeadroom(pl)
-		return true
-	}
-	if u.index >= 0 {
-		p.fitNowhere[needs] = true
+		return true, 0
 	}
 	if r.class <= urgent {
 		p.preempt(pl, r, u)
 	} else if r.class <= late {
 		p.reserve(pl, u)
 	}
-	return false
+	why = p.waitCauseOf(u)
+	if u.index >= 0 {
+		p.fitNowhere[needs] = why
+	}
+	return false, why
 }
 
 // chooseWorkers returns a worker for each task of a unit, or nil if the unit does not fit.
@@ -248,6 +288,7 @@
 				return []*worker{w}
 			}
 			if p.fitsWhenEmpty(pl.racks[spec.DataRack], u) && (waited < localityWait || !pl.mostlyIdle()) {
+				p.noRackFits = true
 				return nil
 			}
 		}
@@ -261,6 +302,7 @@
 	}
 	oneRack := spec.SameRack || spec.DataRack != ""
 	if oneRack && p.fitsInOneRackWhenEmpty(pl, u) && (waited < localityWait || !pl.mostlyIdle()) {
+		p.noRackFits = true
 		return nil
 	}
 	return p.pack(pl.workers, u, free)
@@ -350,7 +392,14 @@
 	bestKey := [3]int64{}
 	for _, w := range workers {
 		have := free(w)
-		if !resources.Fits(have) || !p.allowed(w, u) || u.spreadAllowance(w) == 0 {
+		if !resources.Fits(have) {
+			continue
+		}
+		if !p.allowed(w, u) {
+			p.roomKeptFree = true
+			continue
+		}
+		if u.spreadAllowance(w) == 0 {
 			continue
 		}
 		key := [3]int64{0, have.Accelerators, have.CPU}
@@ -374,19 +423,21 @@
 		lastResort bool
 	}
 	candidates := make([]candidate, 0, len(workers))
-	fitting := 0
+	fitting, keptFree := 0, 0
 	for _, w := range workers {
-		if !p.allowed(w, u) {
-			continue
-		}
 		n := min(resources.Count(free(w)), u.spreadAllowance(w))
 		if n == 0 {
 			continue
 		}
+		if !p.allowed(w, u) {
+			keptFree += n
+			continue
+		}
 		candidates = append(candidates, candidate{w, n, p.isLastResort(w, u)})
 		fitting += n
 	}
 	if fitting < need {
+		p.roomKeptFree = p.roomKeptFree || fitting+keptFree >= need
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -40,7 +40,7 @@
 		return
 	}
 	for _, v := range bestVictims {
-		p.scheduler.stopUnit(v, "preempted for an urgent job")
+		p.scheduler.stopUnit(v, causePreempted)
 	}
 	p.scheduler.config.Events.Emit(eventPreempting, event.F("job", u.job().spec.ID), event.F("unit", u.name().Key()), event.F("stopped_units", len(bestVictims)), event.F("lost_accelerator_s", bestCost))
 	u.preemptedWorkers, u.preemptedAt = best, p.now
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -92,7 +92,7 @@
 		if u.failedRun == u.run {
 			u.state = aborting
 			for _, m := range u.members {
-				s.stopMember(m, "a member of the gang failed")
+				s.stopMember(m, causeGangBroken)
 			}
 		}
 	}
@@ -124,7 +124,7 @@
 		return
 	}
 	if j.ended() {
-		s.stopJob(j, "the job has ended")
+		s.stopJob(j, causeJobEnded)
 		return
 	}
 	unfinished := j.occurrencesCreated < len(j.occurrences)
@@ -147,7 +147,7 @@
 				if u.state == waiting && u.failures >= max(j.queueSettings.MaxAttempts, 1) && !j.ended() {
 					s.addUrgentDemand(j, -1)
 					s.conclude(j, ledger.Failed, "a task failed as often as its queue allows")
-					s.stopJob(j, "the job failed")
+					s.stopJob(j, causeJobEnded)
 				}
 			}
 		}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -234,7 +234,7 @@
 // concludeCancelled records that a job was cancelled and stops its runs.
 func (s *Scheduler) concludeCancelled(j *job) {
 	s.conclude(j, ledger.Cancelled, "cancelled by the customer")
-	s.stopJob(j, "cancelled")
+	s.stopJob(j, causeCancelled)
 }
 
 // conclude records a job's final state.
@@ -249,19 +249,21 @@
 		defer s.mu.Unlock()
 		j.outcomeDurable = err == nil
 	}, ledger.OutcomeRecord(j.spec.ID, ledger.Outcome{State: state, Reason: reason, Time: s.config.Now()}))
-	s.metrics.jobConcluded(j, state, s.config.Now().Sub(j.spec.Submitted))
-	s.config.Events.Emit(eventConcluded, event.F("job", j.spec.ID), event.F("state", state), event.F("reason", reason), event.F("age_ms", s.config.Now().Sub(j.spec.Submitted).Milliseconds()))
+	age, objective := s.config.Now().Sub(j.spec.Submitted), s.objectiveOf(j)
+	s.metrics.jobConcluded(j, state, age, objective)
+	s.config.Events.Emit(eventConcluded, event.F("job", j.spec.ID), event.F("state", state), event.F("reason", reason), event.F("age_ms", age.Milliseconds()),
+		event.F("queue", j.spec.Queue), event.F("objective_ms", objective.Milliseconds()), event.F("waited_ms", j.waited()))
 }
 
 // stopJob stops all runs of a job.
-func (s *Scheduler) stopJob(j *job, reason string) {
+func (s *Scheduler) stopJob(j *job, cause endCause) {
 	for _, o := range j.occurrences {
 		if o == nil {
 			continue
 		}
 		for _, st := range o.steps {
 			for _, u := range st.units {
-				s.stopUnit(u, reason)
+				s.stopUnit(u, cause)
 			}
 		}
 	}
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -14,7 +14,7 @@
 // is durable.
 func (s *Scheduler) startRun(u *unit, workers []*worker, now time.Time) {
 	u.run++
-	u.state, u.startedAt, u.runTimeUnknown = active, now, false
+	u.state, u.startedAt, u.runTimeUnknown, u.cause = active, now, false, ""
 	u.step.unitsWaiting--
 	u.preemptedWorkers, u.reservedWorkers = nil, nil
 	u.members = make([]*member, len(workers))
@@ -49,6 +49,7 @@
 		}
 		m.recordPending = false
 		if m.stopWanted || !s.config.Term.Authority() {
+			m.noteCause(causeStartNotSent)
 			s.endMember(m, EndLost, "")
 			continue
 		}
@@ -58,27 +59,30 @@
 }
 
 // stopUnit stops all members of a unit.
-func (s *Scheduler) stopUnit(u *unit, reason string) {
+func (s *Scheduler) stopUnit(u *unit, cause endCause) {
 	if u.state != active && u.state != aborting {
 		return
 	}
+	if u.cause == "" {
+		u.cause = cause
+	}
 	stopped := 0
 	for _, m := range u.members {
-		if s.stopMember(m, reason) {
+		if s.stopMember(m, cause) {
 			stopped++
 		}
 	}
 	if stopped > 0 {
-		s.config.Events.Emit(eventStopping, event.F("job", u.job().spec.ID), event.F("unit", u.name().Key()), event.F("run", u.run), event.F("reason", reason), event.F("tasks", stopped))
+		s.config.Events.Emit(eventStopping, event.F("job", u.job().spec.ID), event.F("unit", u.name().Key()), event.F("run", u.run), event.F("reason", cause), event.F("tasks", stopped))
 	}
 }
 
 // stopMember stops a member and reports whether it was not being stopped already.
-func (s *Scheduler) stopMember(m *member, reason string) bool {
+func (s *Scheduler) stopMember(m *member, cause endCause) bool {
 	if m.state == ended || m.stopWanted {
 		return false
 	}
-	m.stopWanted, m.endReason = true, reason
+	m.stopWanted, m.cause = true, cause
 	if !m.recordPending {
 		go s.sendStop(m)
 	}
@@ -90,7 +94,10 @@
 	if m.state == ended {
 		return
 	}
-	m.state = ended
+	now := time.Now()
+	m.state, m.endedAt = ended, now
+	m.noteCause(causeOf(ending))
+	m.noteCheckpoint(checkpoint, now)
 	delete(m.worker.members, m.key())
 	m.worker.free = m.worker.free.Plus(m.resources)
 	s.metrics.runEnded(ending)
@@ -116,8 +123,11 @@
 	}
 	if u.state == active {
 		u.state = aborting
+		if u.cause == "" {
+			u.cause = m.cause
+		}
 		for _, other := range u.members {
-			s.stopMember(other, "a member of the gang ended")
+			s.stopMember(other, causeGangBroken)
 		}
 	}
 	for _, other := range u.members {
@@ -205,21 +215,23 @@
 // if the queue allows no further attempt.
 func (s *Scheduler) requeueUnit(u *unit, ending Ending, last *member) {
 	j := u.job()
+	now := time.Now()
+	lost := s.recordLoss(u, now)
 	u.state, u.members = waiting, nil
 	u.step.unitsWaiting++
-	now := time.Now()
 	u.waitingAt = now
 	u.notBefore = now
 	if u.failedRun == u.run {
 		u.notBefore = now.Add(requeueDelay)
 	}
 	s.config.Events.Emit(eventUnitEnded, event.F("job", j.spec.ID), event.F("unit", u.name().Key()), event.F("run", u.run), event.F("how", ending),
-		event.F("worker", last.worker.info.ID), event.F("failures", u.failures), event.F("reason", last.endReason), event.F("checkpoint", u.checkpoint), event.F("ran_ms", now.Sub(u.startedAt).Milliseconds()))
+		event.F("worker", last.worker.info.ID), event.F("failures", u.failures), event.F("reason", u.cause), event.F("checkpoint", u.checkpoint), event.F("ran_ms", now.Sub(u.startedAt).Milliseconds()),
+		event.F("lost_accelerator_ms", lost.accelerator.Milliseconds()), event.F("lost_core_ms", lost.core.Milliseconds()))
 	s.config.Runs.Put(nil, u.record())
 	if !j.ended() && u.failures >= max(j.queueSettings.MaxAttempts, 1) {
 		s.addUrgentDemand(j, -1)
 		s.conclude(j, ledger.Failed, "a task failed as often as its queue allows")
-		s.stopJob(j, "the job failed")
+		s.stopJob(j, causeJobEnded)
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/waits.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// waitCause is why a step's units wait although the steps before it are done.
+type waitCause int
+
+// Causes of a wait, in the order in which they are logged.
+const (
+	waitRoom       waitCause = iota // no worker, or not enough of them, has room
+	waitRack                        // there is room, but not in the rack of the data or in a single rack
+	waitKeptFree                    // there is room only on workers that are kept free for other work
+	waitPreemption                  // less urgent work is being stopped for it
+	waitAdvice                      // the advisor has not approved workers yet
+	waitPause                       // pause after a failed run
+	waitCauses     = iota           // number of causes
+)
+
+var waitNames = [waitCauses]string{"room", "rack", "kept free", "preemption", "advice", "pause"}
+
+// waits is the time that a step, or a job, has waited by cause.
+type waits [waitCauses]time.Duration
+
+// String lists the causes that are not zero, in milliseconds.
+func (w waits) String() string {
+	var parts []string
+	for cause, d := range w {
+		if d > 0 {
+			parts = append(parts, fmt.Sprintf("%s %d", waitNames[cause], d.Milliseconds()))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+// main returns the cause with the longest wait, and false if there was no wait.
+func (w waits) main() (waitCause, bool) {
+	longest := waitCause(0)
+	for cause := range waitCause(waitCauses) {
+		if w[cause] > w[longest] {
+			longest = cause
+		}
+	}
+	return longest, w[longest] > 0
+}
+
+// noteWait adds the time since the step was last considered to its wait for a cause.
+func (st *step) noteWait(cause waitCause, now time.Time) {
+	if !st.consideredAt.IsZero() {
+		st.waited[cause] += now.Sub(st.consideredAt)
+	}
+	st.consideredAt = now
+}
+
+// waited returns the waits of all steps of the job.
+func (j *job) waited() waits {
+	var total waits
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, st := range o.steps {
+			for cause, d := range st.waited {
+				total[cause] += d
+			}
+		}
+	}
+	return total
+}
+
+// objectiveOf returns the latency objective of a job's first occurrence, as far as run times are known.
+func (s *Scheduler) objectiveOf(j *job) time.Duration {
+	if len(j.occurrences) == 0 || j.occurrences[0] == nil {
+		return 0
+	}
+	criticalPath, _ := s.expectedCriticalPath(j.occurrences[0])
+	return latencyObjective(j.occurrences[0], criticalPath)
+}
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -65,7 +65,7 @@
 	for _, m := range w.members {
 		u := m.unit
 		if u.state == active && !u.step.spec.Gang && s.expectedRemaining(m) > w.info.Remaining {
-			s.stopUnit(u, "the worker leaves before the run can end")
+			s.stopUnit(u, causeEvacuated)
 		}
 	}
 }
