Stop a gang as stalled only if all its workers answer

Cause: stopStalledRuns looked at each worker alone. A gang with members in a data centre that was cut off stands still, and the reports of its other workers show no progress; after 3 s the gang was stopped and every one of its workers quarantined.

Change: a gang's stall counts only while all members run on workers that answer, and from the time when the last of them answered again. Of a stalled gang's workers, those on which other runs go on are not suspected, the others only when the gangs of two jobs stood still there; a single task's worker is quarantined at once, as before.

Ruled out: a longer maxStall, which would also keep hanging tasks longer.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -8,7 +8,7 @@
 
 // Limits for the quarantine of workers that fail, slow down or hang the tasks they start.
 const (
-	quarantineAfterJobs = 2                // different jobs in a row whose tasks failed on the worker and nowhere before
+	quarantineAfterJobs = 2                // different jobs in a row whose tasks failed, or whose gangs stood still, on the worker
 	minQuarantine       = 4 * time.Second  // first pause before a probe
 	maxQuarantine       = 16 * time.Second // longest pause before a probe
 	maxStall            = 3 * time.Second  // longest time without progress; runs on a worker several times slower than usual stay below it
@@ -17,13 +17,14 @@
 // health is the scheduler's judgement of a worker.
 type health struct {
 	failedJobs       map[string]bool // jobs whose tasks failed there since the last run that ended well
+	stalledJobs      map[string]bool // jobs whose gangs stood still there and elsewhere since the last run that ended well
 	quarantine       time.Duration   // pause before the next probe; 0 if the worker is not quarantined
 	quarantinedUntil time.Time       // earliest time of the next probe
 }
 
 // usable reports whether the worker may get work now. A quarantined worker gets one probe at a time.
 func (w *worker) usable(now time.Time) bool {
-	if !w.listed || w.info.Draining || !w.responsive || now.Sub(w.lastAnswerAt) > maxSilence {
+	if !w.listed || w.info.Draining || !w.answers(now) {
 		return false
 	}
 	if w.health.quarantine > 0 {
@@ -70,17 +71,77 @@
 
 // stopStalledRuns stops runs without progress, so that they start elsewhere.
 func (s *Scheduler) stopStalledRuns(w *worker, now time.Time) {
-	if !w.responsive || now.Sub(w.lastAnswerAt) > maxSilence {
+	if !w.answers(now) {
 		return
 	}
 	for _, m := range w.members {
-		if m.state != running || m.stopWanted || m.unit.state != active || m.unit.step.spec.Permanent || m.percent >= 100 {
-			continue
+		if m.stalled() && m.unit.mayStall(now) {
+			s.stopStalledUnit(m.unit)
 		}
-		if !m.progressedAt.IsZero() && w.lastAnswerAt.Sub(m.progressedAt) > maxStall {
-			m.unit.avoidWorker(w)
+	}
+}
+
+// answers reports whether the worker has answered a heartbeat lately.
+func (w *worker) answers(now time.Time) bool {
+	return w.responsive && now.Sub(w.lastAnswerAt) <= maxSilence
+}
+
+// stalled reports whether the worker's latest reports show no progress of the run for longer than maxStall.
+func (m *member) stalled() bool {
+	if m.state != running || m.stopWanted || m.unit.state != active || m.unit.step.spec.Permanent || m.percent >= 100 || m.progressedAt.IsZero() {
+		return false
+	}
+	since := m.progressedAt
+	if m.unit.answersSince.After(since) {
+		since = m.unit.answersSince
+	}
+	return m.worker.lastAnswerAt.Sub(since) > maxStall
+}
+
+// mayStall reports whether all members of the unit's run are known to run on workers that answer. Otherwise a gang cannot work,
+// and nothing is wrong with the workers that do answer.
+func (u *unit) mayStall(now time.Time) bool {
+	for _, m := range u.members {
+		if m.state != running || !m.worker.answers(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// stopStalledUnit stops a unit whose run makes no progress. A worker of a gang is suspected unless other runs on it go on.
+func (s *Scheduler) stopStalledUnit(u *unit) {
+	workers := map[*worker]bool{}
+	for _, m := range u.members {
+		if !m.worker.hasProgress(u) {
+			workers[m.worker] = true
+		}
+	}
+	for w := range workers {
+		u.avoidWorker(w)
+		if len(workers) == 1 || w.noteSuspicion(u.job().spec.ID) {
 			s.quarantineWorker(w, "a run makes no progress")
-			s.stopUnit(m.unit, causeStalled)
 		}
 	}
+	s.stopUnit(u, causeStalled)
+}
+
+// hasProgress reports whether the worker's reports show recent progress of a run of another unit than u.
+func (w *worker) hasProgress(u *unit) bool {
+	for _, m := range w.members {
+		if m.unit != u && m.percent > 0 && w.lastAnswerAt.Sub(m.progressedAt) <= maxStall {
+			return true
+		}
+	}
+	return false
+}
+
+// noteSuspicion notes that a job's gang made no progress on the worker and some others, and reports whether this has happened
+// to enough jobs to quarantine the worker.
+func (w *worker) noteSuspicion(job string) bool {
+	if w.health.stalledJobs == nil {
+		w.health.stalledJobs = map[string]bool{}
+	}
+	w.health.stalledJobs[job] = true
+	return len(w.health.stalledJobs) >= quarantineAfterJobs
 }
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -111,6 +111,9 @@
 		s.config.Events.Emit(eventWorkerAnswers, event.F("worker", w.info.ID), event.F("silent_ms", now.Sub(w.lastAnswerAt).Milliseconds()))
 	}
 	if !w.responsive {
+		for _, m := range w.members {
+			m.unit.answersSince = now
+		}
 		s.requestPass()
 	}
 	w.responsive, w.lastAnswerAt, w.workerClock = true, now, r.Clock
