Keep gangs within one data centre where one has room

Cause: a gang that need not run in one rack went to the workers with the fewest free accelerators, wherever they were. When a data centre is cut off, every gang with a member there stands still and is ended by its workers after the gang's waiting time.

Change: such a gang goes to the data centre with the fewest free accelerators of those in which it fits, and over several only if it fits in none.

Ruled out: preferring the data centre with the most free accelerators, which breaks up the room of larger gangs.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -216,8 +216,13 @@
 
 // addWorker adds a worker that has answered a heartbeat.
 func (h *harness) addWorker(id, rack string, accelerators int64) *worker {
+	return h.addWorkerIn("centre", id, rack, accelerators)
+}
+
+// addWorkerIn adds a worker in a data centre that has answered a heartbeat.
+func (h *harness) addWorkerIn(dataCentre, id, rack string, accelerators int64) *worker {
 	h.scheduler.Observe(WorkerInfo{
-		ID: id, Address: id + ":1", Service: "render", Rack: rack, Labels: []string{"a", rack},
+		ID: id, Address: id + ":1", Service: "render", DataCentre: dataCentre, Rack: rack, Labels: []string{"a", rack},
 		Capacity: workload.Resources{CPU: 64_000, MemoryMB: 262_144, Accelerators: accelerators},
 	})
 	w := h.scheduler.workers[id]
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -26,7 +26,8 @@
 // pool is the usable workers of one service during a pass.
 type pool struct {
 	workers        []*worker
-	racks          map[string][]*worker // by rack
+	racks          map[string][]*worker // by rack; a rack lies in one data centre
+	dataCentres    map[string][]*worker // by data centre
 	accelerators   int64                // of all workers
 	freeAtStart    int64                // accelerators that were free at the start of the pass
 	reserved       int64                // accelerators of workers kept free by reservations
@@ -161,11 +162,12 @@
 func (p *plan) addWorker(w *worker) {
 	pl := p.pools[w.info.Service]
 	if pl == nil {
-		pl = &pool{racks: map[string][]*worker{}}
+		pl = &pool{racks: map[string][]*worker{}, dataCentres: map[string][]*worker{}}
 		p.pools[w.info.Service] = pl
 	}
 	pl.workers = append(pl.workers, w)
 	pl.racks[w.info.Rack] = append(pl.racks[w.info.Rack], w)
+	pl.dataCentres[w.info.DataCentre] = append(pl.dataCentres[w.info.DataCentre], w)
 	pl.accelerators += w.info.Capacity.Accelerators
 	pl.freeAtStart += w.free.Accelerators
 }
@@ -174,8 +176,10 @@
 func (pl *pool) sortByID() {
 	byID := func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) }
 	slices.SortFunc(pl.workers, byID)
-	for _, rack := range pl.racks {
-		slices.SortFunc(rack, byID)
+	for _, groups := range []map[string][]*worker{pl.racks, pl.dataCentres} {
+		for _, group := range groups {
+			slices.SortFunc(group, byID)
+		}
 	}
 }
 
@@ -305,6 +309,10 @@
 		p.noRackFits = true
 		return nil
 	}
+	// A gang that spans data centres stands still whenever one of them is cut off from the others.
+	if chosen := p.packInOneGroup(pl.dataCentres, u, free); chosen != nil {
+		return chosen
+	}
 	return p.pack(pl.workers, u, free)
 }
 
@@ -318,16 +326,21 @@
 	if !spec.SameRack {
 		return nil
 	}
+	return p.packInOneGroup(pl.racks, u, free)
+}
+
+// packInOneGroup places a gang in the group of workers with the fewest free accelerators of those in which it fits.
+func (p *plan) packInOneGroup(groups map[string][]*worker, u *unit, free func(*worker) workload.Resources) []*worker {
 	var best []*worker
 	bestLeft := int64(0)
-	for _, name := range sortedKeys(pl.racks) {
-		rack := pl.racks[name]
-		chosen := p.pack(rack, u, free)
+	for _, name := range sortedKeys(groups) {
+		group := groups[name]
+		chosen := p.pack(group, u, free)
 		if chosen == nil {
 			continue
 		}
 		left := int64(0)
-		for _, w := range rack {
+		for _, w := range group {
 			left += free(w).Accelerators
 		}
 		if best == nil || left < bestLeft {
@@ -337,9 +350,9 @@
 	return best
 }
 
-func sortedKeys(racks map[string][]*worker) []string {
-	names := make([]string, 0, len(racks))
-	for name := range racks {
+func sortedKeys(groups map[string][]*worker) []string {
+	names := make([]string, 0, len(groups))
+	for name := range groups {
 		names = append(names, name)
 	}
 	slices.Sort(names)
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -264,3 +264,38 @@
 	awaitCount(t, h.fleet.paced, 2, "paces")
 	assert.Equal(t, h.fleet.paces[1].Percent, paceStep)
 }
+
+// Guards against a gang that spans data centres although one has room for it: it would stand still whenever one of them is cut
+// off.
+func TestGangStaysInOneDataCentreIfItFits(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	for _, w := range []struct {
+		id, dataCentre string
+		accelerators   int64
+	}{{"a1", "a", 2}, {"a2", "a", 4}, {"b1", "b", 3}, {"b2", "b", 3}} {
+		h.addWorkerIn(w.dataCentre, w.id, "r-"+w.id, w.accelerators)
+	}
+	step := stepOf(6)
+	step.Gang = true
+	j := singleStepJob(1, step)
+	h.submit(j)
+	h.pass()
+	awaitStarts(t, h.fleet, 6)
+	used := map[string]bool{}
+	for _, m := range h.scheduler.jobs[j.ID].occurrences[0].steps[0].units[0].members {
+		used[m.worker.info.DataCentre] = true
+	}
+	assert.Equal(t, len(used), 1)
+}
+
+// Guards against a gang that never starts since no data centre alone has room for it.
+func TestGangSpansDataCentresIfItMust(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	h.addWorkerIn("a", "a1", "r1", 4)
+	h.addWorkerIn("b", "b1", "r2", 4)
+	step := stepOf(6)
+	step.Gang = true
+	h.submit(singleStepJob(1, step))
+	h.pass()
+	awaitStarts(t, h.fleet, 6)
+}
