Move gangs off workers that leave before they can end

Cause: single tasks that could not end before their worker left were stopped, gangs were not. When a member's worker left, the whole gang was broken, and it could not start elsewhere before the leases on the lost worker had expired (6.7 s with leases of 6 s).

A run that cannot end before the first of its workers leaves is stopped at once if it writes no checkpoints, and else as late as a stop with its checkpoint is certain to be over; the longest stop is a new setting, bounds.stop_ms, taken from the platform. Permanent tasks leave at once; since their progress reads 100 % they never did. The expected remaining time counts the time since the last report of progress.

Ruled out: treating the removal of a draining worker's entry as its end. Entries also lapse after three missed heartbeats, and the worker may be cut off and alive.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -124,7 +124,7 @@
 	lastRecordedEnd int64     // number of the last reported end whose effects are durable
 	responsive      bool      // it answered the last heartbeat, so the next one renews its leases
 	health          health
-	drainingSince   time.Time     // when discovery first showed it as draining
+	leavesAt        time.Time     // earliest time when it leaves; zero unless discovery shows it as draining
 	endsRecorded    chan struct{} // signals that lastRecordedEnd has risen
 	stopHeartbeats  func()        // ends the heartbeat loop; nil if there is none
 }
--- a/internal/dispatch/reservations.go
+++ b/internal/dispatch/reservations.go
@@ -115,7 +115,7 @@
 		}
 		freeIn := time.Duration(0)
 		for _, m := range w.members {
-			freeIn = max(freeIn, p.scheduler.expectedRemaining(m))
+			freeIn = max(freeIn, p.scheduler.expectedRemaining(m, p.now))
 		}
 		candidates = append(candidates, candidate{w, n, freeIn})
 	}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -23,6 +23,7 @@
 // Bounds are limits set by the platform.
 type Bounds struct {
 	Lease           time.Duration // longest lease
+	Stop            time.Duration // longest time that a worker takes to stop a run; 0 if not known
 	StatusRetention time.Duration // how long the status of an ended job must be available
 }
 
@@ -126,6 +127,7 @@
 	for _, w := range s.workers {
 		s.expireLeases(w, now)
 		s.stopStalledRuns(w, now)
+		s.evacuateWorker(w, now)
 	}
 	s.removeExpiredJobs(now)
 	s.config.Metrics.Gauge("dispatch_workers").Update(float64(len(s.workers)))
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -43,10 +43,9 @@
 	if info.ProcessStart != 0 && w.processStart != 0 && info.ProcessStart > w.processStart {
 		s.handleRestart(w, info.ProcessStart)
 	}
-	if info.Draining && w.drainingSince.IsZero() {
-		w.drainingSince = time.Now()
-	} else if !info.Draining {
-		w.drainingSince = time.Time{}
+	w.leavesAt = time.Time{}
+	if info.Draining {
+		w.leavesAt = time.Now().Add(info.Remaining)
 	}
 	switch {
 	case !wasListed:
@@ -55,31 +54,23 @@
 		s.config.Events.Emit(eventWorkerChanged, event.F("worker", info.ID), event.F("draining", info.Draining), event.F("remaining_ms", info.Remaining.Milliseconds()), event.F("tasks", len(w.members)))
 	}
 	if info.Draining {
-		s.evacuateWorker(w)
-	}
-}
-
-// evacuateWorker stops single tasks on a draining worker that cannot end before it leaves, so that they start elsewhere at
-// once.
-func (s *Scheduler) evacuateWorker(w *worker) {
-	for _, m := range w.members {
-		u := m.unit
-		if u.state == active && !u.step.spec.Gang && s.expectedRemaining(m) > w.info.Remaining {
-			s.stopUnit(u, causeEvacuated)
-		}
+		s.evacuateWorker(w, time.Now())
 	}
 }
 
 // expectedRemaining returns how much longer a run is expected to take.
-func (s *Scheduler) expectedRemaining(m *member) time.Duration {
-	runTime := s.expectedRunTime(m.unit.step)
+func (s *Scheduler) expectedRemaining(m *member, now time.Time) time.Duration {
+	left := s.expectedRunTime(m.unit.step) * time.Duration(100-min(m.percent, 100)) / 100
 	if m.percent > 0 && !m.runningSince.IsZero() && m.percent < 100 {
 		elapsed := m.progressedAt.Sub(m.runningSince)
 		if m.unit.checkpoint == "" && elapsed > 0 {
-			return elapsed * time.Duration(100-m.percent) / time.Duration(m.percent)
+			left = elapsed * time.Duration(100-m.percent) / time.Duration(m.percent)
 		}
 	}
-	return runTime * time.Duration(100-min(m.percent, 100)) / 100
+	if !m.progressedAt.IsZero() {
+		left -= now.Sub(m.progressedAt)
+	}
+	return max(left, 0)
 }
 
 // Delist notes that discovery no longer shows a worker. Its runs are over only when its leases have expired.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -40,6 +40,7 @@
 // Bounds are limits that the platform sets.
 type Bounds struct {
 	LeaseMS     int64   `yaml:"lease_ms"`      // longest lease of a task, in milliseconds
+	StopMS      int64   `yaml:"stop_ms"`       // longest time that a worker takes to stop a task, in milliseconds; 0 if not known
 	KeepStatusS float64 `yaml:"keep_status_s"` // how long the state of an ended job must be reported, in seconds
 }
 
@@ -68,15 +69,20 @@
 	if s.Bounds.LeaseMS <= 0 {
 		return errkind.New(errkind.Invalid, "give a positive number of milliseconds", "the setting bounds.lease_ms is %d", s.Bounds.LeaseMS)
 	}
+	if s.Bounds.StopMS < 0 {
+		return errkind.New(errkind.Invalid, "give 0 or a positive number of milliseconds", "the setting bounds.stop_ms is %d", s.Bounds.StopMS)
+	}
 	if s.Machine.ProcessorShare < 0 || s.Machine.MemoryMB < 0 {
 		return errkind.New(errkind.Invalid, "give numbers of 0 or more", "a setting of the machine is negative")
 	}
 	return nil
 }
 
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
 // dispatchBounds returns the bounds in the form that the scheduler uses.
 func (b Bounds) dispatchBounds() dispatch.Bounds {
-	return dispatch.Bounds{Lease: time.Duration(b.LeaseMS) * time.Millisecond, StatusRetention: seconds(b.KeepStatusS)}
+	return dispatch.Bounds{Lease: milliseconds(b.LeaseMS), Stop: milliseconds(b.StopMS), StatusRetention: seconds(b.KeepStatusS)}
 }
