End all goroutines of a term with the term

Cause: the scheduler's context was set by Run. Discovery is read beside Run, and heartbeat loops of workers that it showed first got a context that never ends. After the term they looped on without authority, one for each such worker and term: no order went out, but processor time and memory of an instance that had scheduled grew with each of its terms. The field was also read without its lock by stops that Recover had begun.

Change: New takes the context of the term.

Ruled out: starting no heartbeats before Run; orders of Recover would still need the term's context.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -175,14 +175,13 @@
 	h := &harness{t: t, fleet: &scriptedFleet{}, jobs: jobs, runs: runs, term: &fakeTerm{}, metrics: tally.NewTestScope("", nil), entries: entries}
 	var current catalog.Current
 	current.Advance((&catalog.Catalog{Version: 1, Customers: []catalog.Customer{{Name: "club", GuaranteedAccelerators: 8}}}).Build())
-	h.scheduler = New(Config{
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	h.scheduler = New(ctx, Config{
 		Fleet: h.fleet, Jobs: jobs, Runs: runs, Term: h.term, Token: 1, Catalog: &current, Events: event.Discard(),
 		Metrics: h.metrics, Now: time.Now, PreviousAuthority: 8 * time.Second,
 		Bounds: Bounds{Lease: testLease, StatusRetention: time.Minute},
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	h.scheduler.ctx = ctx
 	for _, e := range entries {
 		h.scheduler.Load(e)
 	}
--- a/internal/dispatch/recover_test.go
+++ b/internal/dispatch/recover_test.go
@@ -1,13 +1,18 @@
 package dispatch
 
 import (
+	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/catalog"
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 )
 
@@ -264,3 +269,22 @@
 	assert.Equal(t, h.fleet.started(), 2, "nothing started again")
 	assert.Equal(t, h.nextTerm().state(j.ID), ledger.Completed, "the next term restores the outcome")
 }
+
+// Guards against heartbeats of a term that go on after it has ended: discovery may show workers before the passes begin.
+func TestHeartbeatsThatBeginBeforeThePassesEndWithTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		fleet := newSimFleet(1)
+		s := New(ctx, Config{
+			Fleet: fleet, Jobs: newMemoryLedger(), Runs: newMemoryLedger(), Term: &fakeTerm{}, Catalog: &catalog.Current{}, Events: event.Discard(),
+			Metrics: tally.NoopScope, Now: time.Now, Bounds: Bounds{Lease: testLease},
+		})
+		info := WorkerInfo{ID: "w1", Address: "w1:1"}
+		fleet.add(info, 1)
+		s.Observe(info)
+		time.Sleep(time.Second)
+		go s.Run(ctx)
+		time.Sleep(time.Second)
+		cancel() // the bubble reports goroutines that do not end
+	})
+}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -60,7 +60,7 @@
 type Scheduler struct {
 	config    Config
 	metrics   schedulerMetrics
-	ctx       context.Context
+	ctx       context.Context // ends with the term
 	createdAt time.Time
 	wake      chan struct{} // requests a pass
 
@@ -74,19 +74,18 @@
 	urgentDemand    map[string]int64         // accelerators that the unfinished jobs of priority 0 need, by customer
 }
 
-// New returns a scheduler without jobs and workers.
-func New(c Config) *Scheduler {
+// New returns a scheduler without jobs and workers. It sends no orders after ctx has ended, which ends with the term.
+func New(ctx context.Context, c Config) *Scheduler {
 	return &Scheduler{
 		config: c, metrics: newSchedulerMetrics(c.Metrics), createdAt: time.Now(), wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, workers: map[string]*worker{}, runTimes: map[string]*runTimeModel{}, urgentDemand: map[string]int64{},
-		ctx: context.Background(), loading: true,
+		ctx: ctx, loading: true,
 	}
 }
 
 // Run makes scheduling passes until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) {
 	s.mu.Lock()
-	s.ctx = ctx
 	for _, w := range s.workers {
 		s.startHeartbeats(w)
 	}
--- /dev/null
+++ b/internal/dispatch/simday_test.go
@@ -0,0 +1,306 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/catalog"
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
+)
+
+// simKind is a kind of job and how many of them arrive. Widths and run times have a lognormal distribution.
+type simKind struct {
+	name         string
+	priority     int
+	perSecond    float64
+	atStart      int // jobs that are submitted at once before the day begins
+	width        float64
+	runTime      time.Duration
+	runSpread    float64 // deviation of the logarithm of run times
+	estimateOff  float64 // deviation of the logarithm of estimates from run times
+	cpu          int64   // thousandths of a core
+	memoryMB     int64
+	accelerators []int64 // drawn with equal probability
+	gang         bool
+	// Probabilities that a job should run in one rack, has its data in a rack, writes checkpoints, is cancelled by its customer
+	// within its run time, and that a run fails.
+	sameRack, dataRack, checkpoints, cancelled, failing float64
+
+	stretch          float64
+	target           time.Duration
+	worth, lateWorth float64
+}
+
+// simBurst multiplies the arrivals of a kind for some time.
+type simBurst struct {
+	kind     string
+	at, for_ time.Duration
+	factor   float64
+}
+
+// simDay is a simulated day.
+type simDay struct {
+	workers, workersPerRack, dataCentres int
+	memoryMB                             int64 // of each worker
+	length                               time.Duration
+	kinds                                []simKind
+	bursts                               []simBurst
+	customers                            int
+	guaranteed                           int64          // accelerators of each customer
+	trouble                              func(*simPlay) // may be nil; runs beside the arrivals
+}
+
+// simPlay is a day that is being played.
+type simPlay struct {
+	day       *simDay
+	fleet     *simFleet
+	scheduler *Scheduler
+	random    *rand.Rand
+	start     time.Time
+
+	mu       sync.Mutex
+	owed     map[string]*simOwed // by job ID
+	outcomes map[string]ledger.State
+	ended    map[string]time.Time
+}
+
+// simOwed is what a caller is owed for a job.
+type simOwed struct {
+	kind      *simKind
+	submitted time.Time
+	objective time.Duration
+	weight    float64
+	cancelled bool
+}
+
+// simScore is what the callers of one kind got.
+type simScore struct {
+	asked, onTime, late int
+	owed, earned        float64
+}
+
+func (s simScore) share() float64 {
+	if s.owed == 0 {
+		return 1
+	}
+	return s.earned / s.owed
+}
+
+// simResult is what all callers of a day got.
+type simResult struct {
+	kinds       map[string]simScore
+	whole       simScore
+	lostShare   float64 // processor time of lost work as a share of the fleet's
+	worstWindow float64
+}
+
+const (
+	simLead    = 8 * time.Second  // from the start of the scheduler to the first arrivals
+	simTail    = 40 * time.Second // from the last arrival to the end
+	simWindow  = 4 * time.Second
+	simWeight  = 8.0 // processor cores that an accelerator counts as
+	simService = "service"
+)
+
+// play plays a day in virtual time and returns what callers got.
+func (d *simDay) play(t *testing.T, seed uint64) (result simResult) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { result = d.playInBubble(seed) })
+	return result
+}
+
+func (d *simDay) playInBubble(seed uint64) simResult {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &simPlay{
+		day: d, fleet: newSimFleet(seed), random: rand.New(rand.NewPCG(seed, 2)),
+		owed: map[string]*simOwed{}, outcomes: map[string]ledger.State{}, ended: map[string]time.Time{},
+	}
+	var current catalog.Current
+	configuration := &catalog.Catalog{Version: 1}
+	for c := range d.customers {
+		configuration.Customers = append(configuration.Customers, catalog.Customer{Name: customerName(c), GuaranteedAccelerators: d.guaranteed})
+	}
+	current.Advance(configuration.Build())
+	r.scheduler = New(ctx, Config{
+		Fleet: r.fleet, Jobs: newSimLedger(ctx, r.noteOutcome), Runs: newSimLedger(ctx, nil), Term: &fakeTerm{}, Token: 1, Catalog: &current,
+		Events: event.Discard(), Metrics: tally.NoopScope, Now: time.Now, Bounds: Bounds{Lease: 6 * time.Second, Stop: 200 * time.Millisecond, StatusRetention: 2 * time.Minute},
+	})
+	r.scheduler.Recover(nil)
+	var group sync.WaitGroup
+	group.Go(func() { r.scheduler.Run(ctx) })
+	for i := range d.workers {
+		r.addWorker(i)
+	}
+	r.start = time.Now().Add(simLead)
+	for i := range d.kinds {
+		k := &d.kinds[i]
+		for range k.atStart {
+			r.submit(k, false)
+		}
+	}
+	time.Sleep(simLead)
+	if d.trouble != nil {
+		group.Go(func() { d.trouble(r) })
+	}
+	for i := range d.kinds {
+		kind, random := &d.kinds[i], rand.New(rand.NewPCG(seed, uint64(10+i)))
+		group.Go(func() { r.arrivals(kind, random) })
+	}
+	time.Sleep(d.length + simTail)
+	result := r.score()
+	cancel()
+	group.Wait()
+	time.Sleep(time.Minute) // lets the goroutines that send orders end
+	return result
+}
+
+func customerName(i int) string { return fmt.Sprintf("customer-%d", i) }
+
+// addWorker adds a worker and shows it to the scheduler.
+func (r *simPlay) addWorker(i int) *simWorker {
+	d := r.day
+	rack := i / d.workersPerRack
+	info := WorkerInfo{
+		ID: fmt.Sprintf("w%04d", i), Address: "address", Service: simService, Rack: fmt.Sprintf("r%d", rack),
+		DataCentre: fmt.Sprintf("d%d", rack%d.dataCentres), Labels: []string{"a"},
+		Capacity: workload.Resources{CPU: 64_000, MemoryMB: d.memoryMB, Accelerators: 8},
+	}
+	w := r.fleet.add(info, []float64{0.8, 1, 1.25}[r.random.IntN(3)])
+	r.scheduler.Observe(info)
+	return w
+}
+
+// arrivals submits jobs of a kind until the day is over.
+func (r *simPlay) arrivals(k *simKind, random *rand.Rand) {
+	for {
+		now := time.Since(r.start)
+		rate := k.perSecond
+		for _, b := range r.day.bursts {
+			if b.kind == k.name && now >= b.at && now < b.at+b.for_ {
+				rate *= b.factor
+			}
+		}
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		if time.Since(r.start) >= r.day.length {
+			return
+		}
+		r.submit(k, true)
+	}
+}
+
+// lognormal returns a value with the given mean, and the given deviation of its logarithm.
+func (r *simPlay) lognormal(mean, spread float64) float64 {
+	return mean * math.Exp(spread*r.random.NormFloat64()-spread*spread/2)
+}
+
+// submit submits a job. What it earns counts if it is owed.
+func (r *simPlay) submit(k *simKind, owed bool) {
+	r.mu.Lock()
+	n := len(r.owed) + 1
+	id := fmt.Sprintf("%016x", n)
+	width := int(min(max(math.Round(r.lognormal(k.width, 0.8)), 1), 6*k.width))
+	runTime := time.Duration(min(r.lognormal(float64(k.runTime), k.runSpread), 4*float64(k.runTime)))
+	estimate := time.Duration(float64(runTime) * math.Exp(k.estimateOff*r.random.NormFloat64()))
+	step := workload.Step{
+		Count: width, Estimate: estimate, Gang: k.gang, Checkpoints: r.random.Float64() < k.checkpoints,
+		SameRack:  k.gang && r.random.Float64() < k.sameRack,
+		Resources: workload.Resources{CPU: k.cpu, MemoryMB: k.memoryMB, Accelerators: k.accelerators[r.random.IntN(len(k.accelerators))]},
+	}
+	if r.random.Float64() < k.dataRack {
+		step.DataRack = fmt.Sprintf("r%d", r.random.IntN(r.day.workers/r.day.workersPerRack))
+	}
+	job := &workload.Job{
+		ID: id, Customer: customerName(r.random.IntN(r.day.customers)), Queue: k.name, Spec: "text", Steps: []workload.Step{step}, Submitted: time.Now(),
+		QueueSettings: workload.QueueSettings{Service: simService, Priority: k.priority, MaxAttempts: 4, Stretch: k.stretch, Target: k.target},
+	}
+	work := float64(width) * runTime.Seconds() * (float64(step.Resources.Accelerators)*simWeight + float64(k.cpu)/1000)
+	meanAccelerators := 0.0
+	for _, a := range k.accelerators {
+		meanAccelerators += float64(a) / float64(len(k.accelerators))
+	}
+	mean := k.width * k.runTime.Seconds() * (meanAccelerators*simWeight + float64(k.cpu)/1000)
+	o := &simOwed{
+		kind: k, submitted: time.Now(), objective: time.Duration(k.stretch*float64(runTime)) + k.target, weight: min(0.3+0.7*work/mean, 4),
+		cancelled: !owed || r.random.Float64() < k.cancelled,
+	}
+	r.owed[id] = o
+	cancelAfter := time.Duration(r.random.Float64() * float64(runTime))
+	r.mu.Unlock()
+	r.fleet.mu.Lock()
+	r.fleet.jobs[id] = &simJob{spec: job, runTimes: []time.Duration{runTime}, failing: k.failing}
+	r.fleet.mu.Unlock()
+	r.scheduler.Load(ledger.Entry{ID: id, Submission: job})
+	if owed && o.cancelled {
+		time.AfterFunc(cancelAfter, func() {
+			r.scheduler.Load(ledger.Entry{ID: id, Cancellation: &ledger.Cancellation{Time: time.Now()}})
+		})
+	}
+}
+
+// noteOutcome keeps the states of jobs as they become durable.
+func (r *simPlay) noteOutcome(put pendingPut) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, record := range put.records {
+		e, err := ledger.DecodeEntry(record)
+		if err == nil && e.Outcome != nil && e.Outcome.State.Final() {
+			r.outcomes[e.ID], r.ended[e.ID] = e.Outcome.State, time.Now()
+		}
+	}
+}
+
+// lateLimit is how many times the objective a late job may take.
+const lateLimit = 3
+
+// score sums up what callers got.
+func (r *simPlay) score() simResult {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	result := simResult{kinds: map[string]simScore{}, worstWindow: 1}
+	windows := map[int]*simScore{}
+	for id, o := range r.owed {
+		if o.cancelled {
+			continue
+		}
+		earned, onTime, late := 0.0, 0, 0
+		if r.outcomes[id] == ledger.Completed {
+			switch took := r.ended[id].Sub(o.submitted); {
+			case took <= o.objective:
+				earned, onTime = o.kind.worth, 1
+			case took <= lateLimit*o.objective:
+				earned, late = o.kind.lateWorth, 1
+			}
+		}
+		window := int(o.submitted.Sub(r.start) / simWindow)
+		if windows[window] == nil {
+			windows[window] = &simScore{}
+		}
+		ofKind := result.kinds[o.kind.name]
+		for _, s := range []*simScore{&ofKind, &result.whole, windows[window]} {
+			s.asked++
+			s.onTime += onTime
+			s.late += late
+			s.owed += o.kind.worth * o.weight
+			s.earned += earned * o.weight
+		}
+		result.kinds[o.kind.name] = ofKind
+	}
+	for _, w := range windows {
+		result.worstWindow = min(result.worstWindow, w.share())
+	}
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	fleetCores := float64(r.day.workers) * (8*simWeight + 64) * r.day.length.Seconds()
+	result.lostShare = r.fleet.lostCores.Seconds() / fleetCores
+	return result
+}
