Start a gang although its victim runs again elsewhere

Cause: a starting job of the daemon with rack owners waited until none of its victims was placed. A victim that stops and is placed again before the scheduler looks at the gang again is placed at every look from then on; if it is a service's task, for ever.

Change: a job counts its bookings, and a victim is in the way only while the booking that was preempted lasts.

--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -348,6 +348,7 @@
 // bindWorkers marks a job as placed and links it with its workers.
 func (t *term) bindWorkers(j *job) {
 	j.placed = true
+	j.bookings++
 	t.dequeue(j)
 	for _, m := range j.placement.Members {
 		t.worker(m.Worker).jobs[j.key] = true
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -56,9 +56,10 @@
 	starts        int       // attempts that were started
 	members       []member
 	placement     placement.Placement
-	placed        bool                   // the accelerators of placement are booked for the job
-	victims       map[structs.JobID]bool // preempted jobs that must end before this one starts
-	cause         stopCause              // why the job is being stopped, "" when it is not
+	placed        bool                     // the accelerators of placement are booked for the job
+	bookings      uint64                   // how often accelerators have been booked for the job
+	victims       map[structs.JobID]uint64 // preempted jobs whose accelerators must be released before this one starts, and their bookings then
+	cause         stopCause                // why the job is being stopped, "" when it is not
 	lastStopSent  time.Time
 	stopStartedAt time.Time
 	attained      time.Duration // run time of earlier attempts that checkpoints keep
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -138,7 +138,7 @@
 	t.bindWorkers(j)
 	t.suspectFailingWorkers(j, now)
 	j.setState(structs.JobStarting, now)
-	j.victims = map[structs.JobID]bool{}
+	j.victims = map[structs.JobID]uint64{}
 	for _, key := range p.Victims {
 		t.preempt(j, key, now)
 	}
@@ -205,7 +205,7 @@
 	if victim == nil || !victim.placed {
 		return
 	}
-	j.victims[key] = true
+	j.victims[key] = victim.bookings
 	switch victim.state {
 	case structs.JobRunning:
 		t.stop(victim, causePreempted, now)
@@ -251,8 +251,9 @@
 			return
 		}
 	}
-	for key := range j.victims {
-		if victim := t.jobs[key]; victim != nil && victim.placed {
+	for key, booking := range j.victims {
+		victim := t.jobs[key]
+		if victim != nil && victim.placed && victim.bookings == booking { // a later booking is not in this job's way
 			return
 		}
 		delete(j.victims, key)
