Let a step's limit of tasks per worker hold for that step alone

Cause: a pass remembers what did not fit anywhere by service, label, rack and resources, so that it is not tried again. Tasks of a step that may not share workers did not fit because of that limit, and all later tasks of the same size were skipped in that pass although there was room. The same for a task with reserved workers. All batch tasks of a queue ask for the same, so one such step at the front of the order could hold up all of them.

Change: where a limit per worker, a reservation or the advisor decides, the step is part of the key.

Ruled out: leaving the memory out; with hundreds of waiting steps a pass would take too long.

Figures: TestLimitOnTasksPerWorkerHoldsForItsStepAlone fails before (1 of 2 starts).

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -20,7 +20,17 @@
 type taskRequirements struct {
 	service, label, rack string
 	resources            workload.Resources
-	advisedStep          *step // nil unless the queue needs the advisor's approval, which is given for each step
+	step                 *step // nil unless other rules decide for each step which workers it may use
+}
+
+// requirements returns what decides where a single task fits.
+func (u *unit) requirements() taskRequirements {
+	settings, spec := u.job().queueSettings, u.step.spec
+	needs := taskRequirements{service: settings.Service, label: spec.Label, rack: spec.DataRack, resources: u.step.resources()}
+	if settings.Advised || spec.MaxPerWorker > 0 || len(u.reservedWorkers) > 0 {
+		needs.step = u.step
+	}
+	return needs
 }
 
 // pool is the usable workers of one service during a pass.
@@ -252,10 +262,7 @@
 	if u.job().queueSettings.Advised && u.step.advice.ticketsExpireAt.Before(p.now) {
 		return false, waitAdvice
 	}
-	needs := taskRequirements{r.step.occurrence.job.queueSettings.Service, r.step.spec.Label, r.step.spec.DataRack, r.step.resources(), nil}
-	if u.job().queueSettings.Advised {
-		needs.advisedStep = u.step
-	}
+	needs := u.requirements()
 	if why, known := p.fitNowhere[needs]; known && u.index >= 0 && r.class > urgent {
 		return false, why
 	}
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -299,3 +299,17 @@
 	h.pass()
 	awaitStarts(t, h.fleet, 6)
 }
+
+// Guards against work that waits beside free workers because tasks of the same size, which may not share a worker with others of
+// their step, found no room in the same pass.
+func TestLimitOnTasksPerWorkerHoldsForItsStepAlone(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	h.addWorker("w1", "r1", 8)
+	spread := singleStepJob(1, stepOf(2))
+	spread.Steps[0].MaxPerWorker = 1
+	spread.QueueSettings.Stretch = 1 // gives it the earliest latest start
+	h.submit(spread)
+	h.submit(singleStepJob(2, stepOf(1)))
+	h.pass()
+	awaitStarts(t, h.fleet, 2)
+}
