Let each priority and overdue work go first up to a share of its service

Change: steps of a priority that holds less than 15 % of the service's accelerators, and of overdue work that holds less than 4 %, go before other work that is not urgent.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -77,6 +77,8 @@
 		pl.sortByID()
 		pl.headroomTarget = int64(headroomShare * float64(pl.accelerators))
 	}
+	p.assureShares(ranks)
+	sortRanks(ranks)
 	p.keepReservations(ranks)
 	for _, pl := range p.pools {
 		p.markHeadroom(pl)
@@ -268,11 +270,11 @@
 	}
 	p.noRackFits, p.roomKeptFree = false, false
 	if chosen := p.chooseWorkers(pl, u); chosen != nil {
-		p.scheduler.startRun(u, chosen, p.now)
+		p.start(u, r, chosen)
 		return true, 0
 	}
 	if chosen := p.chooseFromHeadroom(pl, u); chosen != nil {
-		p.scheduler.startRun(u, chosen, p.now)
+		p.start(u, r, chosen)
 		p.markHeadroom(pl)
 		return true, 0
 	}
@@ -288,6 +290,12 @@
 	return false, why
 }
 
+// start starts a run of a unit of rank r on the chosen workers.
+func (p *plan) start(u *unit, r rank, chosen []*worker) {
+	u.startedOverdue = r.class == overdue
+	p.scheduler.startRun(u, chosen, p.now)
+}
+
 // chooseWorkers returns a worker for each task of a unit, or nil if the unit does not fit.
 func (p *plan) chooseWorkers(pl *pool, u *unit) []*worker {
 	spec := u.step.spec
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -31,6 +31,7 @@
 	step        *step
 	class       class
 	latestStart time.Time // latest start that meets the objective, moved back by the priority
+	assured     bool      // goes before other work that is not urgent, since its kind holds less than its share
 }
 
 // rankStep returns a step's rank.
@@ -68,9 +69,21 @@
 	return c != nil && s.urgentDemand[j.spec.Customer] <= c.Guarantee(j.spec.Customer)
 }
 
-// sortRanks sorts waiting work by class and latest start.
+// sortRanks sorts waiting work: urgent work by class, then work that is assured by its share, then all other work by class; work
+// of one class by its latest start.
 func sortRanks(ranks []rank) {
 	slices.SortStableFunc(ranks, func(a, b rank) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), a.latestStart.Compare(b.latestStart))
+		return cmp.Or(cmp.Compare(a.group(), b.group()), cmp.Compare(a.class, b.class), a.latestStart.Compare(b.latestStart))
 	})
 }
+
+// group is the first criterion in the order of waiting work.
+func (r rank) group() int {
+	switch {
+	case r.class <= urgent:
+		return 0
+	case r.assured:
+		return 1
+	}
+	return 2
+}
