Reserve at most 15 % of a service for several units, and 30 % for a single one

Cause: reservations kept up to 30 % of the accelerators idle for large gangs beside the headroom of 20 %.

Change: 15 % for all reservations together; a first one may take 30 %, or the largest gangs would never fit in a small fleet.

--- a/internal/dispatch/reservations.go
+++ b/internal/dispatch/reservations.go
@@ -10,7 +10,8 @@
 
 // Limits of reservations. Without reservations, small tasks can fill every gap, so that large gangs never find a rack.
 const (
-	maxReservedShare  = 0.3              // largest share of a service's accelerators kept free for units that do not fit yet
+	maxReservedShare  = 0.15             // largest share of a service's accelerators kept free for units that do not fit yet
+	maxReservedByOne  = 0.3              // the same if it is for a single unit
 	maxReservationAge = 10 * time.Second // age at which a reservation is chosen anew; longer than nearly all tasks run
 )
 
@@ -44,7 +45,11 @@
 	for _, w := range workers {
 		accelerators += w.info.Capacity.Accelerators
 	}
-	if pl.reserved+accelerators > int64(maxReservedShare*float64(pl.accelerators)) {
+	limit := maxReservedShare
+	if pl.reserved == 0 {
+		limit = maxReservedByOne // else the largest gangs would never fit in a small fleet
+	}
+	if pl.reserved+accelerators > int64(limit*float64(pl.accelerators)) {
 		return false
 	}
 	pl.reserved += accelerators
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -6,7 +6,7 @@
 // than the fleet has, the order alone would leave the least urgent kind without anything, and work that was set back by a lost
 // worker would wait until the load ends.
 const (
-	priorityShare = 0.15 // for each priority but the highest, for work that can still end in time to be of use
+	priorityShare = 0.1  // for each priority but the highest, for work that can still end in time to be of use
 	overdueShare  = 0.04 // for work of all priorities that no longer can
 )
 
