Replace the shares of priorities by a starvation bound

Cause: shares of priorities had no effect. Shares were rounded down to nothing on services of less than 25 accelerators and on services without any, and an overdue gang never reserved workers.

Change: no shares of priorities. A kind of work (a priority of a service, or its overdue work) that waits and holds nothing for 15 s has a step go before all work that is not urgent. Services without accelerators count cores. Work that goes first may reserve.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -39,6 +39,7 @@
 	racks          map[string][]*worker // by rack; a rack lies in one data centre
 	dataCentres    map[string][]*worker // by data centre
 	accelerators   int64                // of all workers
+	cpu            int64                // of all workers, in thousandths of a core
 	freeAtStart    int64                // accelerators that were free at the start of the pass
 	reserved       int64                // accelerators of workers kept free by reservations
 	headroomTarget int64                // accelerators to be left free for urgent work
@@ -77,7 +78,7 @@
 		pl.sortByID()
 		pl.headroomTarget = int64(headroomShare * float64(pl.accelerators))
 	}
-	p.assureShares(ranks)
+	p.preventStarvation(ranks)
 	sortRanks(ranks)
 	p.keepReservations(ranks)
 	for _, pl := range p.pools {
@@ -181,6 +182,7 @@
 	pl.racks[w.info.Rack] = append(pl.racks[w.info.Rack], w)
 	pl.dataCentres[w.info.DataCentre] = append(pl.dataCentres[w.info.DataCentre], w)
 	pl.accelerators += w.info.Capacity.Accelerators
+	pl.cpu += w.info.Capacity.CPU
 	pl.freeAtStart += w.free.Accelerators
 }
 
@@ -280,7 +282,7 @@
 	}
 	if r.class <= urgent {
 		p.preempt(pl, r, u)
-	} else if r.class <= late {
+	} else if r.class <= late || r.assured || r.starved {
 		p.reserve(pl, u)
 	}
 	why = p.waitCauseOf(u)
@@ -293,6 +295,7 @@
 // start starts a run of a unit of rank r on the chosen workers.
 func (p *plan) start(u *unit, r rank, chosen []*worker) {
 	u.startedOverdue = r.class == overdue
+	delete(p.scheduler.holdsNothingSince, kindOf(u.job(), u.startedOverdue))
 	p.scheduler.startRun(u, chosen, p.now)
 }
 
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -31,7 +31,8 @@
 	step        *step
 	class       class
 	latestStart time.Time // latest start that meets the objective, moved back by the priority
-	assured     bool      // goes before other work that is not urgent, since its kind holds less than its share
+	assured     bool      // overdue, and goes before other work that is not urgent up to overdueShare
+	starved     bool      // goes before all work that is not urgent, since its kind has held nothing for starvationBound
 }
 
 // rankStep returns a step's rank.
@@ -69,8 +70,8 @@
 	return c != nil && s.urgentDemand[j.spec.Customer] <= c.Guarantee(j.spec.Customer)
 }
 
-// sortRanks sorts waiting work: urgent work by class, then work that is assured by its share, then all other work by class; work
-// of one class by its latest start.
+// sortRanks sorts waiting work: urgent work by class, then starved work, then assured overdue work, then all other work by
+// class; work of one class by its latest start.
 func sortRanks(ranks []rank) {
 	slices.SortStableFunc(ranks, func(a, b rank) int {
 		return cmp.Or(cmp.Compare(a.group(), b.group()), cmp.Compare(a.class, b.class), a.latestStart.Compare(b.latestStart))
@@ -82,8 +83,10 @@
 	switch {
 	case r.class <= urgent:
 		return 0
-	case r.assured:
+	case r.starved:
 		return 1
+	case r.assured:
+		return 2
 	}
-	return 2
+	return 3
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -72,6 +72,8 @@
 	runTimes        map[string]*runTimeModel // by queue
 	backlogLoggedAt time.Time                // when the backlog was last logged
 	urgentDemand    map[string]int64         // accelerators that the unfinished jobs of priority 0 need, by customer
+	// holdsNothingSince says since when the kinds of work that wait and hold nothing do so.
+	holdsNothingSince map[kind]time.Time
 }
 
 // New returns a scheduler without jobs and workers. It sends no orders after ctx has ended, which ends with the term.
