Let late work share what overdue work is assured of, the oldest first

Tests: TestWorkThatWasSetBackStartsUnderLoad, TestOverdueWorkStartsBeforeLateWork; each failed with its rule removed.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -57,7 +57,7 @@
 	cause            endCause  // why the current run ends without success, that of the first member to end
 	notBefore        time.Time // earliest time of the next start
 	startedAt        time.Time
-	startedOverdue   bool                 // its class was overdue when the current run started
+	startedAs        class                // its class when the current run started
 	answersSince     time.Time            // when a worker of the current run last answered after a silence
 	runTimeUnknown   bool                 // the current run began in an earlier term or ended while its worker was silent
 	waitingAt        time.Time            // when it began to wait; zero until a pass has considered it
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -294,8 +294,8 @@
 
 // start starts a run of a unit of rank r on the chosen workers.
 func (p *plan) start(u *unit, r rank, chosen []*worker) {
-	u.startedOverdue = r.class == overdue
-	delete(p.scheduler.holdsNothingSince, kindOf(u.job(), u.startedOverdue))
+	u.startedAs = r.class
+	delete(p.scheduler.holdsNothingSince, kindOf(u.job(), r.class))
 	p.scheduler.startRun(u, chosen, p.now)
 }
 
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -31,7 +31,7 @@
 	step        *step
 	class       class
 	latestStart time.Time // latest start that meets the objective, moved back by the priority
-	assured     bool      // overdue, and goes before other work that is not urgent up to overdueShare
+	assured     bool      // late or overdue, and goes before other work that is not urgent up to setBackShare
 	starved     bool      // goes before all work that is not urgent, since its kind has held nothing for starvationBound
 }
 
@@ -70,23 +70,36 @@
 	return c != nil && s.urgentDemand[j.spec.Customer] <= c.Guarantee(j.spec.Customer)
 }
 
-// sortRanks sorts waiting work: urgent work by class, then starved work, then assured overdue work, then all other work by
-// class; work of one class by its latest start.
+// sortRanks sorts waiting work: urgent work by class, then starved work, then assured work whatever its class, then all other work by
+// class; otherwise by latest start.
 func sortRanks(ranks []rank) {
 	slices.SortStableFunc(ranks, func(a, b rank) int {
-		return cmp.Or(cmp.Compare(a.group(), b.group()), cmp.Compare(a.class, b.class), a.latestStart.Compare(b.latestStart))
+		if group := cmp.Compare(a.group(), b.group()); group != 0 {
+			return group
+		}
+		if a.group() == assuredGroup {
+			return a.latestStart.Compare(b.latestStart)
+		}
+		return cmp.Or(cmp.Compare(a.class, b.class), a.latestStart.Compare(b.latestStart))
 	})
 }
 
-// group is the first criterion in the order of waiting work.
+// Groups are the first criterion in the order of waiting work.
+const (
+	urgentGroup = iota
+	starvedGroup
+	assuredGroup
+	otherGroup
+)
+
 func (r rank) group() int {
 	switch {
 	case r.class <= urgent:
-		return 0
+		return urgentGroup
 	case r.starved:
-		return 1
+		return starvedGroup
 	case r.assured:
-		return 2
+		return assuredGroup
 	}
-	return 3
+	return otherGroup
 }
--- a/internal/dispatch/starvation_test.go
+++ b/internal/dispatch/starvation_test.go
@@ -44,18 +44,36 @@
 	return false
 }
 
-// overdueJob returns a job that can no longer end in time.
-func overdueJob(number int, step workload.Step) *workload.Job {
+// jobOfAge returns a job that was submitted some time ago. Its objective is 10 to 16 s, whatever run times its queue learns.
+func jobOfAge(number int, age time.Duration, step workload.Step) *workload.Job {
 	j := singleStepJob(number, step)
-	j.Submitted = time.Now().Add(-10 * time.Minute)
+	j.Submitted, j.QueueSettings.Target = time.Now().Add(-age), 10*time.Second
 	return j
 }
 
+const (
+	ageOfLate    = 20 * time.Second // can still end within three times its objective
+	ageOfOverdue = 10 * time.Minute
+)
+
 // Guards against accepted work that waits for as long as the load lasts, since it was set back by a lost worker and all work that
-// can still end in time goes first.
-func TestOverdueWorkStartsUnderLoad(t *testing.T) {
+// can still end within its objective goes first.
+func TestWorkThatWasSetBackStartsUnderLoad(t *testing.T) {
+	for name, age := range map[string]time.Duration{"late": ageOfLate, "overdue": ageOfOverdue} {
+		t.Run(name, func(t *testing.T) {
+			h, workers := fullFleetWithBacklog(t)
+			task := jobOfAge(902, age, stepOf(1))
+			h.submit(task)
+			assert.Assert(t, h.holdsWithin(2*len(workers), workers, task, 1))
+		})
+	}
+}
+
+// Guards against overdue work that waits behind all late work.
+func TestOverdueWorkStartsBeforeLateWork(t *testing.T) {
 	h, workers := fullFleetWithBacklog(t)
-	task := overdueJob(902, stepOf(1))
+	h.submit(jobOfAge(902, ageOfLate, stepOf(10_000)))
+	task := jobOfAge(903, ageOfOverdue, stepOf(1))
 	h.submit(task)
 	assert.Assert(t, h.holdsWithin(2*len(workers), workers, task, 1))
 }
@@ -63,7 +81,7 @@
 // Guards against an overdue gang that never finds its workers free at once, since only work in time reserves them.
 func TestOverdueGangStartsUnderLoad(t *testing.T) {
 	h, workers := fullFleetWithBacklog(t)
-	gang := overdueJob(902, gangOf(902, 2).Steps[0])
+	gang := jobOfAge(902, ageOfOverdue, gangOf(902, 2).Steps[0])
 	h.submit(gang)
 	assert.Assert(t, h.holdsWithin(3*len(workers), workers, gang, 2))
 }
@@ -96,7 +114,7 @@
 				backlog.QueueSettings.Target = time.Hour // always in time
 				h.submit(backlog)
 				step.Count = 1
-				task := overdueJob(902, step)
+				task := jobOfAge(902, ageOfOverdue, step)
 				h.submit(task)
 				assert.Assert(t, h.startsInTime([]*worker{w}, task))
 			})
