Count what set-back work holds, not what it asks for, and give gangs a share of their own

Cause: a step that was assured of a share but did not fit, such as a large gang, used the share up, so nothing behind it moved. One gang that ran after its objective held more than the whole share.

Change: steps that were set back are tried in the order of their latest starts until what runs fills the share of 4 %, single tasks and gangs apart; what does not fit counts nothing.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -54,6 +54,8 @@
 	claimed         map[*worker]workload.Resources // resources of workers in keptFor that single tasks of that step have claimed
 	headroomWorkers map[*worker]bool               // workers kept free for urgent work
 	fitNowhere      map[taskRequirements]waitCause // requirements that no worker satisfied in this pass, and why
+	fitsNotNow      map[*step]bool                 // steps of which units could not be placed in this pass
+	held            map[kind]int64                 // what each kind of work holds, in its pool's scarcest resource
 
 	// Why chooseWorkers found no room for the latest unit, see waitCauseOf.
 	noRackFits   bool // neither the rack of its data nor any single rack that it should run in has room
@@ -68,7 +70,7 @@
 		return
 	}
 	sortRanks(ranks)
-	p := &plan{scheduler: s, now: now, pools: map[string]*pool{}, keptFor: map[*worker]*step{}, claimed: map[*worker]workload.Resources{}, fitNowhere: map[taskRequirements]waitCause{}, headroomWorkers: map[*worker]bool{}}
+	p := &plan{scheduler: s, now: now, pools: map[string]*pool{}, keptFor: map[*worker]*step{}, claimed: map[*worker]workload.Resources{}, fitNowhere: map[taskRequirements]waitCause{}, headroomWorkers: map[*worker]bool{}, held: map[kind]int64{}, fitsNotNow: map[*step]bool{}}
 	for _, w := range s.workers {
 		if w.usable(now) {
 			p.addWorker(w)
@@ -78,7 +80,7 @@
 		pl.sortByID()
 		pl.headroomTarget = int64(headroomShare * float64(pl.accelerators))
 	}
-	p.preventStarvation(ranks)
+	ranks = p.preventStarvation(ranks)
 	sortRanks(ranks)
 	p.keepReservations(ranks)
 	for _, pl := range p.pools {
@@ -204,7 +206,7 @@
 func (p *plan) placeStep(r rank) {
 	st := r.step
 	pl := p.pools[st.occurrence.job.queueSettings.Service]
-	if st.unitsWaiting == 0 || st.occurrence.job.ended() {
+	if st.unitsWaiting == 0 || st.occurrence.job.ended() || p.fitsNotNow[st] {
 		return
 	}
 	if pl == nil {
@@ -229,6 +231,9 @@
 		if u.waitingAt.IsZero() {
 			u.waitingAt = p.now
 		}
+		if r.assured && p.shareIsFull(pl, r) {
+			return
+		}
 		placed, why := p.placeUnit(pl, r, u)
 		if placed {
 			continue
@@ -242,6 +247,7 @@
 	}
 	if waits {
 		st.noteWait(cause, p.now)
+		p.fitsNotNow[st] = true
 	} else {
 		st.consideredAt = time.Time{}
 	}
@@ -272,11 +278,11 @@
 	}
 	p.noRackFits, p.roomKeptFree = false, false
 	if chosen := p.chooseWorkers(pl, u); chosen != nil {
-		p.start(u, r, chosen)
+		p.start(pl, u, r, chosen)
 		return true, 0
 	}
 	if chosen := p.chooseFromHeadroom(pl, u); chosen != nil {
-		p.start(u, r, chosen)
+		p.start(pl, u, r, chosen)
 		p.markHeadroom(pl)
 		return true, 0
 	}
@@ -293,9 +299,8 @@
 }
 
 // start starts a run of a unit of rank r on the chosen workers.
-func (p *plan) start(u *unit, r rank, chosen []*worker) {
-	u.startedAs = r.class
-	delete(p.scheduler.holdsNothingSince, kindOf(u.job(), r.class))
+func (p *plan) start(pl *pool, u *unit, r rank, chosen []*worker) {
+	p.noteHeld(pl, u, r)
 	p.scheduler.startRun(u, chosen, p.now)
 }
 
--- a/internal/dispatch/reservations.go
+++ b/internal/dispatch/reservations.go
@@ -64,6 +64,9 @@
 // and after maxReservationAge.
 func (p *plan) keepReservations(ranks []rank) {
 	for _, r := range ranks {
+		if r.class >= late && !r.assured {
+			continue // the step's assured rank came before
+		}
 		pl := p.pools[r.step.occurrence.job.queueSettings.Service]
 		for _, u := range r.step.units {
 			if len(u.reservedWorkers) == 0 || u.state != waiting {
--- a/internal/dispatch/simfleet_test.go
+++ b/internal/dispatch/simfleet_test.go
@@ -304,6 +304,32 @@
 // Pace implements Fleet.
 func (f *simFleet) Pace(context.Context, Target, PaceOrder) error { return nil }
 
+// cutOff lets no calls reach the workers of a data centre for some time. Their runs end when their leases expire.
+func (f *simFleet) cutOff(dataCentre string, length, lease time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		if w.info.DataCentre != dataCentre {
+			continue
+		}
+		w.cut = true
+		time.AfterFunc(lease, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for _, run := range w.runs {
+				if w.cut {
+					f.endRun(run, EndLeaseExpired)
+				}
+			}
+		})
+		time.AfterFunc(length, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			w.cut = false
+		})
+	}
+}
+
 // leave lets a worker go after a notice, as a spot worker does.
 func (f *simFleet) leave(s *Scheduler, w *simWorker, notice time.Duration) {
 	info := w.info
--- a/internal/dispatch/starvation.go
+++ b/internal/dispatch/starvation.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
@@ -11,92 +10,86 @@
 // fleet has: work that was set back by a lost worker and can no longer end within its objective, and on small services whole
 // priorities.
 const (
-	// setBackShare is the share of a service's accelerators up to which work of the classes late and overdue goes before other work
-	// that is not urgent, the oldest first. On a service whose share is less than one accelerator, only starvationBound holds.
+	// setBackShare is the share of a service's accelerators up to which single tasks of the classes late and overdue go before other
+	// work that is not urgent, the oldest first, and the same for gangs. On a service whose share is less than one accelerator, only
+	// starvationBound holds.
 	setBackShare = 0.04
 	// starvationBound is how long a kind of work may wait and hold nothing before a step of it goes before all work that is not
 	// urgent.
 	starvationBound = 15 * time.Second
 )
 
-// kind is what the bounds against starvation hold for: the work of one priority in a service, or all its work that is set back.
+// kind is what the bounds against starvation hold for: the work of one priority in a service, or all its single tasks or gangs that
+// are set back.
 type kind struct {
 	service  string
 	priority int // 0 for work that is set back
 	setBack  bool
+	gang     bool // false for work that is not set back
 }
 
-// kindOf returns the kind of a job's work while it has the given class.
-func kindOf(j *job, c class) kind {
+// kindOf returns the kind of a step's work while it has the given class.
+func kindOf(st *step, c class) kind {
+	settings := st.occurrence.job.queueSettings
 	if c >= late {
-		return kind{service: j.queueSettings.Service, setBack: true}
+		return kind{service: settings.Service, setBack: true, gang: st.spec.Gang}
 	}
-	return kind{service: j.queueSettings.Service, priority: j.queueSettings.Priority}
+	return kind{service: settings.Service, priority: settings.Priority}
 }
 
-// kindUse is what a kind of work holds and what the steps that were moved forward for it ask for, in the pool's scarcest resource.
-type kindUse struct{ held, movedForward int64 }
-
-// preventStarvation marks the steps that go before others that are not urgent.
-func (p *plan) preventStarvation(ranks []rank) {
-	uses := p.usesByKind()
+// preventStarvation returns the ranks, marks those of starved work, and adds a second one for each step that was set back, with which
+// the step goes before other work as far as the share of its kind allows.
+func (p *plan) preventStarvation(ranks []rank) []rank {
+	p.countHeld()
 	holdsNothingSince := map[kind]time.Time{}
-	for _, r := range byLatestStart(ranks) {
+	for i := range ranks {
+		r := &ranks[i]
 		if r.class <= urgent {
 			continue
 		}
-		k := kindOf(r.step.occurrence.job, r.class)
+		k := kindOf(r.step, r.class)
+		if _, seen := holdsNothingSince[k]; seen || p.held[k] > 0 {
+			continue
+		}
 		since, known := p.scheduler.holdsNothingSince[k]
 		if !known {
 			since = p.now
 		}
-		pl := p.pools[k.service]
-		if pl == nil {
-			holdsNothingSince[k] = since
-			continue
-		}
-		use := uses[k]
-		if use == nil {
-			use = &kindUse{}
-			uses[k] = use
-		}
-		if use.held == 0 {
-			holdsNothingSince[k] = since
-			r.starved = use.movedForward == 0 && p.now.Sub(since) > starvationBound
-		}
-		r.assured = k.setBack && use.held+use.movedForward < int64(setBackShare*float64(pl.scarceTotal()))
-		if r.starved || r.assured {
-			use.movedForward += pl.scarceResource(r.step.resources()) * int64(r.step.tasksToStart(p.now))
-		}
+		holdsNothingSince[k] = since
+		r.starved = p.now.Sub(since) > starvationBound
 	}
 	p.scheduler.holdsNothingSince = holdsNothingSince
-}
-
-// byLatestStart returns the ranks in the order of their latest starts.
-func byLatestStart(ranks []rank) []*rank {
-	sorted := make([]*rank, len(ranks))
-	for i := range ranks {
-		sorted[i] = &ranks[i]
+	for _, r := range ranks {
+		if r.class >= late {
+			r.assured, r.starved = true, false
+			ranks = append(ranks, r)
+		}
 	}
-	slices.SortStableFunc(sorted, func(a, b *rank) int { return a.latestStart.Compare(b.latestStart) })
-	return sorted
+	return ranks
 }
 
-// usesByKind returns what each kind of work holds.
-func (p *plan) usesByKind() map[kind]*kindUse {
-	uses := map[kind]*kindUse{}
+// countHeld counts what each kind of work holds, in its pool's scarcest resource.
+func (p *plan) countHeld() {
 	for _, pl := range p.pools {
 		for _, w := range pl.workers {
 			for _, m := range w.members {
-				k := kindOf(m.unit.job(), m.unit.startedAs)
-				if uses[k] == nil {
-					uses[k] = &kindUse{}
-				}
-				uses[k].held += pl.scarceResource(m.resources)
+				p.held[kindOf(m.unit.step, m.unit.startedAs)] += pl.scarceResource(m.resources)
 			}
 		}
 	}
-	return uses
+}
+
+// shareIsFull reports whether work that was set back holds what it is assured of.
+func (p *plan) shareIsFull(pl *pool, r rank) bool {
+	return p.held[kindOf(r.step, r.class)] >= int64(setBackShare*float64(pl.scarceTotal()))
+}
+
+// noteHeld notes that a unit of rank r holds resources from now on.
+func (p *plan) noteHeld(pl *pool, u *unit, r rank) {
+	u.startedAs = r.class
+	k := kindOf(u.step, r.class)
+	p.held[k] += pl.scarceResource(u.step.resources()) * int64(u.size())
+	delete(p.scheduler.holdsNothingSince, k)
 }
 
 // scarceResource returns how much of the pool's scarcest resource a task needs: accelerators, at least one, or cores in a pool
@@ -115,14 +108,3 @@
 	}
 	return pl.accelerators
 }
-
-// tasksToStart returns the number of the step's tasks that wait and may start now.
-func (st *step) tasksToStart(now time.Time) int {
-	n := 0
-	for _, u := range st.units {
-		if u.state == waiting && !now.Before(u.notBefore) {
-			n += u.size()
-		}
-	}
-	return n
-}
