Refuse submission records that would end each process that reads them

Cause: DecodeEntry accepted any job that msgpack can decode. A job whose steps name later, negative or missing steps as earlier ones makes CriticalPath and newOccurrence index out of range, with a panic in every process that holds the term, one after the other, for as long as the record is in the log.

Change: a record whose job Validate refuses is unreadable. Readers skip it and log event 2707, as for other unreadable records.

Ruled out: records of units and task names from workers; negative parts are refused by ParseTaskName, larger ones are bounded by unitOf and unitByName.

Test: TestRecordsRoundTripAndUnreadableOnesAreErrors has five such jobs and failed before. Its round trip used a job whose step 0 depends on itself, which no caller can submit; it now uses two steps, and compares the same fields.

--- a/internal/ledger/jobindex_test.go
+++ b/internal/ledger/jobindex_test.go
@@ -52,7 +52,7 @@
 
 // Guards against a reader that fails on records of another version or program instead of returning an error.
 func TestRecordsRoundTripAndUnreadableOnesAreErrors(t *testing.T) {
-	job := &workload.Job{ID: "00ff", Customer: "club", Steps: []workload.Step{{Count: 2, Gang: true, After: []int{0}}}, QueueSettings: workload.QueueSettings{Stretch: 1.5}}
+	job := &workload.Job{ID: "00ff", Customer: "club", Steps: []workload.Step{{Count: 1}, {Count: 2, Gang: true, After: []int{0}}}, QueueSettings: workload.QueueSettings{Stretch: 1.5}}
 	e, err := DecodeEntry(SubmissionRecord(job))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, e.Submission.Steps, job.Steps)
@@ -66,6 +66,10 @@
 		_, err := DecodeEntry(r)
 		assert.Assert(t, err != nil, "%q", r.Key)
 	}
+	for _, steps := range [][]workload.Step{nil, {{Count: 1, After: []int{1}}, {Count: 1}}, {{Count: 1}, {Count: 1, After: []int{7}}}, {{Count: 1}, {Count: 1, After: []int{-1}}}, {{Count: -1}}} {
+		_, err := DecodeEntry(SubmissionRecord(&workload.Job{ID: "00ff", Steps: steps}))
+		assert.Assert(t, err != nil, "%v would end each process that reads it", steps)
+	}
 	_, err = DecodeEntry(CancellationRecord("1", time.Now()))
 	assert.NilError(t, err)
 }
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -143,7 +143,8 @@
 	Outcome      *Outcome
 }
 
-// DecodeEntry reads a record of JobsTopic.
+// DecodeEntry reads a record of JobsTopic. It returns an error for jobs that Validate refuses, which no reader could handle; limits
+// of Validate may therefore only grow from version to version.
 func DecodeEntry(r Record) (Entry, error) {
 	if len(r.Key) < 2 {
 		return Entry{}, fmt.Errorf("record key %q is too short", r.Key)
@@ -169,5 +170,10 @@
 	if err := msgpack.Unmarshal(r.Value, target); err != nil {
 		return Entry{}, fmt.Errorf("decode record %q: %w", r.Key, err)
 	}
+	if e.Submission != nil {
+		if err := e.Submission.Validate(); err != nil {
+			return Entry{}, fmt.Errorf("decode record %q: %w", r.Key, err)
+		}
+	}
 	return e, nil
 }
