Grant no lease on an authority checked before a pause, and survive a panic in a heartbeat

Cause: the heartbeat loop checked its authority, took the lock and only then read the clock for the lease. A process paused in between (stopped, or starved behind the lock) granted a lease that began after its authority had run out. A worker that the next term cannot reach accepts the old token; the next term counts its leases from the old authority's end and starts the work elsewhere while it still runs there. After a resignation the next term grants no time for the old authority at all. Besides, a panic in one worker's exchange ended the process.

Change: the clock is read before the check, so a lease ends at most one lease after a moment at which the authority held; how long the order then takes does not matter, since a lease's end is absolute. A panic counts as an unanswered heartbeat (event 2529), and the locks are released.

Ruled out: start orders, whose lease is computed before startMember's check; stops and pace orders, which carry no lease and are refused by their token; the suspended clock, which Authority reads.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -35,6 +35,7 @@
 	eventPaced           = event.Define(2526, "leftover work paced", zerolog.InfoLevel, "Spare-CPU work was slowed down or sped up for the sake of a task with a latency target.", "")
 	eventBacklog         = event.Define(2523, "work waits", zerolog.InfoLevel, "Tasks and gangs wait. The fields show how many of each class, and how many accelerators are free, reserved or kept for urgent work.", "")
 	eventReserved        = event.Define(2527, "workers reserved", zerolog.InfoLevel, "Workers are kept free until a gang or large task fits on them.", "")
+	eventHeartbeatPanic  = event.Define(2529, "heartbeat panicked", zerolog.ErrorLevel, "Sending a heartbeat or handling its answer panicked. The heartbeat counts as unanswered.", "Report the fault to the maintainers.")
 	eventPreempting      = event.Define(2522, "room reclaimed", zerolog.InfoLevel, "Less urgent work is preempted so that an urgent job can start.", "")
 )
 
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -78,8 +78,8 @@
 	return records
 }
 
-// scriptedFleet records orders and answers them as the test says. It never answers heartbeats; tests pass reports to the
-// scheduler themselves.
+// scriptedFleet records orders and answers them as the test says. Unless heartbeat is set it never answers heartbeats; tests pass
+// reports to the scheduler themselves.
 type scriptedFleet struct {
 	mu         sync.Mutex
 	starts     []StartOrder
@@ -87,6 +87,7 @@
 	paces      []PaceOrder
 	startError func(StartOrder) error // nil if starts succeed
 	stopError  func(StopOrder) error  // nil if stops succeed
+	heartbeat  func(HeartbeatOrder) (HeartbeatReport, error)
 }
 
 func (f *scriptedFleet) Start(_ context.Context, _ Target, o StartOrder) (int64, error) {
@@ -109,7 +110,13 @@
 	return 0, nil
 }
 
-func (f *scriptedFleet) Heartbeat(ctx context.Context, _ Target, _ HeartbeatOrder) (HeartbeatReport, error) {
+func (f *scriptedFleet) Heartbeat(ctx context.Context, _ Target, o HeartbeatOrder) (HeartbeatReport, error) {
+	f.mu.Lock()
+	answer := f.heartbeat
+	f.mu.Unlock()
+	if answer != nil {
+		return answer(o)
+	}
 	<-ctx.Done()
 	return HeartbeatReport{}, ctx.Err()
 }
@@ -141,14 +148,17 @@
 
 // fakeTerm is a term that lasts until Lose is called.
 type fakeTerm struct {
-	mu   sync.Mutex
-	lost error
+	mu    sync.Mutex
+	lost  error
+	pause time.Duration // of the process, directly after it has found its authority to be valid
 }
 
 func (t *fakeTerm) Authority() bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.lost == nil
+	valid, pause := t.lost == nil, t.pause
+	t.mu.Unlock()
+	time.Sleep(pause)
+	return valid
 }
 
 func (t *fakeTerm) Lose(cause error) {
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 	"dogwoodnotch.example/dogwoodnotch/internal/wait"
@@ -34,17 +36,12 @@
 // heartbeatLoop renews a worker's leases and handles its reports until ctx ends.
 func (s *Scheduler) heartbeatLoop(ctx context.Context, w *worker) {
 	for ctx.Err() == nil {
+		now := time.Now() // before the check, so that no lease is granted for a time at which the authority was over
 		if !s.config.Term.Authority() {
 			wait.For(ctx, heartbeatRetryPause)
 			continue
 		}
-		s.mu.Lock()
-		order, target := s.nextHeartbeat(w, time.Now())
-		s.mu.Unlock()
-		sent := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, order.Wait+heartbeatTimeout)
-		report, err := s.config.Fleet.Heartbeat(callCtx, target, order)
-		cancel()
+		unrecorded, err := s.exchangeHeartbeat(ctx, w, now)
 		if ctx.Err() != nil {
 			return
 		}
@@ -53,10 +50,6 @@
 			wait.For(ctx, heartbeatRetryPause)
 			continue
 		}
-		s.mu.Lock()
-		s.handleReport(w, sent, time.Now(), report)
-		unrecorded := w.lastRecordedEnd < w.lastHandledEnd
-		s.mu.Unlock()
 		if unrecorded {
 			select {
 			case <-ctx.Done():
@@ -67,6 +60,33 @@
 	}
 }
 
+// exchangeHeartbeat sends one heartbeat, whose leases begin at now, and handles the answer. It reports whether the answer listed
+// ends that are not recorded yet. A panic counts as an unanswered heartbeat, so that one worker's answer cannot end the process.
+func (s *Scheduler) exchangeHeartbeat(ctx context.Context, w *worker, now time.Time) (unrecorded bool, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = eris.Errorf("heartbeat of worker %s: %v", w.info.ID, cause)
+			s.config.Events.Emit(eventHeartbeatPanic, event.F("worker", w.info.ID), event.F("cause", err))
+		}
+	}()
+	order, target := func() (HeartbeatOrder, Target) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.nextHeartbeat(w, now)
+	}()
+	sent := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, order.Wait+heartbeatTimeout)
+	defer cancel()
+	report, err := s.config.Fleet.Heartbeat(callCtx, target, order)
+	if err != nil || ctx.Err() != nil {
+		return false, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handleReport(w, sent, time.Now(), report)
+	return w.lastRecordedEnd < w.lastHandledEnd, nil
+}
+
 // nextHeartbeat returns the next heartbeat of a worker. It renews leases only if the previous heartbeat was answered: if
 // heartbeats reach the worker but its answers are lost, its leases still expire at a known time.
 func (s *Scheduler) nextHeartbeat(w *worker, now time.Time) (HeartbeatOrder, Target) {
--- /dev/null
+++ b/internal/dispatch/heartbeats_test.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// answerHeartbeats ends the heartbeats that the scheduler sends by itself, and lets answer answer those that the test sends.
+func (h *harness) answerHeartbeats(w *worker, answer func(HeartbeatOrder) (HeartbeatReport, error)) {
+	w.stopHeartbeats()
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	h.fleet.heartbeat = answer
+}
+
+// Guards against a lease that a process grants after it was paused, on the strength of an authority that it checked before: the next
+// term may have started the work elsewhere by the time at which that lease ends.
+func TestHeartbeatGrantsNoLeaseBeyondTheCheckedAuthority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+		w := h.addWorker("w1", "r1", 8) // its clock was 1000 ms just now
+		ctx, cancel := context.WithCancel(t.Context())
+		var order HeartbeatOrder
+		h.answerHeartbeats(w, func(o HeartbeatOrder) (HeartbeatReport, error) {
+			order = o
+			cancel()
+			return HeartbeatReport{}, ctx.Err()
+		})
+		synctest.Wait()
+		h.term.pause = 20 * time.Second
+		h.scheduler.heartbeatLoop(ctx, w)
+		assert.Equal(t, order.LeaseEnd, 1000+testLease.Milliseconds())
+	})
+}
+
+// Guards against one worker's answer that ends the whole process, or that leaves the scheduler locked.
+func TestPanicInAHeartbeatIsCaught(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	w := h.addWorker("w1", "r1", 8)
+	h.answerHeartbeats(w, func(HeartbeatOrder) (HeartbeatReport, error) { panic("malformed") })
+	_, err := h.scheduler.exchangeHeartbeat(t.Context(), w, time.Now())
+	assert.ErrorContains(t, err, "malformed")
+	h.scheduler.heartbeatFailed(w, err)
+	assert.Assert(t, !w.responsive)
+}
+
+var errNoAnswer = errors.New("no answer")
+
+// Guards against leases that are renewed for a worker whose answers are lost: when they end could not be known.
+func TestLeasesAreNotRenewedUntilTheWorkerAnswers(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	w := h.addWorker("w1", "r1", 8)
+	var orders []HeartbeatOrder
+	h.answerHeartbeats(w, func(o HeartbeatOrder) (HeartbeatReport, error) {
+		orders = append(orders, o)
+		return HeartbeatReport{}, errNoAnswer
+	})
+	for range 2 {
+		_, err := h.scheduler.exchangeHeartbeat(t.Context(), w, time.Now())
+		assert.ErrorIs(t, err, errNoAnswer)
+		h.scheduler.heartbeatFailed(w, err)
+	}
+	assert.Assert(t, orders[0].LeaseEnd > 0)
+	assert.Equal(t, orders[1].LeaseEnd, int64(0))
+}
