--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -95,7 +95,8 @@
 	ProcessStart int64 // start of the worker's process, Unix milliseconds; 0 if not known
 	Running      []RunReport
 	Ended        []EndReport
-	Partial      bool // more ends will follow in the next report
+	Partial      bool // a run that is not listed may be running or have ended
+	Unreadable   int  // number of entries that cannot be decoded and are left out
 }
 
 // Fleet sends orders to workers. A *RefusalError means that the worker did nothing; after any other error the outcome is
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -122,11 +122,17 @@
 func (s *Scheduler) handleReport(w *worker, sent, now time.Time, r HeartbeatReport) {
 	s.metrics.orderAnswered("hold", "answered")
 	if r.ProcessStart != 0 && w.processStart != 0 && r.ProcessStart != w.processStart {
-		s.handleRestart(w, r.ProcessStart)
+		if sent.Before(w.processSeenAt) {
+			return // the answer of a process that has been replaced since
+		}
+		s.noteRestart(w, r.ProcessStart, now)
 	}
 	if r.ProcessStart != 0 {
 		w.processStart = r.ProcessStart
 	}
+	if r.Unreadable > 0 {
+		s.config.Events.Emit(eventBadReport, event.F("worker", w.info.ID), event.F("rows", r.Unreadable))
+	}
 	if !w.responsive && !w.lastAnswerAt.IsZero() {
 		s.config.Events.Emit(eventWorkerAnswers, event.F("worker", w.info.ID), event.F("silent_ms", now.Sub(w.lastAnswerAt).Milliseconds()))
 	}
@@ -252,12 +258,12 @@
 	}
 }
 
-// handleRestart handles that a worker's process is a new one: all its runs are lost, and it numbers ends from the start.
-func (s *Scheduler) handleRestart(w *worker, processStart int64) {
+// noteRestart notes that a worker's process is a new one, which numbers ends from the start. What ran in the earlier process is lost
+// once a report of the new one does not list it: orders that were sent to the earlier process may have reached the new one.
+func (s *Scheduler) noteRestart(w *worker, processStart int64, now time.Time) {
 	s.config.Events.Emit(eventWorkerRestarted, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("born", processStart))
-	w.processStart = processStart
+	w.processStart, w.processSeenAt = processStart, now
 	w.lastHandledEnd, w.lastRecordedEnd = 0, 0
-	s.loseMembers(w, causeWorkerLost)
 }
 
 // loseMembers ends the members on a worker whose runs are certainly over. Members whose run is being recorded are only
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -120,6 +120,7 @@
 	lastAnswerAt    time.Time // when it last answered a heartbeat
 	workerClock     int64     // its clock at lastAnswerAt, in milliseconds
 	processStart    int64     // start of its process, Unix milliseconds; 0 if not known
+	processSeenAt   time.Time // when processStart last changed
 	leasesOverAt    time.Time // when all leases granted so far have certainly expired
 	lastHandledEnd  int64     // number of the last reported end that was handled
 	lastRecordedEnd int64     // number of the last reported end whose effects are durable
--- /dev/null
+++ b/internal/dispatch/restart_test.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// startOn starts a single task on the only worker with room and returns its run.
+func (h *harness) startOn(number int, w *worker) RunReport {
+	h.t.Helper()
+	before := h.runsOn(w)
+	h.submit(singleStepJob(number, stepOf(1)))
+	h.pass()
+	h.awaitRunning(w, len(before)+1)
+	for _, r := range h.runsOn(w) {
+		known := false
+		for _, b := range before {
+			known = known || b.Task == r.Task
+		}
+		if !known {
+			return r
+		}
+	}
+	h.t.Fatal("the task did not start")
+	return RunReport{}
+}
+
+// awaitConfirmed waits until the start order of a run was answered.
+func (h *harness) awaitConfirmed(w *worker, r RunReport) {
+	h.t.Helper()
+	poll.WaitOn(h.t, func(poll.LogT) poll.Result {
+		h.scheduler.mu.Lock()
+		defer h.scheduler.mu.Unlock()
+		if w.members[runKey{r.Task, r.Run}].startAnsweredAt.IsZero() {
+			return poll.Continue("the start is not answered")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+}
+
+// Guards against a task that runs twice: it was started on a worker's new process before the scheduler knew that the process is a new
+// one, so it goes on there, while what ran in the earlier process is lost.
+func TestOnlyRunsOfTheEarlierProcessAreLostByARestart(t *testing.T) {
+	for _, by := range []string{"report", "discovery"} {
+		t.Run(by, func(t *testing.T) {
+			h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+			w := h.addWorker("w1", "r1", 8)
+			h.report(w, HeartbeatReport{ProcessStart: 1})
+			earlier, later := h.startOn(1, w), h.startOn(2, w)
+			h.awaitConfirmed(w, earlier)
+			h.awaitConfirmed(w, later)
+			if by == "discovery" {
+				info := w.info
+				info.ProcessStart = 2
+				h.scheduler.Observe(info)
+				assert.Equal(t, len(h.runsOn(w)), 2, "the new process has not reported yet")
+			}
+			h.report(w, HeartbeatReport{ProcessStart: 2, Running: []RunReport{later}})
+			assert.DeepEqual(t, h.runsOn(w), []RunReport{later})
+			h.report(w, HeartbeatReport{ProcessStart: 2, Ended: []EndReport{{1, later.Task, later.Run, EndDone, ""}}})
+			assert.Equal(t, len(h.runsOn(w)), 0, "the new process numbers ends from 1")
+			h.pass()
+			assert.Equal(t, h.fleet.stopped(), 0)
+		})
+	}
+}
+
+// Guards against running work that is given up because of an answer of the worker's earlier process that arrives late.
+func TestLateAnswerOfTheEarlierProcessIsIgnored(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	w := h.addWorker("w1", "r1", 8)
+	h.report(w, HeartbeatReport{ProcessStart: 1})
+	sent := time.Now()
+	h.report(w, HeartbeatReport{ProcessStart: 2})
+	run := h.startOn(1, w)
+	h.awaitConfirmed(w, run)
+	h.scheduler.mu.Lock()
+	h.scheduler.handleReport(w, sent, time.Now(), HeartbeatReport{ProcessStart: 1, Ended: []EndReport{{40, run.Task, run.Run, EndStopped, ""}}})
+	h.scheduler.mu.Unlock()
+	assert.DeepEqual(t, h.runsOn(w), []RunReport{run})
+	assert.Equal(t, w.processStart, int64(2))
+}
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -41,7 +41,7 @@
 	booked := previous.Capacity.Minus(w.free)
 	w.free = info.Capacity.Minus(booked)
 	if info.ProcessStart != 0 && w.processStart != 0 && info.ProcessStart > w.processStart {
-		s.handleRestart(w, info.ProcessStart)
+		s.noteRestart(w, info.ProcessStart, time.Now())
 	}
 	w.leavesAt = time.Time{}
 	if info.Draining {
