Count no time during which the scheduler was paused as a stall

Cause: a run counts as stalled when the worker's latest report came 3 s after the one in which its progress last rose. A scheduler that was paused for longer finds reports in its sockets that were made at the beginning of the pause, takes them for new, and stops all runs whose progress they do not show, with their workers quarantined.

Change: the periodic checks notice when they were not made for 1.5 s; stalls count from then on.

Ruled out: the leases, which the same pause lets expire only once they certainly have; new work, which no worker gets that has not answered within 3 s.

Tests: TestPausedSchedulerGivesUpNoRuns failed before (two running tasks stopped) and still finds runs that really stand still.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -75,7 +75,7 @@
 		return
 	}
 	for _, m := range w.members {
-		if m.stalled() && m.unit.mayStall(now) {
+		if m.stalled(s.resumedAt) && m.unit.mayStall(now) {
 			s.stopStalledUnit(m.unit)
 		}
 	}
@@ -86,8 +86,9 @@
 	return w.responsive && now.Sub(w.lastAnswerAt) <= maxSilence
 }
 
-// stalled reports whether the worker's latest reports show no progress of the run for longer than maxStall.
-func (m *member) stalled() bool {
+// stalled reports whether the worker's latest reports show no progress of the run for longer than maxStall. Time before resumedAt does
+// not count: reports that waited while this process was paused are as old as the pause, but seem to be new.
+func (m *member) stalled(resumedAt time.Time) bool {
 	if m.state != running || m.stopWanted || m.unit.state != active || m.unit.step.spec.Permanent || m.percent >= 100 || m.progressedAt.IsZero() {
 		return false
 	}
@@ -95,6 +96,9 @@
 	if m.unit.answersSince.After(since) {
 		since = m.unit.answersSince
 	}
+	if resumedAt.After(since) {
+		since = resumedAt
+	}
 	return m.worker.lastAnswerAt.Sub(since) > maxStall
 }
 
--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -117,6 +117,29 @@
 	assert.Equal(t, w2.health.quarantine, minQuarantine)
 }
 
+// Guards against a scheduler that was paused for some seconds and then gives up running work, since the reports that waited in its
+// sockets meanwhile seem to show that nothing went on.
+func TestPausedSchedulerGivesUpNoRuns(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	w := h.addWorker("w1", "r1", 8)
+	h.submit(singleStepJob(1, stepOf(2)))
+	h.pass()
+	h.awaitRunning(w, 2)
+	start := time.Now()
+	h.reportAt(w, start, HeartbeatReport{Running: withPercent(h.runsOn(w), 10)})
+	h.tickAt(start)
+	resumed := start.Add(6 * time.Second)
+	h.reportAt(w, resumed, HeartbeatReport{Running: withPercent(h.runsOn(w), 10)}) // was made at the beginning of the pause
+	h.tickAt(resumed)
+	assert.Equal(t, h.stopsOrdered(w), 0)
+	assert.Equal(t, w.health.quarantine, time.Duration(0))
+	for after := time.Second; after <= maxStall+time.Second; after += time.Second {
+		h.reportAt(w, resumed.Add(after), HeartbeatReport{Running: withPercent(h.runsOn(w), 10)})
+		h.tickAt(resumed.Add(after))
+	}
+	assert.Equal(t, h.stopsOrdered(w), 2, "they really stand still")
+}
+
 // withPercent sets the progress of all runs.
 func withPercent(runs []RunReport, percent int) []RunReport {
 	for i := range runs {
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -15,9 +15,10 @@
 
 // Timings of the scheduler's loop.
 const (
-	passInterval   = 10 * time.Millisecond  // least time between two passes, so that one pass handles many changes
-	tickPeriod     = 100 * time.Millisecond // interval of the checks that no event triggers, such as the expiry of leases
-	retentionSlack = 30 * time.Second       // an ended job is kept this long beyond Bounds.StatusRetention
+	passInterval   = 10 * time.Millisecond   // least time between two passes, so that one pass handles many changes
+	tickPeriod     = 100 * time.Millisecond  // interval of the checks that no event triggers, such as the expiry of leases
+	maxTickDelay   = 1500 * time.Millisecond // the process was paused if no check was made for longer
+	retentionSlack = 30 * time.Second        // an ended job is kept this long beyond Bounds.StatusRetention
 )
 
 // Bounds are limits set by the platform.
@@ -72,6 +73,8 @@
 	runTimes        map[string]*runTimeModel // by queue
 	backlogLoggedAt time.Time                // when the backlog was last logged
 	urgentDemand    map[string]int64         // accelerators that the unfinished jobs of priority 0 need, by customer
+	tickedAt        time.Time                // of the latest periodic checks
+	resumedAt       time.Time                // when the process last went on after a pause
 	// holdsNothingSince says since when the kinds of work that wait and hold nothing do so.
 	holdsNothingSince map[kind]time.Time
 }
@@ -125,6 +128,10 @@
 
 // tick runs the periodic checks.
 func (s *Scheduler) tick(now time.Time) {
+	if now.Sub(s.tickedAt) > maxTickDelay {
+		s.resumedAt = now
+	}
+	s.tickedAt = now
 	for _, w := range s.workers {
 		s.expireLeases(w, now)
 		s.stopStalledRuns(w, now)
