--- a/internal/dispatch/heartbeats_test.go
+++ b/internal/dispatch/heartbeats_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
 
 // answerHeartbeats ends the heartbeats that the scheduler sends by itself, and lets answer answer those that the test sends.
@@ -68,3 +70,27 @@
 	assert.Assert(t, orders[0].LeaseEnd > 0)
 	assert.Equal(t, orders[1].LeaseEnd, int64(0))
 }
+
+// Guards against work for a worker that was listed again after it had left, or that has been silent since the process was paused.
+func TestOnlyWorkersThatHaveAnsweredLatelyGetWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+		h.scheduler.Observe(WorkerInfo{ID: "w1", Address: "w1:1", Service: "render", Rack: "r1", Capacity: workload.Resources{CPU: 64_000, MemoryMB: 262_144, Accelerators: 8}})
+		h.submit(singleStepJob(1, stepOf(1)))
+		h.pass()
+		synctest.Wait()
+		assert.Equal(t, h.fleet.started(), 0, "it has not answered in this term")
+
+		w := h.scheduler.workers["w1"]
+		h.report(w, HeartbeatReport{Clock: 1000})
+		time.Sleep(maxSilence + time.Millisecond)
+		h.pass()
+		synctest.Wait()
+		assert.Equal(t, h.fleet.started(), 0, "its answer is too old")
+
+		h.report(w, HeartbeatReport{Clock: 4000})
+		h.pass()
+		synctest.Wait()
+		assert.Equal(t, h.fleet.started(), 1)
+	})
+}
