Keep the start of runs over a change of the scheduler

Cause: a run's start was not recorded. To a new term all running work seemed to have just begun, so preemption, which stops what loses least, chose first the runs that had been going for longest.

Change: the record of a unit holds the start of its active run, and a restored run counts from there.

Ruled out: the estimate from the reported progress, which is zero for runs that report none. Run times are still learned only from runs of one term, since the clocks of two instances may differ.

Test: TestRunsOfAnEarlierTermAreNotTheCheapestToPreempt failed before.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -160,7 +160,7 @@
 	r := ledger.Unit{Run: u.run, Failures: u.failures, FailedRun: u.failedRun, Checkpoint: u.checkpoint}
 	switch u.state {
 	case active, aborting:
-		r.State = ledger.UnitActive
+		r.State, r.Started = ledger.UnitActive, u.startedAt.UnixMilli()
 		for _, m := range u.members {
 			r.Workers = append(r.Workers, m.worker.info.ID)
 		}
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -85,7 +85,7 @@
 		}
 		u.state = active
 		u.step.unitsWaiting--
-		u.startedAt, u.runTimeUnknown = time.Now(), true
+		u.startedAt, u.runTimeUnknown = restoredStart(state.Started, time.Now()), true
 		for i, id := range state.Workers {
 			s.restoreMember(u, i, id)
 		}
@@ -98,13 +98,22 @@
 	}
 }
 
+// restoredStart returns the start of a run that an earlier term recorded. It decides what a preemption would lose, so a difference of
+// some seconds between the clocks of two instances does little harm.
+func restoredStart(unixMilli int64, now time.Time) time.Time {
+	if unixMilli == 0 {
+		return now
+	}
+	return now.Add(-max(now.Sub(time.UnixMilli(unixMilli)), 0))
+}
+
 // restoreMember adds a member of a recorded run, and its worker if it is not known yet.
 func (s *Scheduler) restoreMember(u *unit, i int, id string) {
 	w := s.workers[id]
 	if w == nil {
 		w = s.addWorker(id)
 	}
-	m := &member{unit: u, run: u.run, index: i, worker: w, resources: u.step.resources(), state: running, pace: fullPace}
+	m := &member{unit: u, run: u.run, index: i, worker: w, resources: u.step.resources(), state: running, pace: fullPace, runningSince: u.startedAt}
 	if u.index >= 0 {
 		m.index = u.index
 	}
--- a/internal/dispatch/recover_test.go
+++ b/internal/dispatch/recover_test.go
@@ -288,3 +288,40 @@
 		cancel() // the bubble reports goroutines that do not end
 	})
 }
+
+// Guards against a preemption that throws away the work of long runs, since after a change of the scheduler they seem to have just
+// begun.
+func TestRunsOfAnEarlierTermAreNotTheCheapestToPreempt(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	gang := stepOf(1)
+	gang.Gang, gang.Resources.Accelerators = true, 8
+	long, short := singleStepJob(1, gang), singleStepJob(2, gang)
+	w1 := h.addWorker("w1", "r1", 8)
+	h.submit(long)
+	h.pass()
+	h.awaitRunning(w1, 1)
+	h.scheduler.mu.Lock()
+	u := h.scheduler.jobs[long.ID].occurrences[0].steps[0].units[0]
+	u.startedAt = u.startedAt.Add(-time.Minute)
+	h.scheduler.config.Runs.Put(nil, u.record())
+	h.scheduler.mu.Unlock()
+	h.runs.flush()
+
+	info := w1.info
+	h = h.nextTerm()
+	h.scheduler.Observe(info)
+	w1 = h.scheduler.workers["w1"]
+	h.report(w1, HeartbeatReport{Clock: 1000, Running: h.runsOn(w1)})
+	h.addWorker("w2", "r1", 8)
+	h.addWorker("w3", "r1", 8)
+	h.submit(short)
+	for n := 3; n <= 4; n++ { // one takes the worker that is kept free, the other preempts
+		urgent := singleStepJob(n, gang)
+		urgent.QueueSettings.Priority = 0
+		h.pass()
+		h.submit(urgent)
+	}
+	h.pass()
+	awaitStops(t, h.fleet, 1)
+	assert.Equal(t, h.fleet.stops[0].Task.Job, short.ID, "a minute of the other's work would be lost")
+}
