Lose work at once when another process answers at its worker's address, and renew unlisted workers' leases

A worker's machine restarts under another ID at 7 s while it is cut off; the scheduler changes at 17.9, 32.6 and 34.0 s. Each new term knows the work on the old ID from its record alone: discovery does not show the ID any more, so no heartbeat is sent, and the work waits until the leases that the former term might have granted are over, 18.8 s from the takeover, each time anew.

Change: the record of a unit holds the addresses of its workers, and a new term sends heartbeats there although discovery does not show the worker. A refusal that says that another process was meant (the platform answers so for the ID in the call) ends all that ran there at once (event 2530). A worker that answers, and of which only the entry has lapsed, has its leases renewed and its work goes on; before, a change of the scheduler at that moment lost it.

Ruled out: taking another ID's answer at the same address as proof, without asking for the old ID: it would give up the work of workers that share an address behind a proxy, as those of our own stand-ins do.

Tests: TestWorkIsLostOnceAnotherProcessAnswersAtTheWorkersAddress (same term and next term) and TestLeasesOfAWorkerThatIsNotListedAreRenewedAfterAChangeOfTheScheduler; both failed before.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -37,6 +37,7 @@
 	eventReserved        = event.Define(2527, "workers reserved", zerolog.InfoLevel, "Workers are kept free until a gang or large task fits on them.", "")
 	eventBadReport       = event.Define(2528, "report not understood", zerolog.WarnLevel, "Entries of a worker's report cannot be decoded and are ignored. While entries of running tasks are among them, no run counts as lost because it is not reported.", "Check the version of the worker's software.")
 	eventHeartbeatPanic  = event.Define(2529, "heartbeat panicked", zerolog.ErrorLevel, "Sending a heartbeat or handling its answer panicked. The heartbeat counts as unanswered.", "Report the fault to the maintainers.")
+	eventWorkerReplaced  = event.Define(2530, "worker replaced", zerolog.WarnLevel, "Another process answers at the worker's address, so the machine has restarted under another ID and all that ran there is lost.", "")
 	eventPreempting      = event.Define(2522, "room reclaimed", zerolog.InfoLevel, "Less urgent work is preempted so that an urgent job can start.", "")
 )
 
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -107,9 +107,16 @@
 func (s *Scheduler) heartbeatFailed(w *worker, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if refusalOf(err) == RefusedFenced {
+	switch refusalOf(err) {
+	case RefusedFenced:
 		s.config.Term.Lose(fmt.Errorf("worker %s has seen a later term", w.info.ID))
 		return
+	case RefusedWrongProcess:
+		// The machine has restarted under another ID and runs nothing of before.
+		if len(w.members) > 0 {
+			s.config.Events.Emit(eventWorkerReplaced, event.F("worker", w.info.ID), event.F("address", w.info.Address), event.F("tasks", len(w.members)))
+		}
+		s.loseMembers(w, causeWorkerLost)
 	}
 	if w.responsive {
 		s.config.Events.Emit(eventWorkerSilent, event.F("worker", w.info.ID), event.F("cause", err), event.F("tasks", len(w.members)))
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -163,6 +163,7 @@
 		r.State, r.Started = ledger.UnitActive, u.startedAt.UnixMilli()
 		for _, m := range u.members {
 			r.Workers = append(r.Workers, m.worker.info.ID)
+			r.Addresses = append(r.Addresses, m.worker.info.Address)
 		}
 	case done:
 		r.State = ledger.UnitDone
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -87,7 +87,10 @@
 		u.step.unitsWaiting--
 		u.startedAt, u.runTimeUnknown = restoredStart(state.Started, time.Now()), true
 		for i, id := range state.Workers {
-			s.restoreMember(u, i, id)
+			w := s.restoreMember(u, i, id)
+			if w.info.Address == "" && i < len(state.Addresses) {
+				w.info.Address = state.Addresses[i] // discovery may no longer show it
+			}
 		}
 		if u.failedRun == u.run {
 			u.state = aborting
@@ -107,8 +110,8 @@
 	return now.Add(-max(now.Sub(time.UnixMilli(unixMilli)), 0))
 }
 
-// restoreMember adds a member of a recorded run, and its worker if it is not known yet.
-func (s *Scheduler) restoreMember(u *unit, i int, id string) {
+// restoreMember adds a member of a recorded run, and its worker if it is not known yet, and returns the worker.
+func (s *Scheduler) restoreMember(u *unit, i int, id string) *worker {
 	w := s.workers[id]
 	if w == nil {
 		w = s.addWorker(id)
@@ -120,6 +123,7 @@
 	u.members = append(u.members, m)
 	w.members[m.key()] = m
 	w.free = w.free.Minus(m.resources)
+	return w
 }
 
 // reconcileJob completes what the previous term left unfinished: it stops the runs of an ended job and records an outcome
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -83,3 +85,52 @@
 	assert.DeepEqual(t, h.runsOn(w), []RunReport{run})
 	assert.Equal(t, w.processStart, int64(2))
 }
+
+// Guards against work that waits for the leases of a machine that has restarted under another ID, and for those leases anew after each
+// change of the scheduler.
+func TestWorkIsLostOnceAnotherProcessAnswersAtTheWorkersAddress(t *testing.T) {
+	for _, change := range []bool{false, true} {
+		t.Run(map[bool]string{false: "same term", true: "next term, no longer listed"}[change], func(t *testing.T) {
+			h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+			w := h.addWorker("w1", "r1", 8)
+			run := h.startOn(1, w)
+			if change {
+				address := w.info.Address
+				h = h.nextTerm()
+				w = h.scheduler.workers["w1"]
+				assert.Equal(t, w.target(), Target{"w1", address})
+			}
+			h.scheduler.heartbeatFailed(w, errNoAnswer)
+			assert.DeepEqual(t, h.runsOn(w), []RunReport{run})
+			h.scheduler.heartbeatFailed(w, &RefusalError{Reason: RefusedWrongProcess})
+			assert.Equal(t, len(h.runsOn(w)), 0)
+		})
+	}
+}
+
+// Guards against work that is lost by a change of the scheduler because discovery does not show its worker at that moment, although the
+// worker answers.
+func TestLeasesOfAWorkerThatIsNotListedAreRenewedAfterAChangeOfTheScheduler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+		run := h.startOn(1, h.addWorker("w1", "r1", 8))
+		h = h.nextTerm()
+		ctx, cancel := context.WithCancel(t.Context())
+		renewed := 0
+		h.fleet.heartbeat = func(o HeartbeatOrder) (HeartbeatReport, error) {
+			if o.LeaseEnd > 0 {
+				renewed++
+			}
+			time.Sleep(time.Second)
+			return HeartbeatReport{Clock: time.Now().UnixMilli(), Running: []RunReport{run}}, nil
+		}
+		go h.scheduler.Run(ctx)
+		time.Sleep(time.Minute)
+		cancel()
+		h.scheduler.workers["w1"].stopHeartbeats()
+		synctest.Wait()
+		assert.Assert(t, renewed > 50)
+		assert.DeepEqual(t, h.runsOn(h.scheduler.workers["w1"]), []RunReport{run})
+		time.Sleep(time.Minute) // lets calls end
+	})
+}
--- a/internal/dispatch/simday_test.go
+++ b/internal/dispatch/simday_test.go
@@ -174,7 +174,7 @@
 	d := r.day
 	rack := i / d.workersPerRack
 	info := WorkerInfo{
-		ID: fmt.Sprintf("w%04d", i), Address: "address", Service: simService, Rack: fmt.Sprintf("r%d", rack),
+		ID: fmt.Sprintf("w%04d", i), Address: fmt.Sprintf("host%04d:1", i), Service: simService, Rack: fmt.Sprintf("r%d", rack),
 		DataCentre: fmt.Sprintf("d%d", rack%d.dataCentres), Labels: []string{"a"},
 		Capacity: workload.Resources{CPU: 128_000, MemoryMB: d.memoryMB, Accelerators: 8},
 	}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -71,6 +71,7 @@
 	FailedRun  int       `msgpack:"r,omitempty"` // number of the latest run that ended as failed
 	Checkpoint string    `msgpack:"c,omitempty"`
 	Workers    []string  `msgpack:"w,omitempty"` // worker of each member of the active run
+	Addresses  []string  `msgpack:"a,omitempty"` // address of each of Workers
 	Started    int64     `msgpack:"t,omitempty"` // start of the active run in Unix milliseconds; 0 if not known
 }
 
