Check announced lengths before decoding msgpack, and turn the library's panics into errors

Cause: FuzzLoad, a new fuzz target that loads a record of the jobs topic and one of the runs topic into a scheduler, found two records that end each process that reads them, one after the other: a nil in place of a time (the library panics after 15 s of fuzzing), and an array that announces 3.7 billion steps in a record of 200 bytes (the library allocates 594 GB). The peers' frames were already checked for the second, nothing else was.

Change: internal/codec checks lengths and depth with what the peers' frames used, and returns an error where the library panics. All decoders of other processes' msgpack go through it, in both daemons: ledger, election, peers, membership, configuration, job store, request keys.

Ruled out: another codec library, since records of earlier versions must stay readable.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,8 @@
 	go test ./internal/settings -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 	go test ./internal/peer -run xxx -fuzz FuzzFrame -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 	go test ./internal/api -run xxx -fuzz FuzzCalls -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
+	go test ./platform -run xxx -fuzz FuzzHeartbeat -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
+	go test ./internal/dispatch -run xxx -fuzz FuzzLoad -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 
 clean:
 	rm -rf bin
--- a/internal/configuration/fold.go
+++ b/internal/configuration/fold.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/codec"
 	"dogwoodnotch.example/dogwoodnotch/internal/configuration/stream"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/spec"
@@ -109,7 +110,7 @@
 // Restore replaces the state by an encoded one. It refuses a state with a lower version.
 func (f *fold) Restore(data []byte) error {
 	var restored state
-	if err := msgpack.Unmarshal(data, &restored); err != nil {
+	if err := codec.Unmarshal(data, &restored); err != nil {
 		return err
 	}
 	f.mu.Lock()
--- a/internal/configuration/stream/record.go
+++ b/internal/configuration/stream/record.go
@@ -16,6 +16,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/codec"
 	"dogwoodnotch.example/dogwoodnotch/internal/peer"
 )
 
@@ -43,7 +44,7 @@
 }
 
 // Decode decodes the body into a value.
-func (r Record) Decode(into any) error { return msgpack.Unmarshal(r.Body, into) }
+func (r Record) Decode(into any) error { return codec.Unmarshal(r.Body, into) }
 
 // envelope is the wire form of a record.
 type envelope struct {
@@ -84,7 +85,7 @@
 // Open authenticates the data of a log record and returns its kind and body.
 func Open(stream string, keys *peer.KeyRing, data []byte) (kind string, body []byte, err error) {
 	var e envelope
-	if err := msgpack.Unmarshal(data, &e); err != nil {
+	if err := codec.Unmarshal(data, &e); err != nil {
 		return "", nil, errors.Join(errNotAuthentic, err)
 	}
 	key, known := keys.Lookup(peer.PurposeRecord, e.KeyID)
--- a/internal/idempotency/seal.go
+++ b/internal/idempotency/seal.go
@@ -12,6 +12,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/codec"
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/peer"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
@@ -119,7 +120,7 @@
 
 func decodeTicket(plain []byte) (*Ticket, error) {
 	var t Ticket
-	if err := msgpack.Unmarshal(plain, &t); err != nil {
+	if err := codec.Unmarshal(plain, &t); err != nil {
 		return nil, errMalformed()
 	}
 	if t.Issuer.Instance == "" || len(t.Issuer.Instance) > structs.MaxIdentifierBytes {
--- a/internal/jobstore/table.go
+++ b/internal/jobstore/table.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/codec"
 	"dogwoodnotch.example/dogwoodnotch/internal/configuration/stream"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
@@ -198,7 +199,7 @@
 // ensure that it belongs to a later log offset than the present content.
 func (t *jobTable) Restore(data []byte) error {
 	var restored snapshot
-	if err := msgpack.Unmarshal(data, &restored); err != nil {
+	if err := codec.Unmarshal(data, &restored); err != nil {
 		return err
 	}
 	jobs := make(map[Ref]Entry, len(restored.Jobs))
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/codec"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 	"dogwoodnotch.example/dogwoodnotch/internal/wait"
@@ -292,7 +293,7 @@
 			continue
 		}
 		var state State
-		if err := msgpack.Unmarshal(record.Value, &state); err != nil || state.Term < e.current.Term {
+		if err := codec.Unmarshal(record.Value, &state); err != nil || state.Term < e.current.Term {
 			continue
 		}
 		heard = true
@@ -308,7 +309,7 @@
 // observeCandidate keeps the request for a term that a record holds.
 func (e *Elector) observeCandidate(record ledger.Record) {
 	var c candidate
-	if err := msgpack.Unmarshal(record.Value, &c); err != nil || c.Term < e.candidate.Term {
+	if err := codec.Unmarshal(record.Value, &c); err != nil || c.Term < e.candidate.Term {
 		return // unreadable, or for a term that has ended
 	}
 	e.candidate, e.candidateSeenAt = c, time.Now()
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/codec"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
 
@@ -131,7 +132,7 @@
 		return UnitName{}, Unit{}, err
 	}
 	var u Unit
-	if err := msgpack.Unmarshal(r.Value, &u); err != nil {
+	if err := codec.Unmarshal(r.Value, &u); err != nil {
 		return name, u, fmt.Errorf("decode unit %s: %w", r.Key, err)
 	}
 	return name, u, nil
@@ -169,7 +170,7 @@
 	default:
 		return Entry{}, fmt.Errorf("record key %q has an unknown kind", r.Key)
 	}
-	if err := msgpack.Unmarshal(r.Value, target); err != nil {
+	if err := codec.Unmarshal(r.Value, target); err != nil {
 		return Entry{}, fmt.Errorf("decode record %q: %w", r.Key, err)
 	}
 	if e.Submission != nil {
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -8,8 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"dogwoodnotch.example/dogwoodnotch/internal/codec"
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/peer"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
@@ -146,7 +145,7 @@
 // decodeMembers decodes a value of topicMembers. A malformed one gives nil, which means that there is no report.
 func decodeMembers(data []byte) []structs.InstanceID {
 	ids := []structs.InstanceID{}
-	if msgpack.Unmarshal(data, &ids) != nil {
+	if codec.Unmarshal(data, &ids) != nil {
 		return nil
 	}
 	return ids
--- a/internal/membership/topics.go
+++ b/internal/membership/topics.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/codec"
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
@@ -90,7 +91,7 @@
 	if !known {
 		return time.Time{}, false, nil
 	}
-	if err := msgpack.Unmarshal(v.data, into); err != nil {
+	if err := codec.Unmarshal(v.data, into); err != nil {
 		return v.changed, true, errkind.Wrap(err, errkind.Invalid, "run the same version on every instance", "value %s of %s is malformed", name, from)
 	}
 	return v.changed, true, nil
--- a/internal/peer/hostile_test.go
+++ b/internal/peer/hostile_test.go
@@ -17,6 +17,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/codec"
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
@@ -94,7 +95,7 @@
 		assert.Assert(t, decodeValue(data, &value) != nil, name)
 	}
 	var value any
-	assert.NilError(t, decodeValue(nested(maxDepth), &value))
+	assert.NilError(t, decodeValue(nested(codec.MaxDepth), &value))
 	later, err := msgpack.Marshal(map[string]any{"v": 1, "i": 7, "zz": []any{map[string]int{"x": 1}}})
 	assert.NilError(t, err)
 	var m message
