Test of a cancelled job: cancel it once all its tasks have started

Traced: 4 of 70 repeats beside load fail, and the stand-in's report then shows as many runs started as acknowledged (3 and 3). The job is running as soon as one task is; a task whose start arrives after the stop of its cancellation never runs, as it should, so there is no end to acknowledge. The test waits until all four have started and checks the same as before.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -300,6 +300,12 @@
 func TestCancelledJobStops(t *testing.T) {
 	d := deploy(t, 2, "w1")
 	d.submit(d.instances[0], jobID(1), jobBody(4, 60_000))
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // the job is running as soon as one task is
+		if got := d.fleet.Report().Started; got != 4 {
+			return poll.Continue("%d of 4 tasks have started", got)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
 	d.awaitState(d.instances[0], jobID(1), "running")
 	status, _ := d.call(d.instances[1], http.MethodDelete, "/plans/"+jobID(1), "")
 	assert.Equal(t, status, http.StatusOK)
