--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -67,6 +67,9 @@
 	ctx, cancel := context.WithTimeout(t.Context(), runTimeout)
 	defer cancel()
 	verdict, err := demo.Run(ctx, options)
+	if err != nil {
+		dumpLogs(t, options.Directory)
+	}
 	assert.NilError(t, err)
 	t.Log(verdict)
 	for _, problem := range verdict.Problems {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -46,8 +46,15 @@
 	return p, nil
 }
 
-// Signal sends a signal to the process. It returns an error when the process has ended.
-func (p *Process) Signal(sig syscall.Signal) error { return p.command.Process.Signal(sig) }
+// Signal sends a signal to the process. It returns an error, which says how the process ended, when it has ended.
+func (p *Process) Signal(sig syscall.Signal) error {
+	err := p.command.Process.Signal(sig)
+	if errors.Is(err, os.ErrProcessDone) {
+		<-p.done
+		return fmt.Errorf("%s has ended (%v): %w", p.name, p.command.ProcessState, err)
+	}
+	return err
+}
 
 // Done returns a channel that is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
