--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -2,10 +2,8 @@
 package catalog
 
 import (
-	"context"
 	"slices"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -89,13 +87,7 @@
 func (c *Catalog) Guarantee(customer string) int64 { return c.guarantees[customer] }
 
 // Current is the catalog in force in this process. Its version never decreases.
-type Current struct {
-	pointer atomic.Pointer[Catalog]
-
-	mu         sync.Mutex
-	syncedAt   time.Time     // when the catalog in force was last known to be the newest
-	nextSynced chan struct{} // closed by the next MarkSynced; nil if nobody waits
-}
+type Current struct{ pointer atomic.Pointer[Catalog] }
 
 // Get returns the catalog in force, nil before the first one is known.
 func (c *Current) Get() *Catalog { return c.pointer.Load() }
@@ -112,42 +104,3 @@
 		}
 	}
 }
-
-// MarkSynced notes that the catalog in force was the newest at the given time.
-func (c *Current) MarkSynced(at time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if at.After(c.syncedAt) {
-		c.syncedAt = at
-	}
-	if c.nextSynced != nil {
-		close(c.nextSynced)
-		c.nextSynced = nil
-	}
-}
-
-// AwaitFresh waits until the catalog in force is known to have been the newest within the last maxAge, at most until ctx ends, and
-// reports whether it is. Usually it returns at once.
-func (c *Current) AwaitFresh(ctx context.Context, maxAge time.Duration) bool {
-	for {
-		c.mu.Lock()
-		if age(c.syncedAt, time.Now()) <= maxAge {
-			c.mu.Unlock()
-			return true
-		}
-		if c.nextSynced == nil {
-			c.nextSynced = make(chan struct{})
-		}
-		synced := c.nextSynced
-		c.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			return false
-		case <-synced:
-		}
-	}
-}
-
-// age returns the time from at to now. The monotonic clock does not count time during which the machine was suspended, and the wall
-// clock may be set back, so the larger difference counts.
-func age(at, now time.Time) time.Duration { return max(now.Sub(at), now.Round(0).Sub(at.Round(0))) }
--- /dev/null
+++ b/internal/dispatch/choose.go
@@ -0,0 +1,213 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
+)
+
+// localityWait is the least wait before a unit runs off its data's rack or over several racks. The wait is longer while the pool is not
+// mostly idle.
+const localityWait = 1500 * time.Millisecond
+
+// chooseWorkers returns a worker for each task of a unit, or nil if the unit does not fit.
+func (p *plan) chooseWorkers(pl *pool, u *unit) []*worker {
+	spec := u.step.spec
+	waited := p.now.Sub(u.waitingAt)
+	free := func(w *worker) workload.Resources { return w.free }
+	if u.index >= 0 {
+		if spec.DataRack != "" {
+			if w := p.bestFit(pl.racks[spec.DataRack], u, free); w != nil {
+				return []*worker{w}
+			}
+			if p.fitsWhenEmpty(pl.racks[spec.DataRack], u) && (waited < localityWait || !pl.mostlyIdle()) {
+				p.noRackFits = true
+				return nil
+			}
+		}
+		if w := p.bestFit(pl.workers, u, free); w != nil {
+			return []*worker{w}
+		}
+		return nil
+	}
+	if chosen := p.packInOneRack(pl, u, free); chosen != nil {
+		return chosen
+	}
+	oneRack := spec.SameRack || spec.DataRack != ""
+	if oneRack && p.fitsInOneRackWhenEmpty(pl, u) && (waited < localityWait || !pl.mostlyIdle()) {
+		p.noRackFits = true
+		return nil
+	}
+	// A gang that spans data centres stands still whenever one of them is cut off from the others.
+	if chosen := p.packInOneGroup(pl.dataCentres, u, free); chosen != nil {
+		return chosen
+	}
+	return p.pack(pl.workers, u, free)
+}
+
+// packInOneRack places a gang in the rack of its data or, if it should run in one rack, in the one with the fewest free
+// accelerators.
+func (p *plan) packInOneRack(pl *pool, u *unit, free func(*worker) workload.Resources) []*worker {
+	spec := u.step.spec
+	if spec.DataRack != "" {
+		return p.pack(pl.racks[spec.DataRack], u, free)
+	}
+	if !spec.SameRack {
+		return nil
+	}
+	return p.packInOneGroup(pl.racks, u, free)
+}
+
+// packInOneGroup places a gang in the group of workers with the fewest free accelerators of those in which it fits.
+func (p *plan) packInOneGroup(groups map[string][]*worker, u *unit, free func(*worker) workload.Resources) []*worker {
+	var best []*worker
+	bestLeft := int64(0)
+	for _, name := range sortedKeys(groups) {
+		group := groups[name]
+		chosen := p.pack(group, u, free)
+		if chosen == nil {
+			continue
+		}
+		left := int64(0)
+		for _, w := range group {
+			left += free(w).Accelerators
+		}
+		if best == nil || left < bestLeft {
+			best, bestLeft = chosen, left
+		}
+	}
+	return best
+}
+
+// allowed reports whether a worker may run tasks of a unit, regardless of its free resources.
+func (p *plan) allowed(w *worker, u *unit) bool {
+	if holder := p.keptFor[w]; holder != nil && holder != u.step && (holder.urgent() || !u.urgent()) {
+		return false // an urgent unit may use workers kept for a step that is not urgent
+	}
+	if w.health.quarantine > 0 && (u.index < 0 || len(w.members) > 0) {
+		return false // a probe is a single task, and no gang is risked on a quarantined worker
+	}
+	if p.headroomWorkers[w] && !u.urgent() {
+		return false
+	}
+	if u.job().queueSettings.Advised && !u.step.advice.allows(w, p.now) {
+		return false
+	}
+	return u.step.spec.Label == "" || slices.Contains(w.info.Labels, u.step.spec.Label)
+}
+
+// isLastResort reports whether a unit should run on a worker only if no other has room: the unit failed there, or it would
+// interfere with the tasks there.
+func (p *plan) isLastResort(w *worker, u *unit) bool {
+	_, failedThere := u.avoidedWorkers[w.info.ID]
+	return failedThere || w.interferesWith(u.step.spec)
+}
+
+// spreadAllowance returns how many more tasks of the unit's step may run on the worker.
+func (u *unit) spreadAllowance(w *worker) int {
+	limit := u.step.spec.MaxPerWorker
+	if limit <= 0 {
+		return 1 << 30
+	}
+	for _, m := range w.members {
+		if m.unit.step == u.step {
+			limit--
+		}
+	}
+	return max(limit, 0)
+}
+
+// bestFit returns the allowed worker with the fewest free accelerators on which a task of the unit fits, or nil. Workers
+// of last resort come after all others.
+func (p *plan) bestFit(workers []*worker, u *unit, free func(*worker) workload.Resources) *worker {
+	resources := u.step.resources()
+	var best *worker
+	bestKey := [3]int64{}
+	for _, w := range workers {
+		have := free(w)
+		if !resources.Fits(have) {
+			continue
+		}
+		if !p.allowed(w, u) {
+			p.roomKeptFree = true
+			continue
+		}
+		if u.spreadAllowance(w) == 0 {
+			continue
+		}
+		key := [3]int64{0, have.Accelerators, have.CPU}
+		if p.isLastResort(w, u) {
+			key[0] = 1
+		}
+		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
+			best, bestKey = w, key
+		}
+	}
+	return best
+}
+
+// pack places all tasks of a gang on the given workers, or returns nil. It fills the workers with the fewest free
+// accelerators first, and workers of last resort last.
+func (p *plan) pack(workers []*worker, u *unit, free func(*worker) workload.Resources) []*worker {
+	resources, need := u.step.resources(), u.size()
+	type candidate struct {
+		worker     *worker
+		tasks      int
+		lastResort bool
+	}
+	candidates := make([]candidate, 0, len(workers))
+	fitting, keptFree := 0, 0
+	for _, w := range workers {
+		n := min(resources.Count(free(w)), u.spreadAllowance(w))
+		if n == 0 {
+			continue
+		}
+		if !p.allowed(w, u) {
+			keptFree += n
+			continue
+		}
+		candidates = append(candidates, candidate{w, n, p.isLastResort(w, u)})
+		fitting += n
+	}
+	if fitting < need {
+		p.roomKeptFree = p.roomKeptFree || fitting+keptFree >= need
+		return nil
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		if a.lastResort != b.lastResort {
+			if a.lastResort {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(free(a.worker).Accelerators, free(b.worker).Accelerators)
+	})
+	chosen := make([]*worker, 0, need)
+	for _, c := range candidates {
+		for range min(c.tasks, need-len(chosen)) {
+			chosen = append(chosen, c.worker)
+		}
+	}
+	return chosen
+}
+
+// capacityOf returns the resources of a worker on which nothing runs.
+func capacityOf(w *worker) workload.Resources { return w.info.Capacity }
+
+// fitsWhenEmpty reports whether a task of the unit would fit on one of the workers if nothing ran there.
+func (p *plan) fitsWhenEmpty(workers []*worker, u *unit) bool {
+	for _, w := range workers {
+		if u.step.resources().Fits(capacityOf(w)) && (u.step.spec.Label == "" || slices.Contains(w.info.Labels, u.step.spec.Label)) {
+			return true
+		}
+	}
+	return false
+}
+
+// fitsInOneRackWhenEmpty reports whether the whole gang would fit in one rack if nothing ran there.
+func (p *plan) fitsInOneRackWhenEmpty(pl *pool, u *unit) bool {
+	empty := &plan{scheduler: p.scheduler, now: p.now}
+	return empty.packInOneRack(pl, u, capacityOf) != nil
+}
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -15,7 +15,7 @@
 // WorkerInfo is what discovery shows of a worker.
 type WorkerInfo struct {
 	ID           string
-	Address      string // of its process; no two processes have the same at the same time
+	Address      string
 	Service      string
 	DataCentre   string
 	Rack         string
--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
+)
+
+// pool is the usable workers of one service during a pass.
+type pool struct {
+	workers        []*worker
+	racks          map[string][]*worker // by rack; a rack lies in one data centre
+	dataCentres    map[string][]*worker // by data centre
+	accelerators   int64                // of all workers
+	cpu            int64                // of all workers, in thousandths of a core
+	freeAtStart    int64                // accelerators that were free at the start of the pass
+	reserved       int64                // accelerators of workers kept free by reservations
+	headroomTarget int64                // accelerators to be left free for urgent work
+}
+
+// addWorker adds a usable worker to the pool of its service.
+func (p *plan) addWorker(w *worker) {
+	pl := p.pools[w.info.Service]
+	if pl == nil {
+		pl = &pool{racks: map[string][]*worker{}, dataCentres: map[string][]*worker{}}
+		p.pools[w.info.Service] = pl
+	}
+	pl.workers = append(pl.workers, w)
+	pl.racks[w.info.Rack] = append(pl.racks[w.info.Rack], w)
+	pl.dataCentres[w.info.DataCentre] = append(pl.dataCentres[w.info.DataCentre], w)
+	pl.accelerators += w.info.Capacity.Accelerators
+	pl.cpu += w.info.Capacity.CPU
+	pl.freeAtStart += w.free.Accelerators
+}
+
+// sortByID makes the order of workers independent of the map they come from.
+func (pl *pool) sortByID() {
+	byID := func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) }
+	slices.SortFunc(pl.workers, byID)
+	for _, groups := range []map[string][]*worker{pl.racks, pl.dataCentres} {
+		for _, group := range groups {
+			slices.SortFunc(group, byID)
+		}
+	}
+}
+
+// mostlyIdle reports whether more than half of the pool's accelerators were free at the start of the pass.
+func (pl *pool) mostlyIdle() bool { return 2*pl.freeAtStart > pl.accelerators }
+
+func sortedKeys(groups map[string][]*worker) []string {
+	names := make([]string, 0, len(groups))
+	for name := range groups {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// scarceResource returns how much of the pool's scarcest resource a task needs: accelerators, at least one, or cores in a pool
+// without accelerators.
+func (pl *pool) scarceResource(r workload.Resources) int64 {
+	if pl.accelerators == 0 {
+		return max(r.CPU/1000, 1)
+	}
+	return max(r.Accelerators, 1)
+}
+
+// scarceTotal returns how much of its scarcest resource the pool has.
+func (pl *pool) scarceTotal() int64 {
+	if pl.accelerators == 0 {
+		return pl.cpu / 1000
+	}
+	return pl.accelerators
+}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -155,14 +155,12 @@
 func (p *plan) lostWork(u *unit) float64 {
 	loss := 0.0
 	for _, m := range u.members {
-		ran := time.Duration(0)
-		if !m.runningSince.IsZero() {
-			ran = p.now.Sub(m.runningSince)
-		}
+		lost := m.lossOf(time.Time{}, p.now).accelerator
 		if u.step.spec.Checkpoints {
-			ran = min(ran, time.Second) // only the work since the last checkpoint, and the time to restore it, is lost
+			// Only the work since the last checkpoint, and the time to restore it, is lost.
+			lost = min(lost, time.Second*time.Duration(m.resources.Accelerators))
 		}
-		loss += ran.Seconds()*float64(m.resources.Accelerators) + 0.1
+		loss += lost.Seconds() + 0.1
 	}
 	return loss
 }
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 )
 
@@ -70,18 +69,16 @@
 	return c != nil && s.urgentDemand[j.spec.Customer] <= c.Guarantee(j.spec.Customer)
 }
 
-// sortRanks sorts waiting work: urgent work by class, then starved work, then assured work whatever its class, then all other work by
+// compareRanks orders waiting work: urgent work by class, then starved work, then assured work whatever its class, then all other work by
 // class; otherwise by latest start.
-func sortRanks(ranks []rank) {
-	slices.SortStableFunc(ranks, func(a, b rank) int {
-		if group := cmp.Compare(a.group(), b.group()); group != 0 {
-			return group
-		}
-		if a.group() == assuredGroup {
-			return a.latestStart.Compare(b.latestStart)
-		}
-		return cmp.Or(cmp.Compare(a.class, b.class), a.latestStart.Compare(b.latestStart))
-	})
+func compareRanks(a, b rank) int {
+	if group := cmp.Compare(a.group(), b.group()); group != 0 {
+		return group
+	}
+	if a.group() == assuredGroup {
+		return a.latestStart.Compare(b.latestStart)
+	}
+	return cmp.Or(cmp.Compare(a.class, b.class), a.latestStart.Compare(b.latestStart))
 }
 
 // Groups are the first criterion in the order of waiting work.
--- a/internal/dispatch/starvation.go
+++ b/internal/dispatch/starvation.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"dogwoodnotch.example/dogwoodnotch/internal/workload"
-)
+import "time"
 
 // Bounds against starvation. The order of classes alone lets work wait for as long as a load lasts that asks for more than the
 // fleet has: work that was set back by a lost worker and can no longer end within its objective, and on small services whole
@@ -41,16 +37,16 @@
 // the step goes before other work as far as the share of its kind allows.
 func (p *plan) preventStarvation(ranks []rank) []rank {
 	p.countHeld()
-	holdsNothingSince := map[kind]time.Time{}
+	first := map[kind]*rank{} // of each kind that holds nothing, the rank that goes first
 	for i := range ranks {
 		r := &ranks[i]
-		if r.class <= urgent {
-			continue
-		}
 		k := kindOf(r.step, r.class)
-		if _, seen := holdsNothingSince[k]; seen || p.held[k] > 0 {
-			continue
+		if r.class > urgent && p.held[k] == 0 && (first[k] == nil || compareRanks(*r, *first[k]) < 0) {
+			first[k] = r
 		}
+	}
+	holdsNothingSince := map[kind]time.Time{}
+	for k, r := range first {
 		since, known := p.scheduler.holdsNothingSince[k]
 		if !known {
 			since = p.now
@@ -91,20 +87,3 @@
 	p.held[k] += pl.scarceResource(u.step.resources()) * int64(u.size())
 	delete(p.scheduler.holdsNothingSince, k)
 }
-
-// scarceResource returns how much of the pool's scarcest resource a task needs: accelerators, at least one, or cores in a pool
-// without accelerators.
-func (pl *pool) scarceResource(r workload.Resources) int64 {
-	if pl.accelerators == 0 {
-		return max(r.CPU/1000, 1)
-	}
-	return max(r.Accelerators, 1)
-}
-
-// scarceTotal returns how much of its scarcest resource the pool has.
-func (pl *pool) scarceTotal() int64 {
-	if pl.accelerators == 0 {
-		return pl.cpu / 1000
-	}
-	return pl.accelerators
-}
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -253,3 +253,12 @@
 	}
 	return false
 }
+
+// recordJobRunning records that the first task of a job runs.
+func (s *Scheduler) recordJobRunning(j *job) {
+	if j.state != ledger.Queued {
+		return
+	}
+	j.state = ledger.Running
+	s.config.Jobs.Put(nil, ledger.OutcomeRecord(j.spec.ID, ledger.Outcome{State: ledger.Running, Time: s.config.Now()}))
+}
--- a/internal/ledger/jobindex.go
+++ b/internal/ledger/jobindex.go
@@ -1,17 +1,15 @@
 package ledger
 
-import (
-	"sync"
-	"time"
-)
+import "sync"
 
 // JobIndex is an entry instance's view of all jobs. It holds what is needed to report their states, but not the bodies of the
 // submissions.
 type JobIndex struct {
-	mu       sync.RWMutex
-	jobs     map[string]*indexedJob
-	pending  map[string]int // number of jobs that have not started, by queue
-	syncedAt time.Time      // when the index was last known to be complete
+	Freshness
+
+	mu      sync.RWMutex
+	jobs    map[string]*indexedJob
+	pending map[string]int // number of jobs that have not started, by queue
 }
 
 type indexedJob struct {
@@ -86,20 +84,3 @@
 	defer x.mu.RUnlock()
 	return x.pending[queue]
 }
-
-// MarkSynced records that the index was complete at the given time.
-func (x *JobIndex) MarkSynced(at time.Time) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.syncedAt = at
-}
-
-// Age returns how long ago the index was last known to be complete, or the longest duration if it never was.
-func (x *JobIndex) Age(now time.Time) time.Duration {
-	x.mu.RLock()
-	defer x.mu.RUnlock()
-	if x.syncedAt.IsZero() {
-		return time.Duration(1<<63 - 1)
-	}
-	return now.Sub(x.syncedAt)
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -196,7 +196,7 @@
 			n.scope.Gauge("configuration_version").Update(float64(c.Version))
 		}
 	}
-	return platform.ConfigurationReader(n.store, apply, n.current.MarkSynced, n.readFailed("configuration"))
+	return platform.ConfigurationReader(n.store, apply, n.api.CatalogFreshness.MarkSynced, n.readFailed("configuration"))
 }
 
 // newJobsReader returns a reader that keeps the job index up to date.
