--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -123,7 +123,7 @@
 	w.runs = nil
 	server, born := w.server, w.born
 	w.mu.Unlock()
-	server.Close()
+	_ = server.Close() // the listener and the connections are gone either way
 	w.deployment.Note("worker %s crashes", w.ID)
 	time.AfterFunc(3*entryPeriod, func() {
 		w.mu.Lock()
