--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -10,9 +10,11 @@
 	"io"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/process"
@@ -82,6 +84,7 @@
 	if err != nil {
 		return d, err
 	}
+	d.stopOnSignal()
 	d.store = addresses[0]
 	if err := d.startStandIns(addresses[0], addresses[1], workers); err != nil {
 		return d, err
@@ -294,6 +297,20 @@
 	fmt.Fprintf(d.record, "%8.3f s  %s\n", time.Since(d.started).Seconds(), strings.TrimRight(fmt.Sprintf(format, args...), " "))
 }
 
+// stopOnSignal ends all processes when the case itself is told to end.
+func (d *Deployment) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		d.Stop()
+		os.Exit(couldNotRun)
+	}()
+}
+
+// couldNotRun is the exit code of a case that could not run.
+const couldNotRun = 2
+
 // Stop ends all processes and removes the temporary folder.
 func (d *Deployment) Stop() {
 	for _, p := range d.processes {
