Advice: one query at a time, so that tickets can be used when they come

Cause: each waiting step queried the advisor by itself. The advisor handles one query at a time, so the queries waited for each other, and their tickets, counted from the query on, had expired when they came; each step then asked again behind all others. Shown by the scheduler's log of the run: 128 answers (2524) in 36 s, all with 8 approved workers, took_ms rising by 280 ms from 281 to 4,774 with tickets valid for 3,000 ms. Ruled out: refused starts (no 2506), a busy or silent advisor (no 2525), no room (eight idle workers). 2524 now also says for how long its tickets can be used.

Change: the scheduler makes one query at a time, for the step that goes first in the order of waiting work among those that it can help to start now, and keeps the chosen workers for that step meanwhile. Approval and ticket are apart: preemption, reservations and the choice of workers go by the approval, which lasts, and only a start needs a ticket. Tickets can always be used directly after their answer, so an advisor that takes longer than its tickets are valid still allows starts. Why it works: a query does not wait at the advisor, so what it asks for is still free and valid when it is answered, and each answer starts work or teaches the step what it may use.

Same cause on related paths: an answer no longer extends the tickets of workers that it does not name; a refused ticket drops that one alone; the ticket is checked again after the run's record; the limit for an answer follows the configured times (5 s was too short for 100 workers at 50 ms); steps whose queries fail let others go first.

Tests: TestBurstOnAnAdvisedQueueIsServed, virtual time, 9 of 26 jobs before the change, all within 14 s after it, no refused ticket. The others in advice_test.go were each seen failing with their guard removed (earmarks, one query at a time, use after a late answer, order of failed steps, check before the order, expiry by worker and process, joint renewal, exploration).

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -92,17 +92,31 @@
 	if p.headroomWorkers[w] && !u.urgent() {
 		return false
 	}
-	if u.job().queueSettings.Advised && !u.step.advice.allows(w, p.now) {
+	if u.job().queueSettings.Advised && !u.step.advice.approves(w) {
 		return false
 	}
 	return u.step.spec.Label == "" || slices.Contains(w.info.Labels, u.step.spec.Label)
 }
 
-// isLastResort reports whether a unit should run on a worker only if no other has room: the unit failed there, or it would
-// interfere with the tasks there.
-func (p *plan) isLastResort(w *worker, u *unit) bool {
+// preference orders the allowed workers for a unit.
+type preference int
+
+const (
+	preferred  preference = iota
+	unticketed            // the unit has to wait for the advisor's ticket
+	lastResort            // the unit failed there, or it would interfere with the tasks there
+)
+
+// preferenceFor returns how much a unit should run on a worker that is allowed for it.
+func (p *plan) preferenceFor(w *worker, u *unit) preference {
 	_, failedThere := u.avoidedWorkers[w.info.ID]
-	return failedThere || w.interferesWith(u.step.spec)
+	switch a := &u.step.advice; {
+	case failedThere || w.interferesWith(u.step.spec):
+		return lastResort
+	case u.job().queueSettings.Advised && !a.hasTicket(w, p.now) && !a.named[w.info.ID]:
+		return unticketed
+	}
+	return preferred
 }
 
 // spreadAllowance returns how many more tasks of the unit's step may run on the worker.
@@ -119,8 +133,8 @@
 	return max(limit, 0)
 }
 
-// bestFit returns the allowed worker with the fewest free accelerators on which a task of the unit fits, or nil. Workers
-// of last resort come after all others.
+// bestFit returns the allowed worker with the fewest free accelerators of the most preferred ones on which a task of the unit
+// fits, or nil.
 func (p *plan) bestFit(workers []*worker, u *unit, free func(*worker) workload.Resources) *worker {
 	resources := u.step.resources()
 	var best *worker
@@ -137,10 +151,7 @@
 		if u.spreadAllowance(w) == 0 {
 			continue
 		}
-		key := [3]int64{0, have.Accelerators, have.CPU}
-		if p.isLastResort(w, u) {
-			key[0] = 1
-		}
+		key := [3]int64{int64(p.preferenceFor(w, u)), have.Accelerators, have.CPU}
 		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
 			best, bestKey = w, key
 		}
@@ -148,14 +159,14 @@
 	return best
 }
 
-// pack places all tasks of a gang on the given workers, or returns nil. It fills the workers with the fewest free
-// accelerators first, and workers of last resort last.
+// pack places all tasks of a gang on the given workers, or returns nil. It fills preferred workers first, and those with the
+// fewest free accelerators first among them.
 func (p *plan) pack(workers []*worker, u *unit, free func(*worker) workload.Resources) []*worker {
 	resources, need := u.step.resources(), u.size()
 	type candidate struct {
 		worker     *worker
 		tasks      int
-		lastResort bool
+		preference preference
 	}
 	candidates := make([]candidate, 0, len(workers))
 	fitting, keptFree := 0, 0
@@ -168,7 +179,7 @@
 			keptFree += n
 			continue
 		}
-		candidates = append(candidates, candidate{w, n, p.isLastResort(w, u)})
+		candidates = append(candidates, candidate{w, n, p.preferenceFor(w, u)})
 		fitting += n
 	}
 	if fitting < need {
@@ -176,13 +187,7 @@
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		if a.lastResort != b.lastResort {
-			if a.lastResort {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(free(a.worker).Accelerators, free(b.worker).Accelerators)
+		return cmp.Or(cmp.Compare(a.preference, b.preference), cmp.Compare(free(a.worker).Accelerators, free(b.worker).Accelerators))
 	})
 	chosen := make([]*worker, 0, need)
 	for _, c := range candidates {
@@ -206,6 +211,14 @@
 	return false
 }
 
+// fitsWhenIdle reports whether the unit would fit on the workers that are allowed for it if nothing ran there.
+func (p *plan) fitsWhenIdle(pl *pool, u *unit) bool {
+	if u.index >= 0 {
+		return p.bestFit(pl.workers, u, capacityOf) != nil
+	}
+	return p.pack(pl.workers, u, capacityOf) != nil
+}
+
 // fitsInOneRackWhenEmpty reports whether the whole gang would fit in one rack if nothing ran there.
 func (p *plan) fitsInOneRackWhenEmpty(pl *pool, u *unit) bool {
 	empty := &plan{scheduler: p.scheduler, now: p.now}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -30,8 +30,8 @@
 	eventQuarantineEnded = event.Define(2519, "worker trusted again", zerolog.InfoLevel, "A probe succeeded on a quarantined worker.", "")
 	eventBadRecord       = event.Define(2520, "record not understood", zerolog.ErrorLevel, "A record of the log cannot be decoded and is skipped.", "Check which program wrote it.")
 	eventTakeover        = event.Define(2521, "state taken over", zerolog.InfoLevel, "The scheduler loaded the jobs and runs of the previous term.", "")
-	eventAdvised         = event.Define(2524, "advice received", zerolog.InfoLevel, "The advisor answered which workers may run a step.", "")
-	eventAdviceMissing   = event.Define(2525, "advice missing", zerolog.WarnLevel, "The advisor did not answer. The request is repeated.", "Check the advisor if this persists.")
+	eventAdvised         = event.Define(2524, "advice received", zerolog.InfoLevel, "The advisor answered which workers may run a step. The field usable_ms is how long its tickets can be used.", "")
+	eventAdviceMissing   = event.Define(2525, "advice missing", zerolog.WarnLevel, "The advisor did not answer a query. After a short pause other steps go first, and the query is repeated.", "Check the advisor if this persists.")
 	eventPaced           = event.Define(2526, "leftover work paced", zerolog.InfoLevel, "Spare-CPU work was slowed down or sped up for the sake of a task with a latency target.", "")
 	eventBacklog         = event.Define(2523, "work waits", zerolog.InfoLevel, "Tasks and gangs wait. The fields show how many of each class, and how many accelerators are free, reserved or kept for urgent work.", "")
 	eventReserved        = event.Define(2527, "workers reserved", zerolog.InfoLevel, "Workers are kept free until a gang or large task fits on them.", "")
@@ -50,6 +50,7 @@
 	unitWait tally.Histogram
 	unitRun  tally.Histogram
 	passTime tally.Histogram
+	advice   tally.Histogram
 }
 
 func newSchedulerMetrics(scope tally.Scope) schedulerMetrics {
@@ -57,6 +58,7 @@
 		scope:    scope,
 		unitWait: scope.Histogram("dispatch_unit_wait", latencyBuckets),
 		unitRun:  scope.Histogram("dispatch_unit_run", latencyBuckets),
+		advice:   scope.Histogram("dispatch_advice", latencyBuckets),
 		passTime: scope.Histogram("dispatch_pass", tally.MustMakeExponentialDurationBuckets(50*time.Microsecond, 2, 14)),
 	}
 }
@@ -75,6 +77,16 @@
 	}
 }
 
+// queryAnswered counts a query to the advisor that took the given time, and err if it had no answer.
+func (m *schedulerMetrics) queryAnswered(took time.Duration, err error) {
+	outcome := "answered"
+	if err != nil {
+		outcome = "unanswered"
+	}
+	m.advice.RecordDuration(took)
+	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("advice_queries").Inc(1)
+}
+
 func (m *schedulerMetrics) runEnded(ending Ending) {
 	m.scope.Tagged(map[string]string{"how": string(ending)}).Counter("runs_ended").Inc(1)
 }
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -118,11 +118,14 @@
 
 // Advisor is an external service that decides which workers may run a step.
 type Advisor interface {
-	// Ask returns a ticket for each of the workers that may run the step, and how long the tickets are valid. It returns
-	// ErrAdvisorBusy if too many requests wait.
+	// Ask returns a ticket for each of the workers, at most MaxWorkersPerQuery, that may run the step, and how long the tickets
+	// are valid. It returns ErrAdvisorBusy if too many queries wait.
 	Ask(ctx context.Context, step StepName, workers []string) (tickets map[string]string, validity time.Duration, err error)
 }
 
+// MaxWorkersPerQuery is the number of workers that the platform lets a query to the advisor name.
+const MaxWorkersPerQuery = 100
+
 // StepName identifies a step of an occurrence of a job.
 type StepName struct {
 	Job              string
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -23,7 +23,7 @@
 func (s *Scheduler) startOrderFor(m *member) StartOrder {
 	return StartOrder{
 		Task: m.taskName(), Run: m.run, Spec: m.unit.job().spec.Spec, LeaseEnd: s.grantLease(m.worker, time.Now()),
-		Token: s.config.Token, Checkpoint: m.unit.checkpoint, Ticket: m.unit.step.advice.tickets[m.worker.info.ID],
+		Token: s.config.Token, Checkpoint: m.unit.checkpoint, Ticket: m.unit.step.advice.tickets[m.worker.info.ID].text,
 	}
 }
 
@@ -67,15 +67,17 @@
 	}
 	s.metrics.orderAnswered("start", string(reason))
 	s.config.Events.Emit(eventOrderRefused, event.F("order", "start"), event.F("task", o.Task), event.F("run", o.Run), event.F("worker", m.worker.info.ID), event.F("reason", reason))
-	m.unit.avoidWorker(m.worker)
 	m.cause = causeStartRefused
+	if reason != RefusedTicket {
+		m.unit.avoidWorker(m.worker)
+	}
 	switch reason {
 	case RefusedFenced:
 		s.config.Term.Lose(fmt.Errorf("worker %s has seen a later term", m.worker.info.ID))
 	case RefusedWrongProcess:
 		m.worker.responsive = false
 	case RefusedTicket:
-		m.unit.step.advice.ticketsExpireAt = time.Time{}
+		m.unit.step.advice.dropTicket(m.worker, o.Ticket)
 	}
 	s.endMember(m, EndLost, "")
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -40,6 +40,10 @@
 	triedInVain     map[*step]bool                 // steps of which units could not be placed in this pass
 	held            map[kind]int64                 // what each kind of work holds, in its pool's scarcest resource
 
+	earmarked      []earmark   // see earmarkWorkers
+	ticketsMissing []string    // workers chosen for units of the current step that wait for their tickets
+	spareQuery     adviceQuery // made at the end of the pass if none is in progress; without a step if there is none
+
 	// Why chooseWorkers found no room for the latest unit, see waitCauseOf.
 	noRackFits   bool // neither the rack of its data nor any single rack that it should run in has room
 	roomKeptFree bool // there is room on workers that are kept free for other work
@@ -79,6 +83,8 @@
 	for _, r := range ranks {
 		p.placeStep(r)
 	}
+	p.dropEarmarks(0)
+	p.sendSpareQuery()
 	s.metrics.passTime.RecordDuration(time.Since(begun))
 	p.logBacklog()
 }
@@ -174,11 +180,26 @@
 		st.noteWait(waitRoom, p.now)
 		return
 	}
-	if st.occurrence.job.queueSettings.Advised {
-		p.requestAdvice(pl, st)
+	firstEarmark := len(p.earmarked)
+	cause, waits, shareFull := p.placeUnits(pl, r)
+	if len(p.ticketsMissing) > 0 {
+		p.queryTickets(st, firstEarmark)
+	}
+	if shareFull {
+		return
 	}
-	var cause waitCause
-	waits := false
+	if waits {
+		st.noteWait(cause, p.now)
+		p.triedInVain[st] = true
+	} else {
+		st.consideredAt = time.Time{}
+	}
+}
+
+// placeUnits starts the waiting units of a step that fit, and reports why the first of the others waits. It starts no more units once
+// work that was set back holds its share.
+func (p *plan) placeUnits(pl *pool, r rank) (cause waitCause, waits, shareFull bool) {
+	st := r.step
 	for _, u := range st.units {
 		if u.state != waiting {
 			continue
@@ -193,7 +214,7 @@
 			u.waitingAt = p.now
 		}
 		if r.assured && p.shareIsFull(pl, r) {
-			return
+			return cause, waits, true
 		}
 		placed, why := p.placeUnit(pl, r, u)
 		if placed {
@@ -202,16 +223,11 @@
 		if !waits || cause == waitPause {
 			cause, waits = why, true
 		}
-		if u.index >= 0 && r.class > urgent {
+		if u.index >= 0 && r.class > urgent && why != waitTicket {
 			break // the step's other tasks need the same, so they do not fit either; urgent ones may each preempt
 		}
 	}
-	if waits {
-		st.noteWait(cause, p.now)
-		p.triedInVain[st] = true
-	} else {
-		st.consideredAt = time.Time{}
-	}
+	return cause, waits, false
 }
 
 // waitCauseOf returns why a unit that chooseWorkers could not place just now has to wait.
@@ -223,6 +239,8 @@
 		return waitRack
 	case p.roomKeptFree:
 		return waitKeptFree
+	case u.job().queueSettings.Advised && len(u.step.advice.tickets) == 0:
+		return waitAdvice
 	}
 	return waitRoom
 }
@@ -230,23 +248,27 @@
 // placeUnit starts a unit if it fits, and reports whether it did or why not. Otherwise it may preempt other work or reserve
 // workers for the unit.
 func (p *plan) placeUnit(pl *pool, r rank, u *unit) (placed bool, why waitCause) {
-	if u.job().queueSettings.Advised && u.step.advice.ticketsExpireAt.Before(p.now) {
-		return false, waitAdvice
-	}
 	needs := u.requirements()
 	if why, known := p.fitNowhere[needs]; known && u.index >= 0 && r.class > urgent {
 		return false, why
 	}
 	p.noRackFits, p.roomKeptFree = false, false
-	if chosen := p.chooseWorkers(pl, u); chosen != nil {
-		p.start(pl, u, r, chosen)
-		return true, 0
+	chosen := p.chooseWorkers(pl, u)
+	if chosen == nil {
+		if chosen = p.chooseFromHeadroom(pl, u); chosen != nil {
+			defer p.markHeadroom(pl)
+		}
 	}
-	if chosen := p.chooseFromHeadroom(pl, u); chosen != nil {
+	if chosen != nil {
+		if p.awaitTickets(u, chosen) {
+			return false, waitTicket
+		}
 		p.start(pl, u, r, chosen)
-		p.markHeadroom(pl)
 		return true, 0
 	}
+	if u.job().queueSettings.Advised {
+		p.explore(pl, r, u)
+	}
 	if r.class <= urgent {
 		p.preempt(pl, r, u)
 	} else if r.class <= late || r.assured || r.starved {
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -75,6 +75,8 @@
 	urgentDemand    map[string]int64         // accelerators that the unfinished jobs of priority 0 need, by customer
 	tickedAt        time.Time                // of the latest periodic checks
 	resumedAt       time.Time                // when the process last went on after a pause
+	queryInProgress bool                     // a query to the advisor is not answered yet
+	nextQueryAt     time.Time                // earliest time of the next query to the advisor, after one without an answer
 	// holdsNothingSince says since when the kinds of work that wait and hold nothing do so.
 	holdsNothingSince map[kind]time.Time
 }
--- a/internal/dispatch/simfleet_test.go
+++ b/internal/dispatch/simfleet_test.go
@@ -30,6 +30,9 @@
 	workers map[string]*simWorker // by ID
 	jobs    map[string]*simJob    // by ID
 	gangs   map[string]*simGang   // by unit and run
+
+	advisor        *simAdvisor // nil if the workers ask for no tickets
+	refusedTickets int
 }
 
 // simJob is a job and how long its tasks really run.
@@ -111,6 +114,10 @@
 		return 0, nil
 	}
 	job := f.jobs[o.Task.Job]
+	if job.spec.QueueSettings.Advised && f.advisor != nil && !f.advisor.accepts(o.Ticket) {
+		f.refusedTickets++
+		return 0, &RefusalError{Reason: RefusedTicket}
+	}
 	step := &job.spec.Steps[o.Task.Step]
 	run := &simRun{key: key, worker: w, job: job, startedAt: time.Now()}
 	if permille, err := strconv.Atoi(o.Checkpoint); err == nil {
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -43,12 +43,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	expired := ticketsExpired(members, time.Now())
 	for _, m := range members {
 		if m.state != planned {
 			continue
 		}
 		m.recordPending = false
-		if m.stopWanted || !s.config.Term.Authority() {
+		if m.stopWanted || expired || !s.config.Term.Authority() {
 			m.noteCause(causeStartNotSent)
 			s.endMember(m, EndLost, "")
 			continue
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -15,12 +15,13 @@
 	waitRack                        // there is room, but not in the rack of the data or in a single rack
 	waitKeptFree                    // there is room only on workers that are kept free for other work
 	waitPreemption                  // less urgent work is being stopped for it
-	waitAdvice                      // the advisor has not approved workers yet
+	waitAdvice                      // the advisor has not approved any worker yet
+	waitTicket                      // the ticket of an approved worker with room has expired and is being renewed
 	waitPause                       // pause after a failed run
 	waitCauses     = iota           // number of causes
 )
 
-var waitNames = [waitCauses]string{"room", "rack", "kept free", "preemption", "advice", "pause"}
+var waitNames = [waitCauses]string{"room", "rack", "kept free", "preemption", "advice", "ticket", "pause"}
 
 // waits is the time that a step, or a job, has waited by cause.
 type waits [waitCauses]time.Duration
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -101,6 +101,10 @@
 	Stretch     float64       `msgpack:"st"`          // multiple of the critical path in the latency objective
 	Target      time.Duration `msgpack:"t"`           // constant part of the latency objective
 	Advised     bool          `msgpack:"d,omitempty"` // the platform's advice service must approve the workers of each step
+	// AdviceDecision is the time that the advice service takes for a query, and AdvicePerWorker the time that each worker named in
+	// it adds.
+	AdviceDecision  time.Duration `msgpack:"ad,omitempty"`
+	AdvicePerWorker time.Duration `msgpack:"aw,omitempty"`
 }
 
 // Job is a customer's job as it was accepted.
