Advice: test the joint renewal of tickets without the scheduler's loop

TestTicketsOfAllFreeWorkersAreRenewedTogether failed in the first run with the race detector (4 of 7 jobs after 10 s): its six jobs were submitted one by one while the scheduler made passes, so in some runs headroom kept the last of them waiting, which the test is not about. Another test read the ended jobs without their lock.

--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/catalog"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
@@ -188,6 +189,8 @@
 		time.Sleep(finishLimit + 8*time.Second)
 		assert.Equal(t, p.completed(), 6)
 		assert.Equal(t, p.refusedTickets(), 0)
+		p.fleet.mu.Lock()
+		defer p.fleet.mu.Unlock()
 		for id, at := range p.ended {
 			assert.Assert(t, id == first.ID || id == wholeWorker(1).ID || at.After(p.ended[first.ID]), "job %s ended first", id)
 		}
@@ -211,19 +214,40 @@
 
 // Guards against tasks of a step that are started one by one, each after a query of its own, when several workers become free at once.
 func TestTicketsOfAllFreeWorkersAreRenewedTogether(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	advisor := newSimAdvisor(0, 0, time.Minute)
+	h.scheduler.config.Advisor = advisor
 	const tasks = 6
-	playAdvised(t, tasks, func() *simAdvisor { return newSimAdvisor(200*time.Millisecond, 10*time.Millisecond, 3*time.Second) }, func(p *advisedPlay) {
-		for n := range tasks {
-			p.submit(wholeWorker(n), 8*time.Second)
+	for i := range tasks {
+		h.addWorker(workerName(i), "r1", 8)
+	}
+	wide := advised(wholeWorker(1))
+	wide.Steps[0].Count = tasks
+	h.submit(wide)
+	h.pass()
+	h.awaitAdvice(wide)
+	a := &h.scheduler.jobs[wide.ID].occurrences[0].steps[0].advice
+	for id := range a.tickets {
+		a.tickets[id] = ticket{} // expired while the workers were taken
+	}
+	h.pass()
+	h.awaitAdvice(wide)
+	h.pass()
+	awaitStarts(t, h.fleet, tasks)
+	assert.Equal(t, advisor.queries(), 2)
+}
+
+// awaitAdvice waits until the query for the job's first step is answered.
+func (h *harness) awaitAdvice(j *workload.Job) {
+	h.t.Helper()
+	poll.WaitOn(h.t, func(poll.LogT) poll.Result {
+		h.scheduler.mu.Lock()
+		defer h.scheduler.mu.Unlock()
+		if h.scheduler.jobs[j.ID].occurrences[0].steps[0].advice.named != nil {
+			return poll.Continue("the query is not answered")
 		}
-		time.Sleep(time.Second)
-		wide := advised(wholeWorker(tasks))
-		wide.Steps[0].Count = tasks
-		p.submit(wide, time.Second) // the workers are approved now, and their tickets expire before they are free
-		time.Sleep(9 * time.Second)
-		assert.Equal(t, p.completed(), tasks+1)
-		assert.Equal(t, p.advisor.queries(), 2)
-	})
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
 }
 
 // Guards against advised work of any kind that does not end: gangs, many tasks, several priorities beside work without advice, on
