Events: values of fields are cut at 1 KiB

Another writer leaves an entry of some 200 KB in the list of workers and renews it: each reading of it puts the text that cannot be decoded, such as a number of 200,000 digits, into a log line and into the 4,096 latest events that the process keeps.

Cause: json's errors quote the number, and Emit kept and wrote values of any size. Shown by a trial on a scratch copy: three instances, two workers, fourteen odd entries written every 1.5 s for 40 s. Ruled out: the entries themselves (one value a key is kept, no new ones came).

Change: a value of more than 1 KiB is cut, between characters, and its size added, where the field is made, so it holds for all events.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -68,8 +69,17 @@
 // Field is a named value of an event.
 type Field struct{ Name, Value string }
 
-// F returns a field with the value formatted by fmt.
-func F(name string, value any) Field { return Field{Name: name, Value: fmt.Sprint(value)} }
+// maxFieldBytes is the largest size of a field's value. Values often quote what another program wrote.
+const maxFieldBytes = 1024
+
+// F returns a field with the value formatted by fmt. A longer value than maxFieldBytes is cut, and its size added.
+func F(name string, value any) Field {
+	text := fmt.Sprint(value)
+	if len(text) > maxFieldBytes {
+		text = strings.ToValidUTF8(text[:maxFieldBytes], "") + fmt.Sprintf("... (%d bytes)", len(text))
+	}
+	return Field{Name: name, Value: text}
+}
 
 // Log writes events and keeps the latest ones in memory. It is safe for concurrent use.
 type Log struct {
