--- a/internal/membership/events.go
+++ b/internal/membership/events.go
@@ -23,5 +23,7 @@
 	eventDelisted  = event.Define(1506, "own instance not listed", zerolog.ErrorLevel,
 		"The instance list no longer contains this instance, so it owns no keys and dispatches nothing.",
 		"Replace the instance, or find out why the platform removed it from the list.")
+	eventListRowsIgnored = event.Define(1508, "rows of the instance list ignored", zerolog.WarnLevel,
+		"Rows of the instance list cannot be decoded and are left out. Written when their number changes.", "Check which program wrote them.")
 	eventGone = event.Define(1507, "instance gone", zerolog.InfoLevel, "Another entry instance is known to have ended.", "")
 )
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -23,6 +23,7 @@
 	loaded        bool      // at least one list was accepted
 	readFailing   bool      // the last read failed
 	ignoring      bool      // the last list that was read was ignored
+	unreadable    int       // rows of the last list that cannot be decoded
 	instanceCount int
 }
 
@@ -103,6 +104,10 @@
 	if ignored {
 		return false
 	}
+	if list.Unreadable != m.list.unreadable {
+		m.list.unreadable = list.Unreadable
+		m.config.Events.Emit(eventListRowsIgnored, event.F("rows", list.Unreadable))
+	}
 	m.list.loaded = true
 	m.list.effectiveTime = list.AsOf
 	if list.AsOf.IsZero() || list.AsOf.After(began.Add(clockSkew)) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -194,25 +194,30 @@
 	return response.StatusCode, decodeAnswer(response, answer)
 }
 
-// decodeAnswer decodes the body of a successful answer. Status 409 becomes a *RefusedError, any other status from 300 on a
-// plain error.
+// decodeAnswer decodes the body of a successful answer.
 func decodeAnswer(response *http.Response, answer any) error {
+	data, err := readAnswer(response)
+	if err != nil || answer == nil {
+		return err
+	}
+	return json.Unmarshal(data, answer)
+}
+
+// readAnswer returns the body of a successful answer. Status 409 becomes a *RefusedError, any other status from 300 on a plain error.
+func readAnswer(response *http.Response) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if response.StatusCode == http.StatusConflict {
 		refused := &RefusedError{}
 		if err := json.Unmarshal(data, &refused.Refusal); err != nil {
-			return err
+			return nil, err
 		}
-		return refused
+		return nil, refused
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
-		return fmt.Errorf("status %d: %.200s", response.StatusCode, data)
+		return nil, fmt.Errorf("status %d: %.200s", response.StatusCode, data)
 	}
-	if answer == nil {
-		return nil
-	}
-	return json.Unmarshal(data, answer)
+	return data, nil
 }
--- a/internal/platform/types.go
+++ b/internal/platform/types.go
@@ -69,6 +69,8 @@
 	Revision  uint64     `json:"revision"`
 	AsOf      time.Time  `json:"as_of"`
 	Instances []Instance `json:"instances"`
+	// Unreadable is the number of rows that cannot be decoded and are left out.
+	Unreadable int `json:"-"`
 }
 
 // Fence is the fencing token of a command to a worker. A worker refuses a command with an epoch older than one it has seen.
