Soak: a queue with advice, odd entries of workers, and restarts as the platform does

A quarter of the jobs go to a queue with advice. The stand-in of the workers answers queries one at a time, approves half of the workers, and refuses starts without a valid ticket of the step and worker; its tickets last 1.5 s, so faults come between a ticket and its use. A new kind of fault writes an odd entry to the list of workers, under a key of its own or for a while under a worker's. Its random source is its own, so the other faults of a seed stay.

The soak did not start it again, as the platform does with a process that ends, and the judge then spent 200 ms on each job with the dead instance until its time was over. Now such an instance is started again, and the judge asks the other instances before it waits. Checks and bounds are the same.

--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -36,6 +37,18 @@
 	CutFleet Kind = "cutfleet" // blocks traffic between all instances and the workers
 )
 
+// OddEntry writes an entry that no worker writes to the list of workers: under a key of its own or, for a while, under that of a worker.
+const OddEntry Kind = "odd"
+
+// oddEntries are the values of the entries that OddEntry writes. ADDRESS stands for the address of the workers.
+var oddEntries = []string{
+	strings.Repeat(`{"a":`, 40_000) + `1` + strings.Repeat(`}`, 40_000),
+	`{"service":"render","address":"127.0.0.1:80800","zone":"z1","state":"ready","capacity":{"cpu":64000,"mem_mb":262144,"gpu":8},"labels":["a","r1-1"]}`,
+	`{"service":"render","address":"ADDRESS","zone":"z1","state":"ready","capacity":{"cpu":64000,"mem_mb":262144,"gpu":9223372036854775807},"labels":["a","r1-1"]}`,
+	`{"service":"render","address":"ADDRESS","zone":"z1","state":"ready","capacity":{"cpu":` + strings.Repeat("9", 100_000) + `},"labels":["a","r1-1"]}`,
+	`{"service":7}`, `null`, "\xff{",
+}
+
 // linkKinds are the faults of connections. They have a random source of their own, so that a seed still gives the same process
 // and store faults as before link faults were added.
 var linkKinds = []Kind{Reset, Delay, CutUp, CutDown, Mute, CutFleet}
@@ -63,6 +76,7 @@
 	minFaultLength   = 300 * time.Millisecond
 	maxFaultLength   = 5 * time.Second
 	restartDelay     = 400 * time.Millisecond // time between the kill and the restart of an instance
+	hangupWait       = 100 * time.Millisecond // within which a process has ended that had no handler for SIGHUP
 	linkDelay        = 120 * time.Millisecond // delay of each forwarded chunk; well below the timeouts of calls
 )
 
@@ -70,6 +84,7 @@
 func Plan(seed uint64, length time.Duration, instances int) []Fault {
 	plan := drawFaults(rand.New(rand.NewPCG(seed, 2)), processAndStoreKinds, length, instances)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 3)), linkKinds, length, instances)...)
+	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 4)), []Kind{OddEntry}, length, instances)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -108,14 +123,43 @@
 		if r.injectLinkFault(f) {
 			continue
 		}
+		if f.Kind == OddEntry {
+			if err := r.injectOddEntry(ctx, f); err != nil {
+				return err
+			}
+			continue
+		}
 		if err := r.injectProcessFault(f); err != nil {
 			return err
 		}
 	}
 	r.sleepUntil(storeUntil)
+	for i := range workerCount {
+		if err := r.putWorker(ctx, i); err != nil {
+			return err
+		}
+	}
 	return r.setStoreFaults(ctx, store.Faults{})
 }
 
+// injectOddEntry writes an odd entry. A worker whose key it took writes its own entry again after the fault's length.
+func (r *run) injectOddEntry(ctx context.Context, f Fault) error {
+	value := strings.ReplaceAll(oddEntries[int(f.Length)%len(oddEntries)], "ADDRESS", r.workersProxy.address())
+	worker := int(f.At) % (2 * workerCount)
+	if worker >= workerCount {
+		return r.put(ctx, workersTopic, fmt.Sprintf("odd%d", worker), value)
+	}
+	if err := r.put(ctx, workersTopic, fmt.Sprintf("w%d", worker), value); err != nil {
+		return err
+	}
+	time.AfterFunc(f.Length, func() {
+		if err := r.putWorker(ctx, worker); err != nil {
+			fmt.Fprintf(r.options.Progress, "worker %d cannot write its entry: %v\n", worker, err)
+		}
+	})
+	return nil
+}
+
 func (r *run) sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
 
 // storeFaults returns the store's settings for a kind of fault, and whether the kind is a fault of the store.
@@ -179,7 +223,14 @@
 		time.Sleep(f.Length)
 		return n.process.Signal(syscall.SIGCONT)
 	case Hangup:
-		return n.process.Signal(syscall.SIGHUP)
+		if err := n.process.Signal(syscall.SIGHUP); err != nil {
+			return err
+		}
+		select {
+		case <-n.process.Done(): // the signal came before its handler was installed; the platform starts such a process again
+			return r.startNode(n)
+		case <-time.After(hangupWait):
+		}
 	case AllOut:
 		for _, n := range r.nodes {
 			n.process.Kill()
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -33,6 +33,8 @@
 	apiKey         = "soak-key"
 	workerCount    = 6
 	firstJob       = "ffffffffffffffff" // id of the job that is submitted until an instance accepts it
+	workersTopic   = "keyed.servers"    // list of workers
+	advisedQueue   = "advised"          // queue with advice
 )
 
 // Options of a run.
@@ -70,8 +72,8 @@
 
 // String returns the last line of a run's output.
 func (v Verdict) String() string {
-	return fmt.Sprintf("soak: accepted=%d completed=%d cancelled=%d refused=%d open=%d lost=%d false_refusals=%d started=%d doubled=%d lapsed=%d",
-		v.Accepted, v.Completed, v.Cancelled, v.Refused, v.Unknown, len(v.Lost), len(v.FalseRefusals), v.Workers.Started, v.Workers.Doubled, v.Workers.Lapsed)
+	return fmt.Sprintf("soak: accepted=%d completed=%d cancelled=%d refused=%d open=%d lost=%d false_refusals=%d started=%d doubled=%d lapsed=%d unticketed=%d",
+		v.Accepted, v.Completed, v.Cancelled, v.Refused, v.Unknown, len(v.Lost), len(v.FalseRefusals), v.Workers.Started, v.Workers.Doubled, v.Workers.Lapsed, v.Workers.Unticketed)
 }
 
 // run is the state of one run.
@@ -173,8 +175,8 @@
 		}
 		r.nodes = append(r.nodes, n)
 		n.settingsPath = filepath.Join(r.options.Directory, n.name+".yaml")
-		text := fmt.Sprintf("instance: %s\ndata_centre: z1\nlisten: {jobs: %q, readiness: %q, control: %q}\nstore: %q\nbounds: {lease_ms: 4000, keep_status_s: 300}\n",
-			n.name, addresses[2+3*i], addresses[3+3*i], addresses[4+3*i], n.storeProxy.address())
+		text := fmt.Sprintf("instance: %s\ndata_centre: z1\nlisten: {jobs: %q, readiness: %q, control: %q}\nstore: %q\nadvisor: %q\nbounds: {lease_ms: 4000, keep_status_s: 300}\n",
+			n.name, addresses[2+3*i], addresses[3+3*i], addresses[4+3*i], n.storeProxy.address(), r.workersProxy.address())
 		if err := os.WriteFile(n.settingsPath, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -205,21 +207,27 @@
 func (r *run) writeConfiguration(ctx context.Context) error {
 	config := fmt.Sprintf(`{"version":1,"routes":[{"name":"plans","host":%q,"path_prefix":"/plans/","timeout_ms":3000,"target_latency_ms":1000,`+
 		`"priority":1,"service":"render","max_attempts":3,"stretch":3.0},{"name":"checks","host":%q,"path_prefix":"/checks/","timeout_ms":3000,`+
-		`"target_latency_ms":250,"priority":0,"service":"render","max_attempts":3,"stretch":1.5}],"services":[{"name":"render"}],`+
-		`"tenants":[{"name":"club","api_keys":[%q],"guaranteed":{"gpu":16}}]}`, host, host, apiKey)
+		`"target_latency_ms":250,"priority":0,"service":"render","max_attempts":3,"stretch":1.5},{"name":"advised","host":%q,"path_prefix":"/advised/","timeout_ms":3000,`+
+		`"target_latency_ms":1000,"priority":1,"service":"render","max_attempts":3,"stretch":3.0,"advice":{"decision_ms":40,"per_worker_ms":5,"validity_ms":1500}}],`+
+		`"services":[{"name":"render"}],"tenants":[{"name":"club","api_keys":[%q],"guaranteed":{"gpu":16}}]}`, host, host, host, apiKey)
 	if err := r.put(ctx, "keyed.op", "config", config); err != nil {
 		return err
 	}
 	for i := range workerCount {
-		entry := fmt.Sprintf(`{"service":"render","address":%q,"zone":"z1","state":"ready","capacity":{"cpu":64000,"mem_mb":262144,"gpu":8},`+
-			`"labels":["a","r1-%d"],"sequence":1}`, r.workersProxy.address(), 1+i/3)
-		if err := r.put(ctx, "keyed.servers", fmt.Sprintf("w%d", i), entry); err != nil {
+		if err := r.putWorker(ctx, i); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// putWorker writes the entry of a worker in the list of workers.
+func (r *run) putWorker(ctx context.Context, i int) error {
+	entry := fmt.Sprintf(`{"service":"render","address":%q,"zone":"z1","state":"ready","capacity":{"cpu":64000,"mem_mb":262144,"gpu":8},`+
+		`"labels":["a","r1-%d"],"sequence":1}`, r.workersProxy.address(), 1+i/3)
+	return r.put(ctx, workersTopic, fmt.Sprintf("w%d", i), entry)
+}
+
 // put writes a record as the platform does, retrying while the store starts.
 func (r *run) put(ctx context.Context, topic, name, value string) (err error) {
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
@@ -303,7 +311,8 @@
 
 // submit sends a job once and reports whether this or an earlier attempt was accepted.
 func (r *run) submit(ctx context.Context, id string, n *node, tasks, runTimeMS int) bool {
-	body := fmt.Appendf(nil, `{"spec":"{\"takes_ms\":%d}","phases":[{"count":%d,"cpu":1000,"mem_mb":1000,"gpu":1,"estimate_ms":%d}]}`, runTimeMS, tasks, runTimeMS)
+	body := fmt.Appendf(nil, `{"spec":"{\"takes_ms\":%d,\"advised\":%t}","phases":[{"count":%d,"cpu":1000,"mem_mb":1000,"gpu":1,"estimate_ms":%d}]}`,
+		runTimeMS, queueOf(id) == advisedQueue, tasks, runTimeMS)
 	status, _, err := r.call(ctx, n, http.MethodPost, id, body)
 	if r.options.Violations.DenyAcceptance && id != firstJob && err == nil && status == http.StatusOK {
 		status = http.StatusServiceUnavailable
@@ -324,13 +333,20 @@
 	return j.accepted
 }
 
+// queueOf returns the queue of a job.
+func queueOf(id string) string {
+	switch id[len(id)-1] % 4 {
+	case 0, 2:
+		return "checks"
+	case 1:
+		return "plans"
+	}
+	return advisedQueue
+}
+
 // call makes one call as a caller. It uses keep-alive connections, which stay open until the instance closes them.
 func (r *run) call(ctx context.Context, n *node, method, id string, body []byte) (status int, state string, err error) {
-	queue := "plans"
-	if id[len(id)-1]%2 == 0 {
-		queue = "checks"
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.address+"/"+queue+"/"+id, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.address+"/"+queueOf(id)+"/"+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -13,10 +13,12 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/store"
 )
 
-// regressionSeeds are the seeds whose fault plans every test run executes. Each once made a check fail wrongly.
+// regressionSeeds are the seeds whose fault plans every test run executes. Each once failed.
 var regressionSeeds = []uint64{
 	100,  // a cancellation took effect but its answer was lost; the check expected the job to be completed
 	1000, // workers behind a partition ended tasks that were restarted after their leases expired; the check counted them as doubled
+	5110, // jobs on a queue with advice never started: each query waited at the advisor for longer than its tickets were valid
+	5112, // SIGHUP ended an instance before it had installed its handler, it was not started again, and the check ran out of time
 	302,  // SIGTERM reached an instance before it had installed its handler and killed it; the run reported an error
 }
 
--- a/internal/standin/taskworker/taskworker.go
+++ b/internal/standin/taskworker/taskworker.go
@@ -29,7 +29,10 @@
 	running  map[string]int  // current number of runs of each task, over all workers
 	hideRuns bool            // see HideRuns
 	finished map[string]bool // tasks whose completion was acknowledged
+	tickets  map[string]ticket
 	report   Report
+
+	advising sync.Mutex // held while a query for advice is handled
 }
 
 // Report counts what happened at the workers of a fleet.
@@ -40,6 +43,7 @@
 	Lapsed       int `json:"lapsed"`       // runs whose lease expired
 	StaleTokens  int `json:"unfenced"`     // commands refused because of a stale fencing token
 	Acknowledged int `json:"acknowledged"` // ends that were acknowledged
+	Unticketed   int `json:"unticketed"`   // starts refused for want of a valid ticket
 }
 
 // worker is one worker of a fleet.
@@ -74,17 +78,19 @@
 // spec is the specification of a job as the stand-in understands it.
 type spec struct {
 	TakesMS int64 `json:"takes_ms"` // run time of each task
+	Advised bool  `json:"advised"`  // a start needs a ticket
 }
 
 // New returns a fleet with one worker for each id.
 func New(ids ...string) *Fleet {
-	f := &Fleet{router: mux.NewRouter(), started: time.Now(), workers: map[string]*worker{}, running: map[string]int{}, finished: map[string]bool{}}
+	f := &Fleet{router: mux.NewRouter(), started: time.Now(), workers: map[string]*worker{}, running: map[string]int{}, finished: map[string]bool{}, tickets: map[string]ticket{}}
 	for _, id := range ids {
 		f.workers[id] = &worker{runs: map[string]*run{}, highestEnded: map[string]int{}}
 	}
 	f.router.HandleFunc("/v1/run-start", f.handler(f.start)).Methods(http.MethodPost)
 	f.router.HandleFunc("/v1/run-stop", f.handler(f.stop)).Methods(http.MethodPost)
 	f.router.HandleFunc("/v1/hold", f.handler(f.hold)).Methods(http.MethodPost)
+	f.router.HandleFunc("/v1/advise", f.advise).Methods(http.MethodPost)
 	f.router.HandleFunc("/report/workers", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, f.Report()) }).Methods(http.MethodGet)
 	return f
 }
@@ -121,6 +127,7 @@
 	Spec       string `json:"spec"`
 	DeadlineMS int64  `json:"deadline_ms"` // expiry of the leases on the workers' clock
 	Token      int64  `json:"fencing_token"`
+	Ticket     string `json:"ticket"`
 	LastSeen   int64  `json:"last_seen"` // sequence number up to which ends are acknowledged
 	WaitMS     int64  `json:"wait_ms"`
 }
@@ -219,14 +226,19 @@
 		f.refuse(w, "late")
 		return
 	}
-	if f.running[c.Task] > 0 || f.finished[c.Task] {
-		f.report.Doubled++
-	}
 	var s spec
 	if err := json.Unmarshal([]byte(c.Spec), &s); err != nil {
 		writeJSON(w, http.StatusBadRequest, map[string]string{"error": fmt.Sprint(err)})
 		return
 	}
+	if s.Advised && !f.tickets[c.Ticket].allows(c.Task, target, time.Now()) {
+		f.report.Unticketed++
+		f.refuse(w, "ticket")
+		return
+	}
+	if f.running[c.Task] > 0 || f.finished[c.Task] {
+		f.report.Doubled++
+	}
 	f.report.Started++
 	f.running[c.Task]++
 	target.runs[c.Task] = &run{c.Task, c.Run, time.Now(), time.Duration(s.TakesMS) * time.Millisecond}
