Leadership: wait for the authority of all earlier terms, not only the last

Cause: a claim after a holder that resigned, or that was an earlier process of the same instance, took no earlier holder to act any more. The one before it may: up to AuthorityLimit after its last confirmed heartbeat. Ruled out: the bound of the leases themselves, fencing at workers that the cut keeps from later terms, and heartbeats after a claim, which the log refuses.

Change: each record of the role says how much longer holders of earlier terms may act. A claim takes over what the last record says if its holder stopped, and the whole limit if it was only silent or the record is of a version that does not say it; the holder counts it down, by a clock that counts suspensions. Why it is enough: a holder acts for less than the limit after it sent its last confirmed heartbeat, and no heartbeat is confirmed after the next claim took effect, from whose answer the limit is counted.

TestEarlierHoldersMayActUntilTheirAuthorityEnds (resigns, is killed and starts again, resigns after a heartbeat) and TestEarlierAuthorityRunsOut fail when a stopped predecessor counts as the end of all authority, as before. TestPlannedStopsInSeriesLeaveNoAuthority keeps planned stops quick. Two tests asserted PredecessorStopped; they now assert that no authority is left, which is stricter.

--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -54,7 +54,7 @@
 	Events            *event.Log
 	Metrics           tally.Scope
 	Now               func() time.Time // wall clock, for times that customers give
-	PreviousAuthority time.Duration    // how long the leader of the previous term may still renew leases
+	PreviousAuthority time.Duration    // how long leaders of earlier terms may still renew leases
 }
 
 // Scheduler schedules the jobs of one leadership term on workers. It is safe for concurrent use.
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -28,7 +28,7 @@
 func (s *Scheduler) addWorker(id string) *worker {
 	w := &worker{members: map[runKey]*member{}, endsRecorded: make(chan struct{}, 1)}
 	w.info.ID = id
-	// The previous leader may have renewed leases until its authority ended.
+	// Earlier leaders may renew leases until their authority ends.
 	w.leasesOverAt = s.createdAt.Add(s.config.PreviousAuthority + time.Duration(float64(s.config.Bounds.Lease)*clockDriftFactor) + leaseSlack)
 	s.workers[id] = w
 	return w
--- /dev/null
+++ b/internal/leadership/authority_test.go
@@ -0,0 +1,158 @@
+package leadership
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
+)
+
+// termLog is the topic of terms in memory.
+type termLog struct {
+	mu      sync.Mutex
+	records []ledger.Record
+}
+
+func (l *termLog) Append(_ context.Context, _ string, records []ledger.Record, o ledger.AppendOptions) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if end := int64(len(l.records)); o.Conditional && o.ExpectedEnd != end {
+		return 0, &ledger.MovedError{End: end}
+	}
+	for _, r := range records {
+		r.Offset = int64(len(l.records))
+		l.records = append(l.records, r)
+	}
+	return int64(len(l.records)), nil
+}
+
+func (l *termLog) Read(_ context.Context, _ string, from int64, _ time.Duration) (ledger.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return ledger.Batch{Records: l.records[from:], End: int64(len(l.records))}, nil
+}
+
+func (l *termLog) Newest(context.Context, string) (ledger.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return ledger.Batch{Records: l.records, End: int64(len(l.records))}, nil
+}
+
+// succession is a series of terms on a clock that the test moves.
+type succession struct {
+	t     *testing.T
+	log   *termLog
+	clock time.Duration
+}
+
+func newSuccession(t *testing.T) *succession {
+	return &succession{t: t, log: &termLog{}, clock: time.Hour}
+}
+
+// claim lets a new process of an instance claim the role and returns its elector and term.
+func (s *succession) claim(instance, incarnation string) (*Elector, *Term) {
+	s.t.Helper()
+	e := New(Config{
+		Log: s.log, Instance: instance, Incarnation: incarnation, ProcessorShare: 1, Events: event.Discard(),
+		Clock: func() time.Duration { return s.clock }, Eligible: func() bool { return true },
+	})
+	assert.NilError(s.t, e.load(s.t.Context()))
+	assert.Assert(s.t, e.claim(s.t.Context()))
+	state := e.Current()
+	term := &Term{Number: state.Term, EarlierAuthority: *state.EarlierAuthority, elector: e}
+	term.Context, term.cancel = context.WithCancelCause(s.t.Context())
+	return e, term
+}
+
+// Guards against tasks that are started again while a holder that was cut off still renews their leases: the holder after it had
+// stopped, which says nothing about the one before. The bound is what the holder that was cut off may still use, on the same clock.
+func TestEarlierHoldersMayActUntilTheirAuthorityEnds(t *testing.T) {
+	for name, stop := range map[string]func(s *succession, e *Elector, term *Term) (instance, incarnation string){
+		"resigns": func(_ *succession, e *Elector, term *Term) (string, string) {
+			e.resign(term, "")
+			return "c", "3"
+		},
+		"is killed and starts again": func(*succession, *Elector, *Term) (string, string) { return "b", "3" },
+		"resigns after a heartbeat": func(s *succession, e *Elector, term *Term) (string, string) {
+			assert.NilError(s.t, e.renew(s.t.Context(), term))
+			e.resign(term, "")
+			return "c", "3"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSuccession(t)
+			a, first := s.claim("a", "1")
+			assert.NilError(t, a.renew(t.Context(), first))
+			s.clock += claimAfter // a is cut off, and b claims after its silence
+			b, second := s.claim("b", "2")
+			assert.Assert(t, second.EarlierAuthority >= AuthorityLimit-claimAfter)
+			s.clock += 400 * time.Millisecond
+			_, third := s.claim(stop(s, b, second))
+			assert.Equal(t, third.Number, int64(3))
+			for s.clock += third.EarlierAuthority; first.Authority(); {
+				t.Fatal("the first holder may act for longer than the third one believes")
+			}
+		})
+	}
+}
+
+// Guards against an authority that is passed on without becoming less, so that each planned stop after the loss of a holder delays
+// work on silent workers anew.
+func TestEarlierAuthorityRunsOut(t *testing.T) {
+	s := newSuccession(t)
+	s.claim("a", "1")
+	s.clock += claimAfter
+	b, second := s.claim("b", "2")
+	s.clock += 5 * time.Second
+	assert.NilError(t, b.renew(t.Context(), second))
+	b.resign(second, "")
+	c, third := s.claim("c", "3")
+	assert.Equal(t, third.EarlierAuthority, second.EarlierAuthority-5*time.Second)
+	s.clock += 5 * time.Second
+	assert.NilError(t, c.renew(t.Context(), third))
+	c.resign(third, "")
+	_, fourth := s.claim("d", "4")
+	assert.Equal(t, fourth.EarlierAuthority, time.Duration(0))
+}
+
+// Guards against planned stops in series that do not hand over at once although all earlier holders have stopped.
+func TestPlannedStopsInSeriesLeaveNoAuthority(t *testing.T) {
+	s := newSuccession(t)
+	for i, name := range []string{"a", "b", "c", "a"} {
+		e, term := s.claim(name, string(rune('1'+i)))
+		assert.Equal(t, term.EarlierAuthority, time.Duration(0))
+		s.clock += time.Second
+		e.resign(term, "")
+	}
+}
+
+// Guards against a holder that is paused while others hold the role, and against one whose process ended and that claims again: only
+// its own earlier process is known to have stopped.
+func TestPausedHolderKeepsItsAuthorityInMind(t *testing.T) {
+	s := newSuccession(t)
+	_, first := s.claim("a", "1")
+	s.clock += claimAfter // b takes the paused a to be lost
+	_, second := s.claim("b", "2")
+	s.clock += claimAfter // a's next process takes b, which is paused too, to be lost
+	_, third := s.claim("a", "3")
+	s.clock += third.EarlierAuthority
+	assert.Assert(t, !first.Authority() && !second.Authority())
+	assert.Equal(t, third.EarlierAuthority, AuthorityLimit)
+}
+
+// Guards against a record of an earlier version, which does not say how long holders before it may act, that counts as if none did.
+func TestUnknownEarlierAuthorityIsTheWholeLimit(t *testing.T) {
+	s := newSuccession(t)
+	e, term := s.claim("a", "1")
+	e.resign(term, "")
+	last := e.Current()
+	last.EarlierAuthority = nil
+	assert.NilError(t, e.write(t.Context(), last, e.topicEnd))
+	_, next := s.claim("b", "2")
+	assert.Equal(t, next.EarlierAuthority, AuthorityLimit)
+}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -65,6 +65,9 @@
 	ProcessorShare float64 `msgpack:"s,omitempty"` // share of a core that the holder may use, 0 to 1
 	LargestShare   float64 `msgpack:"l,omitempty"` // largest processor share of any holder so far
 	Successor      string  `msgpack:"n,omitempty"` // incarnation in whose favour the holder resigned, may be empty
+
+	// EarlierAuthority is how long after this record holders of earlier terms may still act; nil if the record does not say so.
+	EarlierAuthority *time.Duration `msgpack:"e,omitempty"`
 }
 
 // candidate is the record of an instance that requests the term of a smaller holder. Scheduling takes most of a small machine's
@@ -79,9 +82,10 @@
 type Term struct {
 	Number  int64
 	Context context.Context // ends with the term
-	// PredecessorStopped reports that the previous holder sends no more orders, because it resigned or was an earlier process of
-	// this instance.
-	PredecessorStopped bool
+	// EarlierAuthority is how long after the claim holders of earlier terms may still act. It is 0 if all of them are known to have
+	// stopped, because they resigned or were earlier processes of an instance that claimed the role again, or if their authority has
+	// certainly ended.
+	EarlierAuthority time.Duration
 
 	elector *Elector
 	cancel  context.CancelCauseFunc
@@ -104,6 +108,7 @@
 	candidateSeenAt time.Time     // when that request was observed or made
 	topicEnd        int64         // offset after the last known record of the topic
 	confirmedAt     time.Duration // when the last confirmed heartbeat was sent, by clock
+	earlierUntil    time.Duration // until when holders of earlier terms than the one held may act, by clock
 	failures        int           // number of calls in a row without a usable answer
 }
 
@@ -133,8 +138,7 @@
 // Run takes part in the election until ctx ends. It calls lead for each held term; lead must return when the term's context ends.
 func (e *Elector) Run(ctx context.Context, lead func(*Term)) {
 	for ctx.Err() == nil {
-		predecessorStopped, ok := e.awaitVacancy(ctx)
-		if !ok {
+		if !e.awaitVacancy(ctx) {
 			return
 		}
 		if !e.eligible() {
@@ -142,14 +146,13 @@
 			continue
 		}
 		if e.claim(ctx) {
-			e.holdTerm(ctx, lead, predecessorStopped)
+			e.holdTerm(ctx, lead)
 		}
 	}
 }
 
-// awaitVacancy follows the topic until this instance should claim the role. predecessorStopped reports that the last holder sends
-// no more orders; ok is false if ctx ended.
-func (e *Elector) awaitVacancy(ctx context.Context) (predecessorStopped, ok bool) {
+// awaitVacancy follows the topic until this instance should claim the role. It returns false if ctx ended.
+func (e *Elector) awaitVacancy(ctx context.Context) bool {
 	loaded := false
 	silentSince := time.Now()
 	jitter := time.Duration(rand.Int64N(int64(claimJitter)))
@@ -165,12 +168,12 @@
 		state := e.Current()
 		if e.vacant(state) {
 			wait.For(ctx, e.vacancyDelay(state))
-			return true, ctx.Err() == nil
+			return ctx.Err() == nil
 		}
 		e.requestTerm(ctx, state)
 		left := claimAfter + e.sizeDelay(state) + jitter - time.Since(silentSince)
 		if left <= 0 {
-			return false, true
+			return true
 		}
 		heard, err := e.follow(ctx, min(left, pollWait))
 		switch {
@@ -183,7 +186,7 @@
 			silentSince = time.Now()
 		}
 	}
-	return false, false
+	return false
 }
 
 // vacant reports whether nobody holds the role, or an earlier process of this instance does.
@@ -321,6 +324,8 @@
 	previous, at := e.current, e.topicEnd
 	e.mu.Unlock()
 	next := State{Term: previous.Term + 1, Holder: e.instance, Incarnation: e.incarnation, ProcessorShare: e.processorShare, LargestShare: max(previous.LargestShare, e.processorShare)}
+	earlier := e.authorityBefore(previous)
+	next.EarlierAuthority = &earlier
 	sent := e.clock()
 	if err := e.write(ctx, next, at); err != nil {
 		e.noteFailure(ctx, err)
@@ -335,11 +340,30 @@
 	}
 	e.mu.Lock()
 	e.current, e.confirmedAt, e.termSeenAt = next, sent, time.Now()
+	e.earlierUntil = e.clock() + *next.EarlierAuthority // no earlier holder has confirmed a heartbeat since the claim took effect
 	e.mu.Unlock()
-	e.events.Emit(eventClaimed, event.F("term", next.Term), event.F("previous_holder", previous.Holder), event.F("previous_resigned", previous.Resigned))
+	e.events.Emit(eventClaimed, event.F("term", next.Term), event.F("previous_holder", previous.Holder), event.F("previous_resigned", previous.Resigned), event.F("earlier_authority_ms", next.EarlierAuthority.Milliseconds()))
 	return true
 }
 
+// authorityBefore returns how long after a claim that follows the state s holders of earlier terms may still act. That the last of
+// them has stopped says nothing about those before it.
+func (e *Elector) authorityBefore(s State) time.Duration {
+	switch {
+	case s.Term == 0:
+		return 0
+	case !e.vacant(s) || s.EarlierAuthority == nil:
+		return AuthorityLimit
+	}
+	return *s.EarlierAuthority
+}
+
+// earlierAuthority returns how much longer holders of earlier terms than the one held may act. The caller holds mu.
+func (e *Elector) earlierAuthority() *time.Duration {
+	left := max(e.earlierUntil-e.clock(), 0)
+	return &left
+}
+
 // write appends a state if the topic ends at the given offset.
 func (e *Elector) write(ctx context.Context, s State, at int64) error {
 	data, err := msgpack.Marshal(s)
@@ -365,8 +389,9 @@
 }
 
 // holdTerm runs lead and sends heartbeats until the term is lost or ctx ends.
-func (e *Elector) holdTerm(ctx context.Context, lead func(*Term), predecessorStopped bool) {
-	term := &Term{Number: e.Current().Term, PredecessorStopped: predecessorStopped, elector: e}
+func (e *Elector) holdTerm(ctx context.Context, lead func(*Term)) {
+	state := e.Current()
+	term := &Term{Number: state.Term, EarlierAuthority: *state.EarlierAuthority, elector: e}
 	term.Context, term.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
 	leadReturned := make(chan struct{})
 	go func() {
@@ -409,6 +434,7 @@
 func (e *Elector) renew(ctx context.Context, term *Term) error {
 	e.mu.Lock()
 	next, at := e.current, e.topicEnd
+	next.EarlierAuthority = e.earlierAuthority()
 	e.mu.Unlock()
 	next.Heartbeats++
 	sent := e.clock()
@@ -441,6 +467,7 @@
 	term.cancel(context.Canceled)
 	e.mu.Lock()
 	last, at := e.current, e.topicEnd
+	last.EarlierAuthority = e.earlierAuthority()
 	e.mu.Unlock()
 	last.Resigned, last.Successor = true, successor
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -131,7 +131,7 @@
 	second := e.await(t)
 	assert.Assert(t, second != first)
 	assert.Assert(t, time.Since(start) < claimAfter, "the role was claimed only after the holder's silence")
-	assert.Assert(t, e.term(second).PredecessorStopped)
+	assert.Equal(t, e.term(second).EarlierAuthority, time.Duration(0))
 	assert.Equal(t, e.term(second).Number, int64(2))
 }
 
@@ -200,7 +200,7 @@
 		return poll.Success()
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
 	term := e.term("large")
-	assert.Assert(t, term.PredecessorStopped)
+	assert.Equal(t, term.EarlierAuthority, time.Duration(0))
 	assert.Equal(t, term.Number, int64(2), "the role did not go to the large instance directly")
 	e.joinWithShare(t, "larger", "4", 1, monotonic)
 	time.Sleep(3 * time.Second)
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -31,17 +31,13 @@
 	}
 	outcomes := ledger.NewWriter(n.store, ledger.JobsTopic, schedulerProducer, term.Number, true)
 	runs := ledger.NewWriter(n.store, ledger.RunsTopic, schedulerProducer, term.Number, true)
-	predecessorAuthority := leadership.AuthorityLimit
-	if term.PredecessorStopped {
-		predecessorAuthority = 0
-	}
 	var advisor dispatch.Advisor
 	if n.settings.Advisor != "" {
 		advisor = platform.NewAdvisor(n.client, n.settings.Advisor)
 	}
 	s := dispatch.New(ctx, dispatch.Config{
 		Fleet: n.workers, Advisor: advisor, Jobs: outcomes, Runs: runs, Term: term, Token: term.Number, Catalog: &n.current,
-		Bounds: n.settings.Bounds.dispatchBounds(), Events: n.events, Metrics: n.scope, Now: time.Now, PreviousAuthority: predecessorAuthority,
+		Bounds: n.settings.Bounds.dispatchBounds(), Events: n.events, Metrics: n.scope, Now: time.Now, PreviousAuthority: term.EarlierAuthority,
 	})
 	jobs := n.newSchedulerJobsReader(s)
 	if !retry(ctx, n, func() error { return jobs.Load(ctx) }) {
