Permanent tasks start again beside idle workers, within the platform's bound

Change: a permanent unit that has run before may use the headroom, a new one after 2 s. A unit waits for the rack of its data, or a gang for one rack, only while tasks that end hold what it needs there. Leases on workers with permanent tasks last 7 s at most, so with the reserve for slow clocks they are over 7.7 s after the last renewal.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -9,7 +9,7 @@
 )
 
 // localityWait is the least wait before a unit runs off its data's rack or over several racks. The wait is longer while the pool is not
-// mostly idle.
+// mostly idle and the rack would have room if its tasks ended, but not for permanent units.
 const localityWait = 1500 * time.Millisecond
 
 // chooseWorkers returns a worker for each task of a unit, or nil if the unit does not fit.
@@ -22,7 +22,7 @@
 			if w := p.bestFit(pl.racks[spec.DataRack], u, free); w != nil {
 				return []*worker{w}
 			}
-			if p.fitsWhenEmpty(pl.racks[spec.DataRack], u) && (waited < localityWait || !pl.mostlyIdle()) {
+			if p.mayFitLater(pl.racks[spec.DataRack], u) && (waited < localityWait || !spec.Permanent && !pl.mostlyIdle()) {
 				p.noRackFits = true
 				return nil
 			}
@@ -36,7 +36,7 @@
 		return chosen
 	}
 	oneRack := spec.SameRack || spec.DataRack != ""
-	if oneRack && p.fitsInOneRackWhenEmpty(pl, u) && (waited < localityWait || !pl.mostlyIdle()) {
+	if oneRack && p.fitsInOneRackLater(pl, u) && (waited < localityWait || !spec.Permanent && !pl.mostlyIdle()) {
 		p.noRackFits = true
 		return nil
 	}
@@ -89,7 +89,7 @@
 	if w.health.quarantine > 0 && (u.index < 0 || len(w.members) > 0) {
 		return false // a probe is a single task, and no gang is risked on a quarantined worker
 	}
-	if p.headroomWorkers[w] && !u.urgent() {
+	if p.headroomWorkers[w] && !p.mayUseHeadroom(u) {
 		return false
 	}
 	if u.job().queueSettings.Advised && !u.step.advice.approves(w) {
@@ -201,10 +201,21 @@
 // capacityOf returns the resources of a worker on which nothing runs.
 func capacityOf(w *worker) workload.Resources { return w.info.Capacity }
 
-// fitsWhenEmpty reports whether a task of the unit would fit on one of the workers if nothing ran there.
-func (p *plan) fitsWhenEmpty(workers []*worker, u *unit) bool {
+// freeLater returns the resources of a worker that are free once its tasks that end have ended. Permanent ones do not.
+func freeLater(w *worker) workload.Resources {
+	free := capacityOf(w)
+	for _, m := range w.members {
+		if m.unit.step.spec.Permanent {
+			free = free.Minus(m.resources)
+		}
+	}
+	return free
+}
+
+// mayFitLater reports whether a task of the unit would fit on one of the workers once the tasks there that end have ended.
+func (p *plan) mayFitLater(workers []*worker, u *unit) bool {
 	for _, w := range workers {
-		if u.step.resources().Fits(capacityOf(w)) && (u.step.spec.Label == "" || slices.Contains(w.info.Labels, u.step.spec.Label)) {
+		if u.step.resources().Fits(freeLater(w)) && (u.step.spec.Label == "" || slices.Contains(w.info.Labels, u.step.spec.Label)) {
 			return true
 		}
 	}
@@ -219,6 +230,12 @@
 	return p.pack(pl.workers, u, capacityOf) != nil
 }
 
+// fitsInOneRackLater reports whether the whole gang would fit in one rack once the tasks there that end have ended.
+func (p *plan) fitsInOneRackLater(pl *pool, u *unit) bool {
+	empty := &plan{scheduler: p.scheduler, now: p.now}
+	return empty.packInOneRack(pl, u, freeLater) != nil
+}
+
 // fitsInOneRackWhenEmpty reports whether the whole gang would fit in one rack if nothing ran there.
 func (p *plan) fitsInOneRackWhenEmpty(pl *pool, u *unit) bool {
 	empty := &plan{scheduler: p.scheduler, now: p.now}
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // headroomShare is the share of a service's accelerators that is left free for urgent work. A preemption takes most of a
@@ -10,6 +11,16 @@
 // free already.
 const headroomShare = 0.2
 
+// permanentStartWait is how long a permanent task that was never at work leaves the headroom to urgent work.
+const permanentStartWait = 2 * time.Second
+
+// mayUseHeadroom reports whether a unit may run on workers that are kept free for urgent work: if it is urgent, or permanent and not
+// just submitted. Permanent tasks that run do not make room for others, so on a fleet that is full of them one that was lost would never
+// start again beside idle workers.
+func (p *plan) mayUseHeadroom(u *unit) bool {
+	return u.urgent() || u.step.spec.Permanent && (u.run > 0 || !u.waitingAt.IsZero() && p.now.Sub(u.waitingAt) > permanentStartWait)
+}
+
 // markHeadroom keeps workers free for urgent work. It picks them rack by rack, beginning with the rack with the most free
 // accelerators since urgent gangs often should run in one rack, and workers with the most free accelerators first. Workers
 // that are reserved do not count, since their free accelerators are used as soon as the reserving unit fits.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -11,12 +11,15 @@
 
 // Limits of orders to workers.
 const (
-	startTimeout     = 350 * time.Millisecond // a healthy worker answers within a few milliseconds
-	startAttempts    = 3                      // attempts before a start is withdrawn; well within the time that a gang waits
-	stopTimeout      = 500 * time.Millisecond
-	stopRetryPause   = 150 * time.Millisecond // pause between attempts to stop a run
-	leaseSlack       = 500 * time.Millisecond // added to a lease for the delay of the order and for rounding
-	clockDriftFactor = 1.03                   // a worker's clock may be 2 % slow; 1 % is reserve
+	startTimeout   = 350 * time.Millisecond // a healthy worker answers within a few milliseconds
+	startAttempts  = 3                      // attempts before a start is withdrawn; well within the time that a gang waits
+	stopTimeout    = 500 * time.Millisecond
+	stopRetryPause = 150 * time.Millisecond // pause between attempts to stop a run
+	leaseSlack     = 500 * time.Millisecond // added to a lease for the delay of the order and for rounding
+	// maxPermanentLease limits the leases on workers with permanent tasks. The platform expects such a task to be at work again 9 s
+	// after its worker was lost, and until its lease has expired it must not start elsewhere.
+	maxPermanentLease = 7 * time.Second
+	clockDriftFactor  = 1.03 // a worker's clock may be 2 % slow; 1 % is reserve
 )
 
 // startOrderFor returns the order that starts a member, and grants its lease.
@@ -30,11 +33,27 @@
 // grantLease returns the end of a lease that begins now, on the worker's clock. It also updates when the worker's leases
 // have certainly expired.
 func (s *Scheduler) grantLease(w *worker, now time.Time) int64 {
-	end := now.Add(time.Duration(float64(s.config.Bounds.Lease)*clockDriftFactor) + leaseSlack)
+	lease := s.leaseOn(w)
+	end := now.Add(expiryOf(lease))
 	if end.After(w.leasesOverAt) {
 		w.leasesOverAt = end
 	}
-	return w.workerClock + now.Sub(w.lastAnswerAt).Milliseconds() + s.config.Bounds.Lease.Milliseconds()
+	return w.workerClock + now.Sub(w.lastAnswerAt).Milliseconds() + lease.Milliseconds()
+}
+
+// leaseOn returns the length of the leases on a worker.
+func (s *Scheduler) leaseOn(w *worker) time.Duration {
+	for _, m := range w.members {
+		if m.unit.step.spec.Permanent {
+			return min(s.config.Bounds.Lease, maxPermanentLease)
+		}
+	}
+	return s.config.Bounds.Lease
+}
+
+// expiryOf returns the time after which a lease that was granted now has certainly expired.
+func expiryOf(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*clockDriftFactor) + leaseSlack
 }
 
 // startMember sends a start order and handles the answer.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -15,13 +15,15 @@
 type taskRequirements struct {
 	service, label, rack string
 	resources            workload.Resources
+	permanent            bool
+	mayUseHeadroom       bool
 	step                 *step // nil unless other rules decide for each step which workers it may use
 }
 
-// requirements returns what decides where a single task fits.
-func (u *unit) requirements() taskRequirements {
+// requirementsOf returns what decides where a single task fits.
+func (p *plan) requirementsOf(u *unit) taskRequirements {
 	settings, spec := u.job().queueSettings, u.step.spec
-	needs := taskRequirements{service: settings.Service, label: spec.Label, rack: spec.DataRack, resources: u.step.resources()}
+	needs := taskRequirements{service: settings.Service, label: spec.Label, rack: spec.DataRack, resources: u.step.resources(), permanent: spec.Permanent, mayUseHeadroom: p.mayUseHeadroom(u)}
 	if settings.Advised || spec.MaxPerWorker > 0 || len(u.reservedWorkers) > 0 {
 		needs.step = u.step
 	}
@@ -223,8 +225,9 @@
 		if !waits || cause == waitPause {
 			cause, waits = why, true
 		}
-		if u.index >= 0 && r.class > urgent && why != waitTicket {
-			break // the step's other tasks need the same, so they do not fit either; urgent ones may each preempt
+		if u.index >= 0 && r.class > urgent && why != waitTicket && !st.spec.Permanent {
+			break // the step's other tasks need the same, so they do not fit either; urgent ones may each preempt, and some permanent
+			// ones may use the headroom
 		}
 	}
 	return cause, waits, false
@@ -248,7 +251,7 @@
 // placeUnit starts a unit if it fits, and reports whether it did or why not. Otherwise it may preempt other work or reserve
 // workers for the unit.
 func (p *plan) placeUnit(pl *pool, r rank, u *unit) (placed bool, why waitCause) {
-	needs := u.requirements()
+	needs := p.requirementsOf(u)
 	if why, known := p.fitNowhere[needs]; known && u.index >= 0 && r.class > urgent {
 		return false, why
 	}
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -29,7 +29,7 @@
 	w := &worker{members: map[runKey]*member{}, endsRecorded: make(chan struct{}, 1)}
 	w.info.ID = id
 	// Earlier leaders may renew leases until their authority ends.
-	w.leasesOverAt = s.createdAt.Add(s.config.PreviousAuthority + time.Duration(float64(s.config.Bounds.Lease)*clockDriftFactor) + leaseSlack)
+	w.leasesOverAt = s.createdAt.Add(s.config.PreviousAuthority + expiryOf(s.config.Bounds.Lease))
 	s.workers[id] = w
 	return w
 }
