Guarantees: work within a guarantee preempts permanent tasks of others

Cause: mayPreempt never allowed to stop permanent units, and they never end. Ruled out by the test: rank and guarantee of the job; other work is preempted.

Change: work within a guarantee may preempt permanent tasks, as other work, what loses least first. Tasks of a step that are stopped and those that are not at work together stay within what the step may have unavailable. Keeping guaranteed accelerators free of permanent tasks instead was not tried: it leaves them idle for work that may never come.

TestGuaranteedJobPreemptsPermanentTasksOfOthers failed before (0 of 2 stops). TestPermanentStepKeepsItsAvailability fails without the limit (3 of 1 stops).

--- a/internal/dispatch/permanent_test.go
+++ b/internal/dispatch/permanent_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/catalog"
+
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
 
@@ -99,3 +101,72 @@
 	assert.Assert(t, expiryOf(h.scheduler.leaseOn(at[0])) < restartGrace+restartOwed-time.Second)
 	assert.Equal(t, h.scheduler.leaseOn(&worker{}), testLease)
 }
+
+// urgentJob returns a job of priority 0 whose tasks each need a whole worker.
+func urgentJob(n, tasks int) *workload.Job {
+	j := wholeWorker(n)
+	j.QueueSettings.Priority = 0
+	j.Steps[0].Count, j.Steps[0].Gang = tasks, tasks > 1
+	return j
+}
+
+// guarantee gives the jobs' customer guaranteed accelerators.
+func (h *harness) guarantee(accelerators int64) {
+	h.scheduler.config.Catalog.Advance((&catalog.Catalog{Version: 2, Customers: []catalog.Customer{{Name: "club", GuaranteedAccelerators: accelerators}}}).Build())
+}
+
+// Guards against work within a customer's guarantee that never starts, since the permanent tasks of others hold the accelerators.
+func TestGuaranteedJobPreemptsPermanentTasksOfOthers(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	h.guarantee(16)
+	for n, w := range startPermanentJobs(h, 4, 4) {
+		h.scheduler.jobs[permanentJob(n).ID].spec.Customer = "other"
+		h.awaitRunning(w, 1)
+	}
+	beyond := urgentJob(10, 3)
+	h.submit(beyond)
+	h.pass()
+	assert.Equal(t, h.fleet.stopped(), 0, "work beyond the guarantee stops permanent tasks")
+	h.cancel(beyond.ID)
+	h.submit(urgentJob(11, 2))
+	h.pass()
+	awaitStops(t, h.fleet, 2)
+	for _, stop := range h.fleet.stops {
+		w := h.scheduler.jobs[stop.Task.Job].occurrences[0].steps[0].units[0].members[0].worker
+		h.report(w, HeartbeatReport{Ended: []EndReport{{1, stop.Task, 1, EndStopped, ""}}})
+	}
+	h.pass()
+	awaitStarts(t, h.fleet, 4+2)
+}
+
+// Guards against more tasks of a permanent step that are stopped at the same time than its customer allows.
+func TestPermanentStepKeepsItsAvailability(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	h.guarantee(24)
+	const tasks = 3
+	workers := make([]*worker, tasks)
+	for i := range workers {
+		workers[i] = h.addWorker(workerName(i), "r1", 8)
+	}
+	serving := permanentJob(0)
+	serving.Customer, serving.Steps[0].Count, serving.Steps[0].MaxUnavailable = "other", tasks, 1
+	h.submit(serving)
+	h.pass()
+	awaitStarts(t, h.fleet, tasks)
+	h.submit(urgentJob(1, 1))
+	h.pass()
+	assert.Equal(t, h.fleet.stopped(), 0, "a task is stopped while none is at work yet")
+	for _, w := range workers {
+		h.awaitRunning(w, 1)
+		runs := h.runsOn(w)
+		runs[0].Percent = 100
+		h.report(w, HeartbeatReport{Running: runs})
+	}
+	h.submit(urgentJob(2, 2))
+	for range 3 {
+		h.pass()
+	}
+	awaitStops(t, h.fleet, 1)
+	time.Sleep(10 * time.Millisecond)
+	assert.Equal(t, h.fleet.stopped(), 1)
+}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -85,6 +85,9 @@
 	var victims []*unit
 	total := 0.0
 	for _, c := range candidates {
+		if !mayAllStop(victims, c.victims) {
+			continue
+		}
 		workers = append(workers, c.worker)
 		for _, v := range c.victims {
 			victims = append(victims, v.unit)
@@ -123,7 +126,7 @@
 	var chosen []victim
 	cost := 0.0
 	for _, v := range candidates {
-		if slices.ContainsFunc(chosen, func(c victim) bool { return c.unit == v.unit }) {
+		if slices.ContainsFunc(chosen, func(c victim) bool { return c.unit == v.unit }) || !mayAllStop(unitsOf(chosen), []victim{v}) {
 			continue
 		}
 		for _, m := range v.unit.members {
@@ -140,9 +143,10 @@
 	return chosen, n, cost
 }
 
-// mayPreempt reports whether a running unit may be preempted for work of rank r.
+// mayPreempt reports whether a running unit may be preempted for work of rank r. Permanent work never ends by itself, so it makes room
+// for work within a guarantee, as far as its customer allows it to be unavailable.
 func (p *plan) mayPreempt(v *unit, r rank) bool {
-	if v.step.spec.Permanent || v.state != active {
+	if v.state != active || v.step.spec.Permanent && r.class != guaranteed {
 		return false
 	}
 	if v.job().queueSettings.Priority > 0 {
@@ -151,6 +155,51 @@
 	return r.class == guaranteed && !p.scheduler.withinGuarantee(v.job())
 }
 
+// unitsOf returns the units of victims.
+func unitsOf(victims []victim) []*unit {
+	units := make([]*unit, len(victims))
+	for i, v := range victims {
+		units[i] = v.unit
+	}
+	return units
+}
+
+// mayAllStop reports whether more units may be stopped beside those chosen before, so that of no permanent step more tasks are unavailable
+// than its customer allows.
+func mayAllStop(chosen []*unit, more []victim) bool {
+	stopping := map[*step]int{}
+	for _, u := range append(slices.Clone(chosen), unitsOf(more)...) {
+		stopping[u.step] += u.size()
+	}
+	for st, tasks := range stopping {
+		if limit := st.spec.MaxUnavailable; st.spec.Permanent && limit > 0 && st.unavailable()+tasks > limit {
+			return false
+		}
+	}
+	return true
+}
+
+// unavailable returns the number of tasks of a permanent step that are not at work.
+func (s *step) unavailable() int {
+	n := 0
+	for _, u := range s.units {
+		for i := range u.size() {
+			if u.state != active || !u.members[i].atWork() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// atWork reports whether the member's run is known to be at work and is not being stopped.
+func (m *member) atWork() bool {
+	return m.state == running && !m.stopWanted && m.percent >= fullyAtWork
+}
+
+// fullyAtWork is the progress that a worker reports of a permanent task that is at work.
+const fullyAtWork = 100
+
 // lostWork returns the accelerator-seconds of work that are lost if a unit is stopped.
 func (p *plan) lostWork(u *unit) float64 {
 	loss := 0.0
