Cancellation: "no such job" only from a view that is complete as of the call

Cause: the instance answered from a view of the log up to 2.5 s old. That bound fits GET (visible_ms), not a cancellation: 410 is one of its two final answers, so the caller does not ask again. Ruled out: scheduler and log, which were not disturbed.

Change: before it answers 410 the instance waits until a read that was sent after the call has been answered, at most 1.4 s (two long polls); otherwise it answers 503 with the remedy to ask another instance. A cancellation of a known job takes no longer than before. Why it is enough: the store is linearizable, so such a read shows every job acknowledged before the call.

--- a/internal/entry/jobservice.go
+++ b/internal/entry/jobservice.go
@@ -13,6 +13,7 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
+	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
 
@@ -22,6 +23,8 @@
 	staleAfter       = 2500 * time.Millisecond // age of the job index above which a job that it does not contain may exist
 	maxReadyAge      = 1700 * time.Millisecond // largest age of the job index of a ready instance; allows for two long polls and a pause
 	refreshTimeout   = 80 * time.Millisecond   // for reading new records before a job's state is reported
+	completeTimeout  = 1400 * time.Millisecond // for reading all records before a cancellation is answered with "no such job"; two long polls
+	completeInterval = 20 * time.Millisecond   // between checks whether they are read
 	localOutageLimit = time.Second             // duration of an outage up to which it may affect this instance only, so callers retry elsewhere at once
 	outageRetryAfter = time.Second             // retry delay for callers in a longer outage; short, since they give up after a few seconds
 )
@@ -90,9 +93,18 @@
 }
 
 // Cancel requests the end of a job. Errors are of kind NotFound if there is no such job, and Unavailable or Unknown if the caller
-// must retry.
+// must retry. NotFound tells the caller that the job never runs, so it is returned only once all that was in the log at the time of the
+// call is read.
 func (s *JobService) Cancel(ctx context.Context, customer, id string) error {
+	asked := time.Now()
 	view, err := s.find(ctx, customer, id)
+	if errkind.Is(err, errkind.NotFound) {
+		if !s.awaitComplete(ctx, asked) {
+			s.count("cancel", "uncertain")
+			return errkind.New(errkind.Unavailable, "retry at another instance", "this instance cannot tell whether job %s exists", id)
+		}
+		view, err = s.find(ctx, customer, id)
+	}
 	if err != nil {
 		return err
 	}
@@ -153,6 +165,21 @@
 	return view, errkind.New(errkind.NotFound, "check the id", "there is no job %s", id)
 }
 
+// awaitComplete waits until the index holds all that was in the log at the given time, at most for completeTimeout, and reports whether
+// it does.
+func (s *JobService) awaitComplete(ctx context.Context, at time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, completeTimeout)
+	defer cancel()
+	for !s.index.CompleteAt(at) {
+		if ctx.Err() != nil {
+			return false
+		}
+		s.reader.Refresh(ctx) // ends a pause of the reader; returns at once while a read is in progress
+		wait.For(ctx, completeInterval)
+	}
+	return true
+}
+
 // record writes one record and waits for the outcome, at most for recordTimeout.
 func (s *JobService) record(ctx context.Context, r ledger.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
