Test harness: an ended heartbeat loop gets no more answers

A heartbeat loop that was ended may be on its way to its last call. The scripted fleet answered that call although its context had ended, so the report of a worker that the test had taken away could still be handled. A real fleet returns the context's error.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -114,7 +114,7 @@
 	f.mu.Lock()
 	answer := f.heartbeat
 	f.mu.Unlock()
-	if answer != nil {
+	if answer != nil && ctx.Err() == nil { // a loop that was ended may still be on its way to its last call
 		return answer(o)
 	}
 	<-ctx.Done()
