Placement: a restarted worker gets no work until its new entry is known

Cause: the labels came from the entry of the process before. Change: a worker whose entry and last report name different process starts is not usable; both follow within a read of the list or a heartbeat. If either lacks the start, nothing changes.

TestRestartedWorkerGetsNoWorkUntilItsNewEntryIsKnown failed before (one task placed by the old entry).";

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -24,7 +24,7 @@
 
 // usable reports whether the worker may get work now. A quarantined worker gets one probe at a time.
 func (w *worker) usable(now time.Time) bool {
-	if !w.listed || w.info.Draining || !w.answers(now) {
+	if !w.listed || w.info.Draining || !w.answers(now) || w.describesAnotherProcess() {
 		return false
 	}
 	if w.health.quarantine > 0 {
@@ -33,6 +33,12 @@
 	return true
 }
 
+// describesAnotherProcess reports whether the worker's entry in discovery is that of another process than the one that answers. A
+// restarted worker may be of another kind, with other labels and resources.
+func (w *worker) describesAnotherProcess() bool {
+	return w.info.ProcessStart != 0 && w.processStart != 0 && w.info.ProcessStart != w.processStart
+}
+
 // updateHealth updates the judgement of a worker after a run there has ended.
 func (s *Scheduler) updateHealth(m *member, ending Ending) {
 	w := m.worker
--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -147,3 +147,27 @@
 	}
 	return runs
 }
+
+// Guards against a task on a worker of the wrong kind: the worker has started again as another kind, and its new process has answered a
+// heartbeat before discovery shows its new entry.
+func TestRestartedWorkerGetsNoWorkUntilItsNewEntryIsKnown(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	w := h.addWorker("w1", "r1", 8)
+	info := w.info
+	info.ProcessStart = 1
+	h.scheduler.Observe(info)
+	h.report(w, HeartbeatReport{ProcessStart: 2})
+	j := singleStepJob(1, stepOf(1))
+	j.Steps[0].Label = "a"
+	h.submit(j)
+	h.pass()
+	assert.Equal(t, len(w.members), 0)
+	info.ProcessStart, info.Labels = 2, []string{"b", "r1"}
+	h.scheduler.Observe(info)
+	h.pass()
+	assert.Equal(t, len(w.members), 0)
+	info.Labels = []string{"a", "r1"}
+	h.scheduler.Observe(info)
+	h.pass()
+	awaitStarts(t, h.fleet, 1)
+}
