Leadership: authority of 6 s, counted from the last heartbeat that was read

Cause: the next scheduler waits for the authority of the lost one, 8 s from its own claim, and then for the longest lease, 10.8 s; the claim comes about 1.5 s after the loss.

Change: the authority of a silent holder counts from its last record that was read. That is as certain: a claim succeeds only if nothing was written since, so the last confirmed heartbeat was sent before. And AuthorityLimit is 6 s. Records of versions with 8 s lack the field and still count as 8 s.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -36,7 +36,11 @@
 	takeoverRatio     = 1.5                     // least ratio of an instance's processor share to the holder's for requesting the term
 	candidacyInterval = 3 * time.Second         // least time between two requests for the same term
 	minTermAge        = time.Second             // a younger term is not requested
-	AuthorityLimit    = 8 * time.Second         // how long a holder acts on its last confirmed heartbeat while the log is silent
+	// AuthorityLimit is how long a holder acts on its last confirmed heartbeat while the log is silent. Work of silent workers waits for
+	// it after the loss of a holder, and then for the longest lease.
+	AuthorityLimit = 6 * time.Second
+	// formerAuthorityLimit is the limit in versions whose records lack EarlierAuthority.
+	formerAuthorityLimit = 8 * time.Second
 )
 
 // Keys of the topic.
@@ -108,6 +112,7 @@
 	candidateSeenAt time.Time     // when that request was observed or made
 	topicEnd        int64         // offset after the last known record of the topic
 	confirmedAt     time.Duration // when the last confirmed heartbeat was sent, by clock
+	heardAt         time.Duration // when the last record of a holder was read, by clock
 	earlierUntil    time.Duration // until when holders of earlier terms than the one held may act, by clock
 	failures        int           // number of calls in a row without a usable answer
 }
@@ -300,6 +305,7 @@
 			continue
 		}
 		heard = true
+		e.heardAt = e.clock()
 		if state.Term != e.current.Term || state.Resigned != e.current.Resigned {
 			e.termSeenAt = time.Now()
 			e.events.Emit(eventObserved, event.F("term", state.Term), event.F("holder", state.Holder), event.F("size", state.ProcessorShare), event.F("resigned", state.Resigned), event.F("successor", state.Successor))
@@ -349,13 +355,20 @@
 // authorityBefore returns how long after a claim that follows the state s holders of earlier terms may still act. That the last of
 // them has stopped says nothing about those before it.
 func (e *Elector) authorityBefore(s State) time.Duration {
-	switch {
-	case s.Term == 0:
+	if s.Term == 0 {
 		return 0
-	case !e.vacant(s) || s.EarlierAuthority == nil:
-		return AuthorityLimit
 	}
-	return *s.EarlierAuthority
+	if s.EarlierAuthority == nil {
+		return formerAuthorityLimit
+	}
+	authority := *s.EarlierAuthority
+	if !e.vacant(s) {
+		authority = max(authority, AuthorityLimit)
+	}
+	// The claim succeeds only if nothing was written since, so the last confirmed heartbeat was sent before heardAt.
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(authority-(e.clock()-e.heardAt), 0)
 }
 
 // earlierAuthority returns how much longer holders of earlier terms than the one held may act. The caller holds mu.
