Read-through: limit the recorded authority, one check for gangs in a rack, comments

The two checks whether a gang fits in one rack were the same but for the resources they look at. The note on why there is one query at a time stands at the top of advice.go. No other change of behaviour.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -11,6 +11,11 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
 
+// The advisor handles one query at a time, and while a query waits there for its turn, the workers it was meant for are taken and
+// the tickets of others expire. So the scheduler makes one query at a time, for the step that goes first in the order of waiting
+// work among those that a query can help to start now. Steps that have no room yet, and steps whose queries fail, use the time
+// that is left.
+
 // Limits of queries to the advisor.
 const (
 	exploredPerQuery = 30                      // workers that one query asks about for the first time; every worker slows the answer
@@ -91,11 +96,6 @@
 	workers []string
 }
 
-// The advisor handles one query at a time, and while a query waits there for its turn, the workers it was meant for are taken and
-// the tickets of others expire. So the scheduler makes one query at a time, for the step that goes first in the order of waiting
-// work among those that a query can help to start now. Steps that have no room yet, and steps whose queries fail, use the time
-// that is left.
-
 // awaitTickets reports whether the unit has to wait for tickets of some of the workers chosen for it. The chosen workers are then
 // earmarked.
 func (p *plan) awaitTickets(u *unit, chosen []*worker) bool {
@@ -238,7 +238,8 @@
 	}
 	o := st.occurrence
 	settings := o.job.queueSettings
-	timeout := backOffBy(adviceTimeout, st.advice.failures, maxAdviceTimeout) + settings.AdviceDecision + time.Duration(len(q.workers))*settings.AdvicePerWorker
+	answerTime := settings.AdviceDecision + time.Duration(len(q.workers))*settings.AdvicePerWorker
+	timeout := answerTime + backOffBy(adviceTimeout, st.advice.failures, maxAdviceTimeout)
 	go s.exchangeQuery(q, StepName{o.job.spec.ID, o.index, st.index}, timeout)
 }
 
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -36,7 +36,7 @@
 		return chosen
 	}
 	oneRack := spec.SameRack || spec.DataRack != ""
-	if oneRack && p.fitsInOneRackLater(pl, u) && (waited < localityWait || !spec.Permanent && !pl.mostlyIdle()) {
+	if oneRack && p.fitsInOneRack(pl, u, freeLater) && (waited < localityWait || !spec.Permanent && !pl.mostlyIdle()) {
 		p.noRackFits = true
 		return nil
 	}
@@ -230,14 +230,8 @@
 	return p.pack(pl.workers, u, capacityOf) != nil
 }
 
-// fitsInOneRackLater reports whether the whole gang would fit in one rack once the tasks there that end have ended.
-func (p *plan) fitsInOneRackLater(pl *pool, u *unit) bool {
+// fitsInOneRack reports whether the whole gang would fit in one rack with the given free resources, if no worker was kept free.
+func (p *plan) fitsInOneRack(pl *pool, u *unit, free func(*worker) workload.Resources) bool {
 	empty := &plan{scheduler: p.scheduler, now: p.now}
-	return empty.packInOneRack(pl, u, freeLater) != nil
-}
-
-// fitsInOneRackWhenEmpty reports whether the whole gang would fit in one rack if nothing ran there.
-func (p *plan) fitsInOneRackWhenEmpty(pl *pool, u *unit) bool {
-	empty := &plan{scheduler: p.scheduler, now: p.now}
-	return empty.packInOneRack(pl, u, capacityOf) != nil
+	return empty.packInOneRack(pl, u, free) != nil
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -23,7 +23,10 @@
 // requirementsOf returns what decides where a single task fits.
 func (p *plan) requirementsOf(u *unit) taskRequirements {
 	settings, spec := u.job().queueSettings, u.step.spec
-	needs := taskRequirements{service: settings.Service, label: spec.Label, rack: spec.DataRack, resources: u.step.resources(), permanent: spec.Permanent, mayUseHeadroom: p.mayUseHeadroom(u)}
+	needs := taskRequirements{
+		service: settings.Service, label: spec.Label, rack: spec.DataRack, resources: u.step.resources(),
+		permanent: spec.Permanent, mayUseHeadroom: p.mayUseHeadroom(u),
+	}
 	if settings.Advised || spec.MaxPerWorker > 0 || len(u.reservedWorkers) > 0 {
 		needs.step = u.step
 	}
--- a/internal/dispatch/reservations.go
+++ b/internal/dispatch/reservations.go
@@ -90,7 +90,7 @@
 	if spec.DataRack != "" && len(pl.racks[spec.DataRack]) > 0 {
 		return [][]*worker{pl.racks[spec.DataRack]}
 	}
-	if u.index < 0 && spec.SameRack && p.fitsInOneRackWhenEmpty(pl, u) {
+	if u.index < 0 && spec.SameRack && p.fitsInOneRack(pl, u, capacityOf) {
 		var sets [][]*worker
 		for _, name := range sortedKeys(pl.racks) {
 			sets = append(sets, pl.racks[name])
--- a/internal/leadership/authority_test.go
+++ b/internal/leadership/authority_test.go
@@ -185,3 +185,15 @@
 	s.clock += second.EarlierAuthority
 	assert.Assert(t, !first.Authority())
 }
+
+// Guards against a record of another program, or of a fault, that keeps work waiting for ever.
+func TestRecordedAuthorityIsLimited(t *testing.T) {
+	s := newSuccession(t)
+	e, term := s.claim("a", "1")
+	e.resign(term, "")
+	last, odd := e.Current(), 1000*time.Hour
+	last.EarlierAuthority = &odd
+	assert.NilError(t, e.write(t.Context(), last, e.topicEnd))
+	_, next := s.claim("b", "2")
+	assert.Equal(t, next.EarlierAuthority, formerAuthorityLimit)
+}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -300,12 +300,12 @@
 			e.observeCandidate(record)
 			continue
 		}
+		e.heardAt = e.clock()
 		var state State
 		if err := codec.Unmarshal(record.Value, &state); err != nil || state.Term < e.current.Term {
 			continue
 		}
 		heard = true
-		e.heardAt = e.clock()
 		if state.Term != e.current.Term || state.Resigned != e.current.Resigned {
 			e.termSeenAt = time.Now()
 			e.events.Emit(eventObserved, event.F("term", state.Term), event.F("holder", state.Holder), event.F("size", state.ProcessorShare), event.F("resigned", state.Resigned), event.F("successor", state.Successor))
@@ -361,7 +361,7 @@
 	if s.EarlierAuthority == nil {
 		return formerAuthorityLimit
 	}
-	authority := *s.EarlierAuthority
+	authority := min(*s.EarlierAuthority, formerAuthorityLimit)
 	if !e.vacant(s) {
 		authority = max(authority, AuthorityLimit)
 	}
