review: case 6 needs no disturbed minion

The quarantine without end also comes about by tasks that fail by their own fault, one in twenty: a fleet that runs nothing but gangs stops for good after about a minute. The case now plays that; the one with failing minions stays in the harness.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -8,4 +8,4 @@
 fi
 TROUBLE="${TROUBLE:-1}"
 export TROUBLE
-exec target/review-2/harness --case quarantine --daemon target/dogwoodnotch --record review/6/record.txt
+exec target/review-2/harness --case own-failures --daemon target/dogwoodnotch --record review/6/record.txt
--- a/review/harness-2/minion.go
+++ b/review/harness-2/minion.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"hash/fnv"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -28,10 +30,11 @@
 
 // taskSpec is what the spec of a job tells the stand-in about the tasks of one step.
 type taskSpec struct {
-	TakesMS int64     `json:"takes_ms"`
-	Gang    int       `json:"gang,omitempty"` // number of members, 0 for single tasks
-	Label   string    `json:"label,omitempty"`
-	Needs   resources `json:"needs"`
+	TakesMS   int64     `json:"takes_ms"`
+	Gang      int       `json:"gang,omitempty"` // number of members, 0 for single tasks
+	Label     string    `json:"label,omitempty"`
+	Needs     resources `json:"needs"`
+	FailShare int       `json:"fail_share,omitempty"` // one in so many runs fails by its own fault, 0 for none
 }
 
 // run is a run of a task on a minion.
@@ -86,15 +89,14 @@
 	rec     *record
 	publish func(id string, entry []byte)
 
-	mu       sync.Mutex
-	minions  []*minion
-	noted    map[string]bool // tasks of which an end done was taken note of
-	started  []startEvent
-	finished []endEvent
-	broken   []string
+	mu      sync.Mutex
+	minions []*minion
+	noted   map[string]bool // tasks of which an end done was taken note of
+	started []startEvent
+	broken  []string
 }
 
-// startEvent is a run that began, and endEvent one that ended.
+// startEvent is a run that began.
 type startEvent struct {
 	at     time.Time
 	task   string
@@ -102,13 +104,6 @@
 	minion string
 }
 
-type endEvent struct {
-	at   time.Time
-	task string
-	run  int
-	how  string
-}
-
 func newFleet(rec *record, publish func(string, []byte)) *fleet {
 	f := &fleet{rec: rec, publish: publish, noted: map[string]bool{}}
 	go func() {
@@ -511,6 +506,8 @@
 				f.finish(b, r, "stopped", now)
 			case !r.workFrom.IsZero() && now.Sub(r.workFrom).Milliseconds() >= r.spec.TakesMS:
 				f.finish(b, r, "done", now)
+			case !r.workFrom.IsZero() && r.failsItself() && 2*now.Sub(r.workFrom).Milliseconds() >= r.spec.TakesMS:
+				f.finish(b, r, "failed", now)
 			case r.workFrom.IsZero() && now.Sub(r.began) >= gangWait:
 				f.finish(b, r, "alone", now)
 			}
@@ -518,6 +515,16 @@
 	}
 }
 
+// failsItself reports whether a run fails by its own fault, half-way. Which runs do depends only on their names.
+func (r *run) failsItself() bool {
+	if r.spec.FailShare == 0 {
+		return false
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(r.task + "/" + strconv.Itoa(r.number))) // never fails
+	return h.Sum32()%uint32(r.spec.FailShare) == 0
+}
+
 // finish ends a run and, if it does not end well, the other members of its gang. The caller holds mu.
 func (f *fleet) finish(b *life, r *run, how string, now time.Time) {
 	others := f.gangOf(r)
@@ -525,7 +532,6 @@
 	b.highest[r.task] = max(b.highest[r.task], r.number)
 	b.lastEnd++
 	b.ends = append(b.ends, end{number: b.lastEnd, task: r.task, run: r.number, how: how})
-	f.finished = append(f.finished, endEvent{now, r.task, r.number, how})
 	f.rec.note("  end %s run %d at %s: %s after %d ms", r.task, r.number, b.m.id, how, now.Sub(r.began).Milliseconds())
 	if r.spec.Gang == 0 || how == "done" || how == "broken" || how == "alone" {
 		return
@@ -573,19 +579,6 @@
 	return starts
 }
 
-// endsOf returns the ends of a job.
-func (f *fleet) endsOf(job string) []endEvent {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var ends []endEvent
-	for _, e := range f.finished {
-		if jobOf(e.task) == job {
-			ends = append(ends, e)
-		}
-	}
-	return ends
-}
-
 // halfInUse reports whether half of the cores or of the accelerators of all minions that are up are in use.
 func (f *fleet) halfInUse() bool {
 	f.mu.Lock()
--- a/review/harness-2/world.go
+++ b/review/harness-2/world.go
@@ -51,11 +51,12 @@
 	instances []*instance
 	client    *http.Client
 
-	mu       sync.Mutex
-	nextJob  int
-	accepted map[string]bool
-	refused  int // appends that the store refused because of their size
-	queues   []map[string]any
+	mu        sync.Mutex
+	nextJob   int
+	failShare int // one in so many tasks fails by its own fault; 0 for none
+	accepted  map[string]bool
+	refused   int // appends that the store refused because of their size
+	queues    []map[string]any
 }
 
 func newWorld(daemon string, rec *record) (*world, error) {
@@ -241,7 +242,7 @@
 	w.mu.Unlock()
 	specs := make([]taskSpec, len(phases))
 	for i, p := range phases {
-		specs[i] = taskSpec{TakesMS: p.EstimateMS, Label: p.Requires, Needs: resources{p.CPU, p.MemMB, p.GPU}}
+		specs[i] = taskSpec{TakesMS: p.EstimateMS, FailShare: w.failShare, Label: p.Requires, Needs: resources{p.CPU, p.MemMB, p.GPU}}
 		if p.Gang {
 			specs[i].Gang = p.Count
 		}
