--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -25,12 +25,13 @@
 
 // cases are the scripted cases by name. Each returns the broken rules it saw, as text, or an error if it could not run.
 var cases = map[string]func(*world, bool) ([]string, error){
-	"quarantine":   playQuarantine,
-	"own-failures": playOwnFailures,
-	"late-submit":  playLateSubmit,
-	"long-tasks":   playLongTasks,
-	"other-kind":   playOtherKind,
-	"large-job":    playLargeJob,
+	"quarantine":      playQuarantine,
+	"own-failures":    playOwnFailures,
+	"late-submit":     playLateSubmit,
+	"long-tasks":      playLongTasks,
+	"other-kind":      playOtherKind,
+	"no-accelerators": playNoAccelerators,
+	"large-job":       playLargeJob,
 }
 
 func main() {
--- a/review/harness-2/minion.go
+++ b/review/harness-2/minion.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"hash/fnv"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -137,9 +138,9 @@
 func (f *fleet) begin(m *minion, kind string, capacity resources) {
 	b := &life{m: m, born: time.Now(), kind: kind, capacity: capacity, runs: map[string]*run{}, highest: map[string]int{}, incoming: newPipeListener(m.listener.Addr())}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/run-start", b.handle(b.start))
-	mux.HandleFunc("POST /v1/run-stop", b.handle(b.stop))
-	mux.HandleFunc("POST /v1/hold", b.handle(b.hold))
+	mux.HandleFunc("POST "+wire["start_call"], b.handle(b.start))
+	mux.HandleFunc("POST "+wire["stop_call"], b.handle(b.stop))
+	mux.HandleFunc("POST "+wire["hold_call"], b.handle(b.hold))
 	b.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	m.life = b
 	go func() { _ = b.server.Serve(b.incoming) }()
@@ -174,7 +175,7 @@
 			sequence++
 			entry, _ = json.Marshal(map[string]any{ // cannot fail: all values have a JSON form
 				"service": serviceName, "address": m.listener.Addr().String(), "zone": zoneName, "version": "v1", "slots": 8, "state": "ready",
-				"cold_remaining_ms": 0, "capacity": b.capacity, "labels": []string{b.kind, m.rack}, "clock_ms": b.clock(time.Now()),
+				wire["cold"]: 0, "capacity": b.capacity, "labels": []string{b.kind, m.rack}, "clock_ms": b.clock(time.Now()),
 				"born": b.born.UnixMilli(), "sequence": sequence,
 			})
 		}
@@ -227,20 +228,44 @@
 	Run        int    `json:"run"`
 	Spec       string `json:"spec"`
 	DeadlineMS int64  `json:"deadline_ms"`
-	Token      int64  `json:"fencing_token"`
-	LastSeen   int64  `json:"last_seen"`
+	Token      int64  `json:"-"`
+	LastSeen   int64  `json:"-"`
 	WaitMS     int64  `json:"wait_ms"`
 }
 
+// decodeOrder reads the body of a call.
+func decodeOrder(body io.Reader) (order, error) {
+	var o order
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return o, err
+	}
+	if err := json.Unmarshal(data, &o); err != nil {
+		return o, err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return o, err
+	}
+	for name, into := range map[string]*int64{"token": &o.Token, "acknowledged_end": &o.LastSeen} {
+		if raw, present := fields[wire[name]]; present {
+			if err := json.Unmarshal(raw, into); err != nil {
+				return o, err
+			}
+		}
+	}
+	return o, nil
+}
+
 // handle decodes a call and checks what holds for all calls.
 func (b *life) handle(do func(http.ResponseWriter, order)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		var o order
-		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		o, err := decodeOrder(r.Body)
+		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		if target := r.Header.Get("X-Target-Instance"); target != "" && target != b.m.id {
+		if target := r.Header.Get(wire["target_header"]); target != "" && target != b.m.id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
--- a/review/harness-2/world.go
+++ b/review/harness-2/world.go
@@ -72,13 +72,13 @@
 	w.storeAt = l.Addr().String()
 	server := &http.Server{Handler: http.HandlerFunc(w.serveStore), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(l) }() // ends with this process
-	w.fleet = newFleet(rec, func(id string, entry []byte) { w.store.Put("keyed.servers", id, entry) })
+	w.fleet = newFleet(rec, func(id string, entry []byte) { w.store.Put(wire["workers_topic"], id, entry) })
 	return w, nil
 }
 
 // serveStore is the store with the limit on the size of a record, which the project's stand-in lacks.
 func (w *world) serveStore(out http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/v1/log-append" {
+	if r.URL.Path != wire["append_call"] {
 		w.store.ServeHTTP(out, r)
 		return
 	}
@@ -108,7 +108,7 @@
 // queue adds a queue to the configuration.
 func (w *world) queue(name string, priority int, stretch float64) {
 	w.queues = append(w.queues, map[string]any{
-		"name": "r-" + name, "host": hostName, "path_prefix": "/" + name + "/", "route_type": "unsafe", "timeout_ms": 3000, "target_latency_ms": 1000,
+		"name": "r-" + name, "host": hostName, wire["prefix"]: "/" + name + "/", "route_type": "unsafe", "timeout_ms": 3000, wire["target_latency"]: 1000,
 		"priority": priority, "service": serviceName, "max_attempts": 4, "stretch": stretch, "skip_auth": false,
 	})
 }
@@ -117,11 +117,11 @@
 func (w *world) configure() {
 	data, _ := json.Marshal(map[string]any{ // cannot fail: all values have a JSON form
 		"version": 7, "routes": w.queues,
-		"services": []map[string]any{{"name": serviceName, "health_path": "/health", "max_conns": 64, "protocol": "h1", "rejects_overload": false, "standby": false}},
+		"services": []map[string]any{{"name": serviceName, "health_path": "/health", "max_conns": 64, "protocol": "h1", wire["rejects"]: false, "standby": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []map[string]any{{"name": "kaje80", "api_keys": []string{clientKey}, "priority": 1, "guaranteed": map[string]int{"gpu": 8}}},
+		"tenants":  []map[string]any{{"name": "kaje80", wire["keys"]: []string{clientKey}, "priority": 1, "guaranteed": map[string]int{"gpu": 8}}},
 	})
-	w.store.Put("keyed.op", "config", data)
+	w.store.Put(wire["operator_topic"], "config", data)
 }
 
 // freeAddress returns a loopback address on which nothing listens.
@@ -169,7 +169,7 @@
 	}
 	for _, n := range w.instances {
 		ready := waitFor(15*time.Second, func() bool {
-			status, _ := w.call(http.MethodGet, "http://"+n.readiness+"/v1/readiness", nil)
+			status, _ := w.call(http.MethodGet, "http://"+n.readiness+wire["readiness_call"], nil)
 			return status == http.StatusOK
 		})
 		if !ready {
@@ -208,7 +208,7 @@
 	req.Host = hostName
 	req.Header.Set("Authorization", "Bearer "+clientKey)
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("X-Deadline-Ms", "3000")
+	req.Header.Set(wire["deadline_header"], "3000")
 	resp, err := w.client.Do(req)
 	if err != nil {
 		return 0, ""
