Quarantine: gangs probe quarantined workers, and their success clears all their workers

Cause: only a single task could probe a quarantined worker, so without single tasks a quarantine had no end. And of the reports of a gang that succeeded only the first was judged, so failures at the workers of the other members counted as in a row although gangs had succeeded there between them. On the same path: runs from before the quarantine kept probes away, and a permanent task as a probe never ended.

Ruled out: reservations, headroom and ranks; nothing of them was changed.

Why it works: every quarantined worker that answers gets a probe once its pause is over, whatever kind of work waits, and the probe decides within its run time or 16 s.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -60,10 +60,11 @@
 	return p.packInOneGroup(pl.racks, u, free)
 }
 
-// packInOneGroup places a gang in the group of workers with the fewest free accelerators of those in which it fits.
+// packInOneGroup places a gang in the group of workers with the fewest free accelerators of those in which it fits. It prefers groups in
+// which the gang probes no quarantined worker.
 func (p *plan) packInOneGroup(groups map[string][]*worker, u *unit, free func(*worker) workload.Resources) []*worker {
 	var best []*worker
-	bestLeft := int64(0)
+	bestKey := [2]int64{}
 	for _, name := range sortedKeys(groups) {
 		group := groups[name]
 		chosen := p.pack(group, u, free)
@@ -74,20 +75,32 @@
 		for _, w := range group {
 			left += free(w).Accelerators
 		}
-		if best == nil || left < bestLeft {
-			best, bestLeft = chosen, left
+		key := [2]int64{quarantinedAmong(chosen), left}
+		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
+			best, bestKey = chosen, key
 		}
 	}
 	return best
 }
 
+// quarantinedAmong returns how many of the workers are quarantined.
+func quarantinedAmong(workers []*worker) int64 {
+	n := int64(0)
+	for _, w := range workers {
+		if w.health.quarantine > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // allowed reports whether a worker may run tasks of a unit, regardless of its free resources.
 func (p *plan) allowed(w *worker, u *unit) bool {
 	if holder := p.keptFor[w]; holder != nil && holder != u.step && (holder.urgent() || !u.urgent()) {
 		return false // an urgent unit may use workers kept for a step that is not urgent
 	}
-	if w.health.quarantine > 0 && (u.index < 0 || len(w.members) > 0) {
-		return false // a probe is a single task, and no gang is risked on a quarantined worker
+	if w.health.quarantine > 0 && !w.mayProbe(u, p.now) {
+		return false
 	}
 	if p.headroomWorkers[w] && !p.mayUseHeadroom(u) {
 		return false
@@ -104,14 +117,14 @@
 const (
 	preferred  preference = iota
 	unticketed            // the unit has to wait for the advisor's ticket
-	lastResort            // the unit failed there, or it would interfere with the tasks there
+	lastResort            // the unit failed there, it would interfere with the tasks there, or the worker is quarantined
 )
 
 // preferenceFor returns how much a unit should run on a worker that is allowed for it.
 func (p *plan) preferenceFor(w *worker, u *unit) preference {
 	_, failedThere := u.avoidedWorkers[w.info.ID]
 	switch a := &u.step.advice; {
-	case failedThere || w.interferesWith(u.step.spec):
+	case failedThere || w.health.quarantine > 0 || w.interferesWith(u.step.spec):
 		return lastResort
 	case u.job().queueSettings.Advised && !a.hasTicket(w, p.now) && !a.named[w.info.ID]:
 		return unticketed
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -12,6 +12,8 @@
 	minQuarantine       = 4 * time.Second  // first pause before a probe
 	maxQuarantine       = 16 * time.Second // longest pause before a probe
 	maxStall            = 3 * time.Second  // longest time without progress; runs on a worker several times slower than usual stay below it
+	gangProbeDelay      = 2 * time.Second  // single tasks probe first, since a probe that fails costs a gang the work of all its members
+	probeDuration       = 16 * time.Second // a probe that has run this long counts as successful; permanent tasks never end
 )
 
 // health is the scheduler's judgement of a worker.
@@ -27,12 +29,30 @@
 	if !w.listed || w.info.Draining || !w.answers(now) || w.describesAnotherProcess() {
 		return false
 	}
-	if w.health.quarantine > 0 {
-		return now.After(w.health.quarantinedUntil) && len(w.members) == 0
+	return w.health.quarantine == 0 || now.After(w.health.quarantinedUntil) && !w.hasProbe()
+}
+
+// mayProbe reports whether a unit may probe a quarantined worker that is usable. Gangs may as well: on a service that runs nothing else,
+// the quarantine would never end otherwise.
+func (w *worker) mayProbe(u *unit, now time.Time) bool {
+	if w.hasProbe() {
+		return false
 	}
-	return true
+	return u.index >= 0 || now.Sub(w.health.quarantinedUntil) > gangProbeDelay
+}
+
+// hasProbe reports whether a run that began after the latest pause is on the worker. Runs of before say nothing about its present health.
+func (w *worker) hasProbe() bool {
+	for _, m := range w.members {
+		if w.isProbe(m) {
+			return true
+		}
+	}
+	return false
 }
 
+func (w *worker) isProbe(m *member) bool { return m.unit.startedAt.After(w.health.quarantinedUntil) }
+
 // describesAnotherProcess reports whether the worker's entry in discovery is that of another process than the one that answers. A
 // restarted worker may be of another kind, with other labels and resources.
 func (w *worker) describesAnotherProcess() bool {
@@ -44,10 +64,9 @@
 	w := m.worker
 	switch ending {
 	case EndDone:
-		if w.health.quarantine > 0 {
-			s.config.Events.Emit(eventQuarantineEnded, event.F("worker", w.info.ID))
+		for _, other := range m.unit.members { // the members of a gang succeed together
+			s.trustWorker(other.worker)
 		}
-		w.health = health{}
 	case EndFailed:
 		for id := range m.unit.avoidedWorkers {
 			if id != w.info.ID {
@@ -64,6 +83,28 @@
 	}
 }
 
+// trustWorker clears the failures noted for a worker and ends its quarantine.
+func (s *Scheduler) trustWorker(w *worker) {
+	if w.health.quarantine > 0 {
+		s.config.Events.Emit(eventQuarantineEnded, event.F("worker", w.info.ID))
+	}
+	w.health = health{}
+}
+
+// trustAfterLongProbe ends the quarantine of a worker whose probe has run for long enough. Failing workers fail tasks soon after their
+// start, and stopStalledRuns stops those that stand still.
+func (s *Scheduler) trustAfterLongProbe(w *worker, now time.Time) {
+	if w.health.quarantine == 0 || !w.answers(now) {
+		return
+	}
+	for _, m := range w.members {
+		if w.isProbe(m) && m.state == running && !m.stopWanted && now.Sub(m.runningSince) > probeDuration {
+			s.trustWorker(w)
+			return
+		}
+	}
+}
+
 // quarantineWorker keeps work other than probes off a worker until a probe succeeds.
 func (s *Scheduler) quarantineWorker(w *worker, reason string) {
 	now := time.Now()
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -137,6 +137,7 @@
 	for _, w := range s.workers {
 		s.expireLeases(w, now)
 		s.stopStalledRuns(w, now)
+		s.trustAfterLongProbe(w, now)
 		s.evacuateWorker(w, now)
 	}
 	s.removeExpiredJobs(now)
