Cancellation: an unknown job's cancellation is recorded before it is answered

Cause: the answering instance took its complete view of the log as proof that the job never runs, and wrote nothing. The submission was still on its way: the writer of an instance that is cut off repeats its append until the log answers.

TestCancellationHoldsForASubmissionThatIsCarriedOutLater failed before with "queued" instead of "cancelled".

Why it works: the log orders the cancellation and the submission. One before it is cancelled as any other job; one after it is loaded by each scheduler behind its cancellation and never starts. The record holds for a job of the same customer only, so naming ids of others has no effect.

--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -16,7 +16,7 @@
 	job := singleStepJob(1, step)
 	job.Steps = append(job.Steps, workload.Step{Count: 1, After: []int{0}})
 	for _, r := range []ledger.Record{
-		ledger.SubmissionRecord(job), ledger.CancellationRecord(job.ID, time.UnixMilli(1)),
+		ledger.SubmissionRecord(job), ledger.CancellationRecord(job.ID, ledger.Cancellation{Time: time.UnixMilli(1)}),
 		ledger.OutcomeRecord(job.ID, ledger.Outcome{State: ledger.Running}),
 	} {
 		f.Add(r.Key, r.Value, "", []byte(nil))
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -12,6 +12,8 @@
 	spec               *workload.Job          // nil until the submission is loaded
 	queueSettings      workload.QueueSettings // settings of its queue, as last configured
 	state              ledger.State           // last recorded or being recorded
+	createdAt          time.Time              // when the first record of the job was loaded
+	cancellations      ledger.Cancellations   // requests to end the job that were loaded before its submission
 	cancelled          bool
 	endedAt            time.Time
 	outcomeDurable     bool          // the final state is durable
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -149,7 +149,13 @@
 func (s *Scheduler) removeExpiredJobs(now time.Time) {
 	for id, j := range s.jobs {
 		s.deleteUnitRecords(j)
-		if j.endedAt.IsZero() || now.Sub(j.endedAt) < s.config.Bounds.StatusRetention+retentionSlack {
+		retention := s.config.Bounds.StatusRetention + retentionSlack
+		if j.spec == nil && j.endedAt.IsZero() && now.Sub(j.createdAt) >= retention {
+			delete(s.jobs, id) // a submission that has not come by now is not expected any more
+			s.config.Jobs.Put(nil, ledger.CancellationRemoval(id))
+			continue
+		}
+		if j.endedAt.IsZero() || now.Sub(j.endedAt) < retention {
 			continue
 		}
 		delete(s.jobs, id)
@@ -165,24 +171,31 @@
 	case e.Submission != nil:
 		s.addJob(e.Submission)
 	case e.Cancellation != nil:
-		s.cancelJob(e.ID)
+		s.cancelJob(e.ID, *e.Cancellation)
 	case e.Outcome != nil:
 		s.restoreOutcome(e.ID, *e.Outcome)
 	}
 	s.requestPass()
 }
 
-// addJob adds a submitted job. Its cancellation or outcome may have been loaded before.
-func (s *Scheduler) addJob(spec *workload.Job) {
-	j := s.jobs[spec.ID]
+// jobOf returns the job with an id, and adds it if no record of it was loaded before.
+func (s *Scheduler) jobOf(id string) *job {
+	j := s.jobs[id]
 	if j == nil {
-		j = &job{}
-		s.jobs[spec.ID] = j
+		j = &job{createdAt: time.Now()}
+		s.jobs[id] = j
 	}
+	return j
+}
+
+// addJob adds a submitted job. Its cancellation or outcome may have been loaded before.
+func (s *Scheduler) addJob(spec *workload.Job) {
+	j := s.jobOf(spec.ID)
 	if j.spec != nil {
 		return
 	}
 	j.spec, j.queueSettings = spec, spec.QueueSettings
+	j.cancelled = j.cancellations.Cover(spec.Customer)
 	j.occurrences = make([]*occurrence, spec.Occurrences())
 	s.refreshQueueSettings(j)
 	s.unfinished = append(s.unfinished, j)
@@ -207,11 +220,7 @@
 
 // restoreOutcome applies a job's state that an earlier term recorded.
 func (s *Scheduler) restoreOutcome(id string, o ledger.Outcome) {
-	j := s.jobs[id]
-	if j == nil {
-		j = &job{}
-		s.jobs[id] = j
-	}
+	j := s.jobOf(id)
 	if j.state.Final() {
 		return
 	}
@@ -224,20 +233,18 @@
 	j.state = o.State
 }
 
-// cancelJob ends a job at its customer's request.
-func (s *Scheduler) cancelJob(id string) {
-	j := s.jobs[id]
-	if j == nil {
-		j = &job{}
-		s.jobs[id] = j
-	}
+// cancelJob ends a job at its customer's request. The request is kept if the job's submission is not loaded: the log may carry it out
+// later.
+func (s *Scheduler) cancelJob(id string, c ledger.Cancellation) {
+	j := s.jobOf(id)
 	if j.cancelled || j.state.Final() {
 		return
 	}
-	j.cancelled = true
-	if j.spec == nil {
+	j.cancellations = j.cancellations.Add(c)
+	if j.spec == nil || !j.cancellations.Cover(j.spec.Customer) {
 		return
 	}
+	j.cancelled = true
 	s.addUrgentDemand(j, -1)
 	if !s.loading { // while records are loaded, the job's outcome may still follow
 		s.concludeCancelled(j)
--- a/internal/entry/jobservice.go
+++ b/internal/entry/jobservice.go
@@ -23,8 +23,8 @@
 	staleAfter       = 2500 * time.Millisecond // age of the job index above which a job that it does not contain may exist
 	maxReadyAge      = 1700 * time.Millisecond // largest age of the job index of a ready instance; allows for two long polls and a pause
 	refreshTimeout   = 80 * time.Millisecond   // for reading new records before a job's state is reported
-	completeTimeout  = 1400 * time.Millisecond // for reading all records before a cancellation is answered with "no such job"; two long polls
-	completeInterval = 20 * time.Millisecond   // between checks whether they are read
+	readBackTimeout  = 700 * time.Millisecond  // for reading a cancellation back, so that the answer can say whether the job exists
+	readBackInterval = 20 * time.Millisecond   // between checks whether it was read
 	localOutageLimit = time.Second             // duration of an outage up to which it may affect this instance only, so callers retry elsewhere at once
 	outageRetryAfter = time.Second             // retry delay for callers in a longer outage; short, since they give up after a few seconds
 )
@@ -36,6 +36,7 @@
 	eventCancelled         = event.Define(2603, "cancellation accepted", zerolog.InfoLevel, "The cancellation was accepted: its record is in the log.", "")
 	eventRepeated          = event.Define(2605, "job repeated", zerolog.InfoLevel, "A known job was submitted again. It remains a single job.", "")
 	eventCallRejected      = event.Define(2606, "call turned away", zerolog.WarnLevel, "A call was rejected: there is no configuration yet, the one in force does not have the queue or the key, or the job is invalid.", "")
+	eventUnknownCancelled  = event.Define(2607, "unknown job cancelled", zerolog.InfoLevel, "The cancellation of a job that is not in the log was recorded, so a submission that the log has not carried out yet never runs.", "")
 	eventCancelNotRecorded = event.Define(2604, "cancellation not recorded", zerolog.WarnLevel, "The log did not confirm the cancellation in time. The caller was told to retry.", "")
 )
 
@@ -93,36 +94,50 @@
 }
 
 // Cancel requests the end of a job. Errors are of kind NotFound if there is no such job, and Unavailable or Unknown if the caller
-// must retry. NotFound tells the caller that the job never runs, so it is returned only once all that was in the log at the time of the
-// call is read.
+// must retry. NotFound tells the caller that the job never runs. A submission of it may still be on its way to the log, so the
+// cancellation of an unknown job is recorded as well before it is answered.
 func (s *JobService) Cancel(ctx context.Context, customer, id string) error {
-	asked := time.Now()
-	view, err := s.find(ctx, customer, id)
-	if errkind.Is(err, errkind.NotFound) {
-		if !s.awaitComplete(ctx, asked) {
-			s.count("cancel", "uncertain")
-			return errkind.New(errkind.Unavailable, "retry at another instance", "this instance cannot tell whether job %s exists", id)
-		}
-		view, err = s.find(ctx, customer, id)
-	}
-	if err != nil {
-		return err
+	view, known := s.refreshed(ctx, id)
+	if known && view.Customer != customer {
+		return noSuchJob(id)
 	}
-	if view.State.Final() {
+	if known && view.State.Final() {
 		return nil
 	}
-	now := time.Now()
-	if err := s.record(ctx, ledger.CancellationRecord(id, now)); err != nil {
+	c := ledger.Cancellation{Time: time.Now(), Unverified: !known, Customer: customer}
+	if err := s.record(ctx, ledger.CancellationRecord(id, c)); err != nil {
 		s.count("cancel", "open")
-		s.events.Emit(eventCancelNotRecorded, event.F("job", id), event.F("cause", err))
+		s.events.Emit(eventCancelNotRecorded, event.F("job", id), event.F("known", known), event.F("cause", err))
 		return err
 	}
-	s.index.Apply(ledger.Entry{ID: id, Cancellation: &ledger.Cancellation{Time: now}})
+	if !known && s.readBack(ctx, customer, id) {
+		if view, known = s.index.Find(id); !known || view.Customer != customer {
+			s.count("cancel", "unknown")
+			s.events.Emit(eventUnknownCancelled, event.F("job", id), event.F("customer", customer))
+			return noSuchJob(id)
+		}
+	}
+	s.index.Apply(ledger.Entry{ID: id, Cancellation: &c})
 	s.count("cancel", "accepted")
-	s.events.Emit(eventCancelled, event.F("job", id), event.F("state", view.State))
+	s.events.Emit(eventCancelled, event.F("job", id), event.F("known", known), event.F("state", view.State))
 	return nil
 }
 
+// readBack waits until the index holds a cancellation that was recorded, at most for readBackTimeout, and reports whether it does. All
+// that the log carried out before is then in the index as well, and a submission that it carries out later is cancelled.
+func (s *JobService) readBack(ctx context.Context, customer, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, readBackTimeout)
+	defer cancel()
+	for !s.index.Cancelled(id, customer) {
+		if ctx.Err() != nil {
+			return false
+		}
+		s.reader.Refresh(ctx) // ends a pause of the reader; returns at once while a read is in progress
+		wait.For(ctx, readBackInterval)
+	}
+	return true
+}
+
 // State returns a job's state. Errors are of kind NotFound if there is no such job, and Unavailable if this instance's job index
 // is too old to say so.
 func (s *JobService) State(ctx context.Context, customer, id string) (ledger.State, error) {
@@ -149,35 +164,29 @@
 
 // find returns a job of a customer, after reading new records unless the job is known to have ended.
 func (s *JobService) find(ctx context.Context, customer, id string) (ledger.JobView, error) {
-	view, known := s.index.Find(id)
-	if !known || !view.State.Final() {
-		ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
-		s.reader.Refresh(ctx)
-		cancel()
-		view, known = s.index.Find(id)
-	}
+	view, known := s.refreshed(ctx, id)
 	if known && view.Customer == customer {
 		return view, nil
 	}
 	if !known && s.index.Age(time.Now()) > staleAfter {
 		return view, errkind.New(errkind.Unavailable, "retry at another instance", "this instance does not know job %s, and its view of the log is out of date", id)
 	}
-	return view, errkind.New(errkind.NotFound, "check the id", "there is no job %s", id)
+	return view, noSuchJob(id)
 }
 
-// awaitComplete waits until the index holds all that was in the log at the given time, at most for completeTimeout, and reports whether
-// it does.
-func (s *JobService) awaitComplete(ctx context.Context, at time.Time) bool {
-	ctx, cancel := context.WithTimeout(ctx, completeTimeout)
-	defer cancel()
-	for !s.index.CompleteAt(at) {
-		if ctx.Err() != nil {
-			return false
-		}
-		s.reader.Refresh(ctx) // ends a pause of the reader; returns at once while a read is in progress
-		wait.For(ctx, completeInterval)
+// refreshed returns what the index shows of a job, after reading new records unless the job is known to have ended.
+func (s *JobService) refreshed(ctx context.Context, id string) (view ledger.JobView, known bool) {
+	if view, known = s.index.Find(id); known && view.State.Final() {
+		return view, known
 	}
-	return true
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	s.reader.Refresh(ctx)
+	return s.index.Find(id)
+}
+
+func noSuchJob(id string) error {
+	return errkind.New(errkind.NotFound, "check the id", "there is no job %s", id)
 }
 
 // record writes one record and waits for the outcome, at most for recordTimeout.
--- a/internal/entry/jobservice_test.go
+++ b/internal/entry/jobservice_test.go
@@ -119,6 +119,37 @@
 		start := time.Now()
 		err := s.Cancel(t.Context(), "club", "00000000000000bb")
 		assert.Assert(t, errkind.Is(err, errkind.NotFound), "%v", err)
-		assert.Assert(t, time.Since(start) <= completeTimeout)
+		assert.Assert(t, time.Since(start) <= readBackTimeout)
+	})
+}
+
+// Guards against a job that runs although its cancellation was answered with "no such job": its submission was still on its way to the log,
+// which carried it out seconds later.
+func TestCancellationHoldsForASubmissionThatIsCarriedOutLater(t *testing.T) {
+	serve(t, func(t *testing.T, log *laggingLog, s *JobService) {
+		const id = "00000000000000cc"
+		err := s.Cancel(t.Context(), "club", id)
+		assert.Assert(t, errkind.Is(err, errkind.NotFound), "%v", err)
+		acceptedElsewhere(t, log, id)
+		time.Sleep(2 * time.Second)
+		state, err := s.State(t.Context(), "club", id)
+		assert.NilError(t, err)
+		assert.Equal(t, state, ledger.Cancelled)
+	})
+}
+
+// Guards against a customer who cancels jobs of another one by naming their ids before they are submitted.
+func TestCancellationOfAnUnknownJobHoldsForItsCustomerOnly(t *testing.T) {
+	serve(t, func(t *testing.T, log *laggingLog, s *JobService) {
+		const id = "00000000000000dd"
+		err := s.Cancel(t.Context(), "guest", id)
+		assert.Assert(t, errkind.Is(err, errkind.NotFound), "%v", err)
+		acceptedElsewhere(t, log, id)
+		time.Sleep(2 * time.Second)
+		state, err := s.State(t.Context(), "club", id)
+		assert.NilError(t, err)
+		assert.Equal(t, state, ledger.Queued)
+		err = s.Cancel(t.Context(), "guest", id)
+		assert.Assert(t, errkind.Is(err, errkind.NotFound), "%v", err)
 	})
 }
--- a/internal/ledger/jobindex.go
+++ b/internal/ledger/jobindex.go
@@ -15,7 +15,7 @@
 type indexedJob struct {
 	customer, queue string
 	submitted       bool
-	cancelled       bool
+	cancellations   Cancellations
 	state           State
 }
 
@@ -44,11 +44,13 @@
 	case e.Submission != nil:
 		j.submitted, j.customer, j.queue = true, e.Submission.Customer, e.Submission.Queue
 	case e.Cancellation != nil:
-		j.cancelled = true
+		j.cancellations = j.cancellations.Add(*e.Cancellation)
 	case e.Outcome != nil:
 		if !j.state.Final() {
 			j.state = e.Outcome.State
 		}
+	case e.CancellationRemoved && j.submitted:
+		j.cancellations = nil
 	default:
 		delete(x.jobs, e.ID)
 		return
@@ -56,9 +58,11 @@
 	x.adjustPending(j, 1)
 }
 
+func (j *indexedJob) cancelled() bool { return j.cancellations.Cover(j.customer) }
+
 // adjustPending adds delta to the pending count of j's queue if j has not started.
 func (x *JobIndex) adjustPending(j *indexedJob, delta int) {
-	if j.submitted && !j.cancelled && j.state == Queued {
+	if j.submitted && !j.cancelled() && j.state == Queued {
 		x.pending[j.queue] += delta
 	}
 }
@@ -72,12 +76,20 @@
 		return JobView{}, false
 	}
 	state := j.state
-	if j.cancelled && !state.Final() {
+	if j.cancelled() && !state.Final() {
 		state = Cancelled
 	}
 	return JobView{j.customer, j.queue, state}, true
 }
 
+// Cancelled reports whether the index has a cancellation of an id that would hold for a job of the customer, be it known or not.
+func (x *JobIndex) Cancelled(id, customer string) bool {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	j := x.jobs[id]
+	return j != nil && j.cancellations.Cover(customer)
+}
+
 // Pending returns the number of jobs of a queue that have not started.
 func (x *JobIndex) Pending(queue string) int {
 	x.mu.RLock()
--- a/internal/ledger/jobindex_test.go
+++ b/internal/ledger/jobindex_test.go
@@ -70,6 +70,6 @@
 		_, err := DecodeEntry(SubmissionRecord(&workload.Job{ID: "00ff", Steps: steps}))
 		assert.Assert(t, err != nil, "%v would end each process that reads it", steps)
 	}
-	_, err = DecodeEntry(CancellationRecord("1", time.Now()))
+	_, err = DecodeEntry(CancellationRecord("1", Cancellation{Time: time.Now()}))
 	assert.NilError(t, err)
 }
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -49,9 +49,35 @@
 	Time   time.Time `msgpack:"t"`
 }
 
-// Cancellation is a customer's request to end a job.
+// Cancellation is a customer's request to end a job. It also holds for a submission that the log carries out after it.
 type Cancellation struct {
 	Time time.Time `msgpack:"t"`
+	// Unverified says that the instance did not know the job, so that only a job of Customer is cancelled.
+	Unverified bool   `msgpack:"u,omitempty"`
+	Customer   string `msgpack:"c,omitempty"`
+}
+
+// Cancellations are the requests to end one job. Before its submission is known, several customers may have cancelled its id.
+type Cancellations []Cancellation
+
+// Add returns the requests with one more. A repeated request changes nothing.
+func (cs Cancellations) Add(c Cancellation) Cancellations {
+	for _, known := range cs {
+		if known.Unverified == c.Unverified && known.Customer == c.Customer {
+			return cs
+		}
+	}
+	return append(cs, c)
+}
+
+// Cover reports whether any of the requests holds for a job of a customer.
+func (cs Cancellations) Cover(customer string) bool {
+	for _, c := range cs {
+		if !c.Unverified || c.Customer == customer {
+			return true
+		}
+	}
+	return false
 }
 
 // UnitState is the state of a unit. A unit is a task or a whole gang, and is started and stopped as one.
@@ -108,8 +134,8 @@
 }
 
 // CancellationRecord returns the record of a cancellation.
-func CancellationRecord(id string, at time.Time) Record {
-	return Record{Key: string(cancellationKey) + id, Value: encode(Cancellation{at})}
+func CancellationRecord(id string, c Cancellation) Record {
+	return Record{Key: string(cancellationKey) + id, Value: encode(c)}
 }
 
 // OutcomeRecord returns the record of a job's state.
@@ -138,12 +164,19 @@
 	return name, u, nil
 }
 
+// CancellationRemoval returns the tombstone of a cancellation whose job was never submitted. It leaves a submission alone that is
+// appended at the same time.
+func CancellationRemoval(id string) Record { return Record{Key: string(cancellationKey) + id} }
+
 // Entry is one decoded record of JobsTopic. Exactly one of the pointers is set, or none for a tombstone.
 type Entry struct {
 	ID           string
 	Submission   *workload.Job
 	Cancellation *Cancellation
 	Outcome      *Outcome
+
+	// CancellationRemoved is set for the tombstone of a cancellation.
+	CancellationRemoved bool
 }
 
 // DecodeEntry reads a record of JobsTopic. It returns an error for jobs that Validate refuses, which no reader could handle; limits
@@ -154,6 +187,7 @@
 	}
 	e := Entry{ID: r.Key[1:]}
 	if len(r.Value) == 0 {
+		e.CancellationRemoved = r.Key[0] == cancellationKey
 		return e, nil
 	}
 	var target any
