Takeover: loading the runs of earlier terms has a time limit

One instance held the role of the scheduler for over a minute and started nothing.

Cause: the new holder read the runs of earlier terms with a call without a time limit, over a connection that had gone silent. It went on to renew its role over others, so nobody took over.

Evidence: its log ends with the jobs admitted at the takeover, without "state taken over" and without a failed call. TestTakeoverOverASilentConnectionIsRepeated failed before after 30 s with the job still queued.

Ruled out: the other calls to the store, the workers and the advisor, which all have limits (by reading).

--- a/internal/ledger/follow.go
+++ b/internal/ledger/follow.go
@@ -107,10 +107,8 @@
 
 // Load reads the newest record of each key and passes it to Record.
 func (r *Reader) Load(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
 	sent := time.Now()
-	batch, err := r.Log.Newest(callCtx, r.Topic)
+	batch, err := LoadNewest(ctx, r.Log, r.Topic)
 	if err != nil {
 		return err
 	}
@@ -123,6 +121,13 @@
 	return nil
 }
 
+// LoadNewest reads the newest record of each key of a topic. Its time is limited, since an open connection may have gone silent for good.
+func LoadNewest(ctx context.Context, log Log, topic string) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	return log.Newest(ctx, topic)
+}
+
 // tail reads new records after Load, until the topic must be loaded again or ctx ends.
 func (r *Reader) tail(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -45,7 +45,7 @@
 	}
 	var units ledger.Batch
 	loadUnits := func() (err error) {
-		units, err = n.store.Newest(ctx, ledger.RunsTopic)
+		units, err = ledger.LoadNewest(ctx, n.store, ledger.RunsTopic)
 		return err
 	}
 	if !retry(ctx, n, loadUnits) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,12 +10,14 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/store"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/taskworker"
 )
@@ -59,8 +61,13 @@
 "services":[{"name":"render"}],"limits":{"max_body_bytes":65536},"tenants":[{"name":"club","api_keys":["%s"],"guaranteed":{"gpu":4}}]}`
 
 func deploy(t *testing.T, instances int, workers ...string) *deployment {
+	return deployBehind(t, func(s http.Handler) http.Handler { return s }, instances, workers...)
+}
+
+// deployBehind deploys instances that reach the store through a handler.
+func deployBehind(t *testing.T, front func(http.Handler) http.Handler, instances int, workers ...string) *deployment {
 	d := &deployment{t: t, store: store.New(), fleet: taskworker.New(workers...)}
-	storeServer := httptest.NewServer(d.store)
+	storeServer := httptest.NewServer(front(d.store))
 	workersServer := httptest.NewServer(d.fleet)
 	t.Cleanup(storeServer.Close)
 	t.Cleanup(workersServer.Close)
@@ -195,6 +202,24 @@
 	assert.Equal(t, answer["pending"], 0.0)
 }
 
+// Guards against a scheduler that stands still for good, though it keeps its role, because the connection over which it loads the runs of
+// earlier terms has gone silent.
+func TestTakeoverOverASilentConnectionIsRepeated(t *testing.T) {
+	var silenced atomic.Bool
+	d := deployBehind(t, func(s http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/v1/log-newest" && r.URL.Query().Get("topic") == ledger.RunsTopic && !silenced.Swap(true) {
+				<-r.Context().Done()
+				return
+			}
+			s.ServeHTTP(w, r)
+		})
+	}, 1, "w1")
+	d.submit(d.instances[0], jobID(1), jobBody(1, 50))
+	d.awaitState(d.instances[0], jobID(1), "completed")
+	assert.Assert(t, silenced.Load())
+}
+
 // Guards against tasks that are lost, run twice or stopped because the scheduler changes.
 func TestRunningTasksSurviveAChangeOfTheScheduler(t *testing.T) {
 	d := deploy(t, 3, "w1", "w2")
