Heartbeats: ends are acknowledged only to the process that reported them

Cause: an acknowledgement names a number only, and each process of a worker numbers ends from 1. A worker that lost power and was up again under its ID before a heartbeat went unanswered or its new entry was read got work on its new process, and then an acknowledgement of up to so many ends as its earlier process had had. It forgot its ends, its report listed neither run nor end, and the run started again.

TestEndsOfANewProcessAreNotAcknowledgedByNumbersOfTheEarlierOne failed before.

Why it works: a connection that has carried an answer of the worker leads to the process that gave it, or to none, so the process that forgets ends up to a number is the one that numbered them. Heartbeats follow one another over a connection of their own. Workers that keep none get every fourth heartbeat with the acknowledgement and without a wait.

The soak's workers can lose power, have an address each, and say what they saw of a doubled run; each process of a soak keeps its log.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -92,7 +92,7 @@
 	if c.HideRuns {
 		fleet.HideRuns()
 	}
-	return serve(ctx, c.Listen, &http.Server{Handler: fleet, ReadHeaderTimeout: readHeaderTimeout})
+	return serve(ctx, c.Listen, &http.Server{Handler: fleet, ReadHeaderTimeout: readHeaderTimeout, ConnContext: taskworker.ConnContext})
 }
 
 // serve runs a server until ctx ends.
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -53,8 +53,13 @@
 	AcknowledgedEnd int64         // ends up to this number are recorded, so the worker may forget them
 	LeaseEnd        int64         // end of the leases, in milliseconds of the worker's clock; 0 renews nothing
 	Wait            time.Duration // how long the worker may wait for a run to end before it answers
+	// SameProcess says that the order is only for the process that answered the worker's previous heartbeat.
+	SameProcess bool
 }
 
+// ErrOtherProcessPossible says that a HeartbeatOrder with SameProcess was not sent, since another process might have received it.
+var ErrOtherProcessPossible = errors.New("another process of the worker might receive the heartbeat")
+
 // RunReport describes a run that a worker has.
 type RunReport struct {
 	Task       workload.TaskName
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -21,6 +22,7 @@
 	heartbeatRetryPause = 250 * time.Millisecond  // pause after a heartbeat without an answer
 	endRecordWait       = 400 * time.Millisecond  // wait for reported ends to be recorded before the next heartbeat
 	maxSilence          = 2 * heartbeatWait       // a worker that has not answered for this long gets no new work
+	maxHeldBack         = 3                       // heartbeats in a row from which an acknowledgement may be held back
 )
 
 // startHeartbeats starts the heartbeat loop of a worker that has none.
@@ -75,9 +77,7 @@
 		return s.nextHeartbeat(w, now)
 	}()
 	sent := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, order.Wait+heartbeatTimeout)
-	defer cancel()
-	report, err := s.config.Fleet.Heartbeat(callCtx, target, order)
+	report, err := s.sendHeartbeat(ctx, w, target, order)
 	if err != nil || ctx.Err() != nil {
 		return false, err
 	}
@@ -88,21 +88,52 @@
 }
 
 // nextHeartbeat returns the next heartbeat of a worker. It renews leases only if the previous heartbeat was answered: if
-// heartbeats reach the worker but its answers are lost, its leases still expire at a known time.
+// heartbeats reach the worker but its answers are lost, its leases still expire at a known time. It acknowledges ends only then, too,
+// and only to the process that reported them: a worker that has restarted numbers ends from 1 again, and would forget ends that it has
+// not reported yet.
 func (s *Scheduler) nextHeartbeat(w *worker, now time.Time) (HeartbeatOrder, Target) {
-	order := HeartbeatOrder{Token: s.config.Token, AcknowledgedEnd: w.lastRecordedEnd}
-	if w.responsive {
-		order.LeaseEnd = s.grantLease(w, now)
-		if w.lastRecordedEnd == w.lastHandledEnd {
-			order.Wait = heartbeatWait
-			if w.hasMixedWork() {
-				order.Wait = mixedHeartbeatWait
-			}
+	order := HeartbeatOrder{Token: s.config.Token}
+	if !w.responsive {
+		return order, w.target()
+	}
+	order.LeaseEnd, order.AcknowledgedEnd, order.SameProcess = s.grantLease(w, now), w.lastRecordedEnd, w.lastRecordedEnd > 0
+	if w.lastRecordedEnd == w.lastHandledEnd {
+		order.Wait = heartbeatWait
+		if w.hasMixedWork() {
+			order.Wait = mixedHeartbeatWait
 		}
 	}
+	if w.heldBack >= maxHeldBack {
+		// Such a worker closes its connections after each answer, and would list no more ends after some time. Without a wait, a new
+		// process forgets only ends of the few milliseconds since the previous answer.
+		order.SameProcess, order.Wait = false, 0
+	}
 	return order, w.target()
 }
 
+// sendHeartbeat sends a heartbeat. If it may not reach the process that answered last, the acknowledgement is held back until the worker
+// has reported again.
+func (s *Scheduler) sendHeartbeat(ctx context.Context, w *worker, to Target, order HeartbeatOrder) (HeartbeatReport, error) {
+	callCtx, cancel := context.WithTimeout(ctx, order.Wait+heartbeatTimeout)
+	defer cancel()
+	report, err := s.config.Fleet.Heartbeat(callCtx, to, order)
+	heldBack := errors.Is(err, ErrOtherProcessPossible)
+	s.mu.Lock()
+	switch {
+	case heldBack:
+		w.heldBack++
+	case order.AcknowledgedEnd > 0:
+		w.heldBack = 0
+	}
+	s.mu.Unlock()
+	if !heldBack {
+		return report, err
+	}
+	s.metrics.orderAnswered("hold", "held back")
+	order.AcknowledgedEnd, order.SameProcess, order.Wait = 0, false, 0
+	return s.config.Fleet.Heartbeat(callCtx, to, order)
+}
+
 // heartbeatFailed handles a heartbeat that was refused or not answered.
 func (s *Scheduler) heartbeatFailed(w *worker, err error) {
 	s.mu.Lock()
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -126,6 +126,7 @@
 	leasesOverAt    time.Time // when all leases granted so far have certainly expired
 	lastHandledEnd  int64     // number of the last reported end that was handled
 	lastRecordedEnd int64     // number of the last reported end whose effects are durable
+	heldBack        int       // number of latest heartbeats from which an acknowledgement was held back
 	responsive      bool      // it answered the last heartbeat, so the next one renews its leases
 	health          health
 	leavesAt        time.Time     // earliest time when it leaves; zero unless discovery shows it as draining
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 )
 
 // startOn starts a single task on the only worker with room and returns its run.
@@ -134,3 +136,71 @@
 		time.Sleep(time.Minute) // lets calls end
 	})
 }
+
+// Guards against a task that runs again after its end was acknowledged: its worker had restarted unnoticed, under the same ID, and the next
+// heartbeat acknowledged ends by the numbers of the earlier process. Either a heartbeat went unanswered meanwhile, or the worker restarted
+// between two heartbeats.
+func TestEndsOfANewProcessAreNotAcknowledgedByNumbersOfTheEarlierOne(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+		w := h.addWorker("w1", "r1", 8)
+		first := h.startOn(1, w)
+		h.report(w, HeartbeatReport{ProcessStart: 1, Ended: []EndReport{{7, first.Task, first.Run, EndDone, ""}}})
+		h.runs.flush()
+		second := h.startOn(2, w) // on the new process, which answers at the same address
+		h.awaitConfirmed(w, second)
+		if silent {
+			h.scheduler.heartbeatFailed(w, errNoAnswer)
+		}
+		ends := []EndReport{{1, second.Task, second.Run, EndDone, ""}}
+		h.fleet.heartbeat = func(o HeartbeatOrder) (HeartbeatReport, error) {
+			if o.SameProcess {
+				return HeartbeatReport{}, ErrOtherProcessPossible
+			}
+			if o.AcknowledgedEnd >= 1 {
+				ends = nil // the new process forgets the end
+			}
+			assert.Equal(t, o.Wait, time.Duration(0), "the report is needed at once")
+			return HeartbeatReport{ProcessStart: 2, Ended: ends}, nil
+		}
+		_, err := h.scheduler.exchangeHeartbeat(t.Context(), w, time.Now())
+		assert.NilError(t, err)
+		h.pass()
+		assert.Equal(t, h.fleet.started(), 2, "a task started again after its end was acknowledged")
+		assert.Equal(t, h.state(second.Task.Job), ledger.Completed)
+		assert.Equal(t, h.nextHeartbeat(w).AcknowledgedEnd, int64(1), "a worker that answers gets its ends acknowledged")
+	}
+}
+
+// Guards against ends that are never acknowledged, until the worker lists no more of them, because it closes its connection after each
+// answer.
+func TestEndsOfAWorkerThatKeepsNoConnectionAreAcknowledged(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	w := h.addWorker("w1", "r1", 8)
+	run := h.startOn(1, w)
+	h.report(w, HeartbeatReport{ProcessStart: 1, Ended: []EndReport{{1, run.Task, run.Run, EndDone, ""}}})
+	h.runs.flush()
+	acknowledged := 0
+	h.fleet.heartbeat = func(o HeartbeatOrder) (HeartbeatReport, error) {
+		if o.SameProcess {
+			return HeartbeatReport{}, ErrOtherProcessPossible
+		}
+		if o.AcknowledgedEnd == 1 {
+			acknowledged++
+			assert.Equal(t, o.Wait, time.Duration(0), "it may reach another process, which must not keep it")
+		}
+		return HeartbeatReport{ProcessStart: 1}, nil
+	}
+	for range 2 * (maxHeldBack + 1) {
+		_, err := h.scheduler.exchangeHeartbeat(t.Context(), w, time.Now())
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, acknowledged, 2)
+}
+
+func (h *harness) nextHeartbeat(w *worker) HeartbeatOrder {
+	h.scheduler.mu.Lock()
+	defer h.scheduler.mu.Unlock()
+	order, _ := h.scheduler.nextHeartbeat(w, time.Now())
+	return order
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,7 +74,7 @@
 	n := &Node{client: client, settings: s, events: event.NewLog(out, s.Instance), jobIndex: ledger.NewJobIndex(), incarnation: newIncarnation()}
 	n.scope, n.metrics, n.metricsCloser = metrics.New(map[string]string{"instance": s.Instance})
 	n.store = ledger.NewMonitoredLog(platform.NewStore(client, s.Store))
-	n.workers = platform.NewWorkers(platform.NewClient())
+	n.workers = platform.NewWorkers()
 	n.writer = ledger.NewWriter(n.store, ledger.JobsTopic, "entry-"+n.incarnation, 1, false)
 	n.writer.SetProbe(n.store.Probe)
 	n.jobsReader = n.newJobsReader()
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -37,6 +38,9 @@
 	CutFleet Kind = "cutfleet" // blocks traffic between all instances and the workers
 )
 
+// LosePower lets a worker lose its power. It is up again a little later, and its entry shows its new process later still.
+const LosePower Kind = "power"
+
 // OddEntry writes an entry that no worker writes to the list of workers: under a key of its own or, for a while, under that of a worker.
 const OddEntry Kind = "odd"
 
@@ -85,6 +89,7 @@
 	plan := drawFaults(rand.New(rand.NewPCG(seed, 2)), processAndStoreKinds, length, instances)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 3)), linkKinds, length, instances)...)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 4)), []Kind{OddEntry}, length, instances)...)
+	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 5)), []Kind{LosePower}, length, instances)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -123,8 +128,9 @@
 		if r.injectLinkFault(f) {
 			continue
 		}
-		if f.Kind == OddEntry {
-			if err := r.injectOddEntry(ctx, f); err != nil {
+		inject, isWorkerFault := map[Kind]func(context.Context, Fault) error{OddEntry: r.injectOddEntry, LosePower: r.losePower}[f.Kind]
+		if isWorkerFault {
+			if err := inject(ctx, f); err != nil {
 				return err
 			}
 			continue
@@ -144,7 +150,7 @@
 
 // injectOddEntry writes an odd entry. A worker whose key it took writes its own entry again after the fault's length.
 func (r *run) injectOddEntry(ctx context.Context, f Fault) error {
-	value := strings.ReplaceAll(oddEntries[int(f.Length)%len(oddEntries)], "ADDRESS", r.workersProxy.address())
+	value := strings.ReplaceAll(oddEntries[int(f.Length)%len(oddEntries)], "ADDRESS", r.workerProxies[0].address())
 	worker := int(f.At) % (2 * workerCount)
 	if worker >= workerCount {
 		return r.put(ctx, workersTopic, fmt.Sprintf("odd%d", worker), value)
@@ -160,6 +166,30 @@
 	return nil
 }
 
+// losePower lets a worker lose its power for a tenth of the fault's length. Its entry follows after half of that length.
+func (r *run) losePower(ctx context.Context, f Fault) error {
+	worker, off := int(f.At)%workerCount, f.Length/10
+	answer, err := r.post(ctx, fmt.Sprintf("http://%s/control/power?worker=w%d&off_ms=%d", r.workersAddress, worker, off.Milliseconds()), nil)
+	if err != nil {
+		return err
+	}
+	var process struct {
+		Born int64 `json:"born"`
+	}
+	if err := json.Unmarshal(answer, &process); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.born[worker] = process.Born
+	r.mu.Unlock()
+	time.AfterFunc(f.Length/2, func() {
+		if err := r.putWorker(ctx, worker); err != nil {
+			fmt.Fprintf(r.options.Progress, "worker %d cannot write its entry: %v\n", worker, err)
+		}
+	})
+	return nil
+}
+
 func (r *run) sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
 
 // storeFaults returns the store's settings for a kind of fault, and whether the kind is a fault of the store.
@@ -184,19 +214,19 @@
 	case Reset:
 		n.storeProxy.resetAll()
 		n.callerProxy.resetAll()
-		r.workersProxy.resetAll()
+		r.eachWorker((*proxy).resetAll)
 	case Delay:
 		n.storeProxy.delayFor(linkDelay, f.Length)
-		r.workersProxy.delayFor(linkDelay, f.Length)
+		r.eachWorker(func(p *proxy) { p.delayFor(linkDelay, f.Length) })
 	case CutUp:
 		n.storeProxy.block(f.Length, toServer)
 	case CutDown:
 		n.storeProxy.block(f.Length, toClient)
 	case Mute:
 		n.storeProxy.mute()
-		r.workersProxy.mute()
+		r.eachWorker((*proxy).mute)
 	case CutFleet:
-		r.workersProxy.block(f.Length, toServer, toClient)
+		r.eachWorker(func(p *proxy) { p.block(f.Length, toServer, toClient) })
 	default:
 		return false
 	}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -84,12 +84,13 @@
 	workersAddress string
 	nodes          []*node
 
-	workersProxy *proxy // proxy between the instances and the workers
-	standIns     []*process.Process
-	client       *http.Client
+	workerProxies []*proxy // between the instances and each worker, so that each worker has an address of its own
+	standIns      []*process.Process
+	client        *http.Client
 
 	mu   sync.Mutex
 	jobs map[string]*submittedJob
+	born [workerCount]int64 // start of each worker's process in Unix milliseconds, 0 for the first one
 }
 
 // submittedJob is what a caller knows about its job.
@@ -103,6 +104,7 @@
 type node struct {
 	name, settingsPath, address string // address is that of callerProxy
 	process                     *process.Process
+	starts                      int    // number of processes so far; each has a log of its own
 	callerProxy                 *proxy // proxy between callers and the instance
 	storeProxy                  *proxy // proxy between the instance and the store
 }
@@ -162,8 +164,12 @@
 		}
 		r.standIns = append(r.standIns, p)
 	}
-	if r.workersProxy, err = newProxy(ctx, r.workersAddress); err != nil {
-		return err
+	for range workerCount {
+		p, err := newProxy(ctx, r.workersAddress)
+		if err != nil {
+			return err
+		}
+		r.workerProxies = append(r.workerProxies, p)
 	}
 	if err := r.writeConfiguration(ctx); err != nil {
 		return err
@@ -176,7 +182,7 @@
 		r.nodes = append(r.nodes, n)
 		n.settingsPath = filepath.Join(r.options.Directory, n.name+".yaml")
 		text := fmt.Sprintf("instance: %s\ndata_centre: z1\nlisten: {jobs: %q, readiness: %q, control: %q}\nstore: %q\nadvisor: %q\nbounds: {lease_ms: 4000, keep_status_s: 300}\n",
-			n.name, addresses[2+3*i], addresses[3+3*i], addresses[4+3*i], n.storeProxy.address(), r.workersProxy.address())
+			n.name, addresses[2+3*i], addresses[3+3*i], addresses[4+3*i], n.storeProxy.address(), r.workerProxies[0].address())
 		if err := os.WriteFile(n.settingsPath, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -198,7 +204,8 @@
 }
 
 func (r *run) startNode(n *node) error {
-	p, err := process.Start(r.options.Directory, n.name, r.options.Daemon, "node", "--settings", n.settingsPath)
+	n.starts++
+	p, err := process.Start(r.options.Directory, fmt.Sprintf("%s-%d", n.name, n.starts), r.options.Daemon, "node", "--settings", n.settingsPath)
 	n.process = p
 	return err
 }
@@ -223,8 +230,11 @@
 
 // putWorker writes the entry of a worker in the list of workers.
 func (r *run) putWorker(ctx context.Context, i int) error {
+	r.mu.Lock()
+	born := r.born[i]
+	r.mu.Unlock()
 	entry := fmt.Sprintf(`{"service":"render","address":%q,"zone":"z1","state":"ready","capacity":{"cpu":64000,"mem_mb":262144,"gpu":8},`+
-		`"labels":["a","r1-%d"],"sequence":1}`, r.workersProxy.address(), 1+i/3)
+		`"labels":["a","r1-%d"],"sequence":1,"born":%d}`, r.workerProxies[i].address(), 1+i/3, born)
 	return r.put(ctx, workersTopic, fmt.Sprintf("w%d", i), entry)
 }
 
@@ -238,18 +248,17 @@
 	return err
 }
 
-func (r *run) post(ctx context.Context, url string, body []byte) (status int, err error) {
+func (r *run) post(ctx context.Context, url string, body []byte) (answer []byte, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, err
+	return io.ReadAll(resp.Body)
 }
 
 func (r *run) setStoreFaults(ctx context.Context, f store.Faults) error {
@@ -366,6 +375,13 @@
 	return resp.StatusCode, answer.State, err
 }
 
+// eachWorker does something with the proxy of each worker.
+func (r *run) eachWorker(do func(*proxy)) {
+	for _, p := range r.workerProxies {
+		do(p)
+	}
+}
+
 // stopAll ends all processes and proxies that the run started.
 func (r *run) stopAll() {
 	for _, n := range r.nodes {
@@ -381,7 +397,5 @@
 		n.callerProxy.close()
 		n.storeProxy.close()
 	}
-	if r.workersProxy != nil {
-		r.workersProxy.close()
-	}
+	r.eachWorker((*proxy).close)
 }
--- a/internal/standin/taskworker/taskworker.go
+++ b/internal/standin/taskworker/taskworker.go
@@ -4,9 +4,12 @@
 package taskworker
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -44,6 +47,8 @@
 	StaleTokens  int `json:"unfenced"`     // commands refused because of a stale fencing token
 	Acknowledged int `json:"acknowledged"` // ends that were acknowledged
 	Unticketed   int `json:"unticketed"`   // starts refused for want of a valid ticket
+
+	Violations []string `json:"violations"` // what is known of each doubled run
 }
 
 // worker is one worker of a fleet.
@@ -55,6 +60,8 @@
 	ends         []end           // ends that are not acknowledged yet
 	lastSequence int64           // sequence number of the latest end
 	frozen       bool            // see Freeze
+	born         time.Time       // start of its process
+	poweredOff   bool            // see LosePower
 }
 
 // run is a run of a task that has not ended.
@@ -85,16 +92,21 @@
 func New(ids ...string) *Fleet {
 	f := &Fleet{router: mux.NewRouter(), started: time.Now(), workers: map[string]*worker{}, running: map[string]int{}, finished: map[string]bool{}, tickets: map[string]ticket{}}
 	for _, id := range ids {
-		f.workers[id] = &worker{runs: map[string]*run{}, highestEnded: map[string]int{}}
+		f.workers[id] = newWorker(f.started)
 	}
 	f.router.HandleFunc("/v1/run-start", f.handler(f.start)).Methods(http.MethodPost)
 	f.router.HandleFunc("/v1/run-stop", f.handler(f.stop)).Methods(http.MethodPost)
 	f.router.HandleFunc("/v1/hold", f.handler(f.hold)).Methods(http.MethodPost)
 	f.router.HandleFunc("/v1/advise", f.advise).Methods(http.MethodPost)
+	f.router.HandleFunc("/control/power", f.handlePower).Methods(http.MethodPost)
 	f.router.HandleFunc("/report/workers", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, f.Report()) }).Methods(http.MethodGet)
 	return f
 }
 
+func newWorker(born time.Time) *worker {
+	return &worker{born: born, runs: map[string]*run{}, highestEnded: map[string]int{}}
+}
+
 // ServeHTTP serves one call.
 func (f *Fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.router.ServeHTTP(w, r) }
 
@@ -120,6 +132,32 @@
 	f.workers[id].frozen = frozen
 }
 
+// LosePower ends a worker without a trace, and starts it again under its id after a time: its runs are gone, calls in progress and those
+// that come meanwhile get no answer, and its new process knows nothing of before. It returns when the new process starts.
+func (f *Fleet) LosePower(id string, off time.Duration) (born time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	w.poweredOff = true
+	for _, r := range w.runs {
+		f.running[r.task]--
+	}
+	born = time.Now().Add(off)
+	f.workers[id] = newWorker(born)
+	return born
+}
+
+// handlePower serves a loss of power. The query is ?worker=ID&off_ms=N; the answer is the start of the new process.
+func (f *Fleet) handlePower(w http.ResponseWriter, r *http.Request) {
+	off, err := strconv.Atoi(r.URL.Query().Get("off_ms"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	born := f.LosePower(r.URL.Query().Get("worker"), time.Duration(off)*time.Millisecond)
+	writeJSON(w, http.StatusOK, map[string]int64{"born": born.UnixMilli()})
+}
+
 // command is the body of every command; each command uses some of the fields.
 type command struct {
 	Task       string `json:"task"`
@@ -141,8 +179,18 @@
 // clockMS returns the time of the workers' clock in milliseconds.
 func (f *Fleet) clockMS() int64 { return time.Since(f.started).Milliseconds() }
 
+// openedKey is the key of the time at which a request's connection was opened.
+type openedKey struct{}
+
+// ConnContext keeps when a connection was opened. A server of the fleet should have it, so that what comes over a connection to a process
+// that has lost its power does not reach the worker's next one.
+func ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, openedKey{}, time.Now())
+}
+
 // handler wraps the handler of a command: it decodes the command, finds its worker and checks its fencing token.
-func (f *Fleet) handler(handle func(http.ResponseWriter, *worker, command)) http.HandlerFunc {
+// A command whose handler reports that the worker has no power gets no answer.
+func (f *Fleet) handler(handle func(http.ResponseWriter, *worker, command) (powered bool)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var c command
 		if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
@@ -157,7 +205,8 @@
 			return
 		}
 		f.endDueRuns(target)
-		if target.frozen {
+		opened, known := r.Context().Value(openedKey{}).(time.Time)
+		if target.frozen || time.Now().Before(target.born) || known && opened.Before(target.born) {
 			f.mu.Unlock()
 			<-r.Context().Done()
 			return
@@ -170,7 +219,9 @@
 		}
 		target.token = c.Token
 		f.mu.Unlock()
-		handle(w, target, c)
+		if !handle(w, target, c) {
+			<-r.Context().Done()
+		}
 	}
 }
 
@@ -211,39 +262,48 @@
 }
 
 // start starts a run. A repeated start of a current run has no effect.
-func (f *Fleet) start(w http.ResponseWriter, target *worker, c command) {
+func (f *Fleet) start(w http.ResponseWriter, target *worker, c command) (powered bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if target.poweredOff {
+		return false
+	}
 	present := target.runs[c.Task]
 	switch {
 	case present != nil && present.number == c.Run:
 		writeJSON(w, http.StatusOK, map[string]int64{"clock_ms": f.clockMS()})
-		return
+		return true
 	case c.Run <= target.highestEnded[c.Task]:
 		f.refuse(w, "old")
-		return
+		return true
 	case c.DeadlineMS <= f.clockMS():
 		f.refuse(w, "late")
-		return
+		return true
 	}
 	var s spec
 	if err := json.Unmarshal([]byte(c.Spec), &s); err != nil {
 		writeJSON(w, http.StatusBadRequest, map[string]string{"error": fmt.Sprint(err)})
-		return
+		return true
 	}
 	if s.Advised && !f.tickets[c.Ticket].allows(c.Task, target, time.Now()) {
 		f.report.Unticketed++
 		f.refuse(w, "ticket")
-		return
+		return true
+	}
+	for _, w := range f.workers {
+		f.endDueRuns(w) // also of workers that nobody calls any more
 	}
 	if f.running[c.Task] > 0 || f.finished[c.Task] {
 		f.report.Doubled++
+		f.report.Violations = append(f.report.Violations, fmt.Sprintf("%s run %d started at %s beside %d other runs, acknowledged as done: %t",
+			c.Task, c.Run, time.Now().UTC().Format(time.RFC3339Nano), f.running[c.Task], f.finished[c.Task]))
 	}
 	f.report.Started++
 	f.running[c.Task]++
 	target.runs[c.Task] = &run{c.Task, c.Run, time.Now(), time.Duration(s.TakesMS) * time.Millisecond}
 	f.extendLeases(target, c.DeadlineMS)
 	writeJSON(w, http.StatusOK, map[string]int64{"clock_ms": f.clockMS()})
+	return true
 }
 
 // extendLeases moves the expiry of a worker's leases forward, never back. The caller holds mu.
@@ -254,21 +314,29 @@
 }
 
 // stop stops the given run of a task and older ones, and prevents their start.
-func (f *Fleet) stop(w http.ResponseWriter, target *worker, c command) {
+func (f *Fleet) stop(w http.ResponseWriter, target *worker, c command) (powered bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if target.poweredOff {
+		return false
+	}
 	target.highestEnded[c.Task] = max(target.highestEnded[c.Task], c.Run)
 	if r := target.runs[c.Task]; r != nil && r.number <= c.Run {
 		f.endRun(target, r, "stopped")
 	}
 	writeJSON(w, http.StatusOK, map[string]int64{"clock_ms": f.clockMS()})
+	return true
 }
 
 // hold renews the leases of a worker and acknowledges ends. It answers as soon as an end is listed, or after the given wait.
-func (f *Fleet) hold(w http.ResponseWriter, target *worker, c command) {
+func (f *Fleet) hold(w http.ResponseWriter, target *worker, c command) (powered bool) {
 	until := time.Now().Add(time.Duration(c.WaitMS) * time.Millisecond)
 	for {
 		f.mu.Lock()
+		if target.poweredOff {
+			f.mu.Unlock()
+			return false
+		}
 		f.endDueRuns(target)
 		f.acknowledge(target, c.LastSeen)
 		f.extendLeases(target, c.DeadlineMS)
@@ -276,7 +344,7 @@
 			body := f.runsAndEnds(target)
 			f.mu.Unlock()
 			writeJSON(w, http.StatusOK, body)
-			return
+			return true
 		}
 		f.mu.Unlock()
 		time.Sleep(pollInterval)
@@ -312,5 +380,5 @@
 	for _, e := range w.ends[:min(len(w.ends), maxListedEnds)] {
 		ends = append(ends, []any{e.sequence, e.task, e.run, e.outcome, e.checkpoint})
 	}
-	return map[string]any{"clock_ms": f.clockMS(), "running": running, "finished": ends}
+	return map[string]any{"clock_ms": f.clockMS(), "born": w.born.UnixMilli(), "running": running, "finished": ends}
 }
