Starts: a run that its worker has reported is not withdrawn for want of an answer

What callers saw: nothing certain; found by reading. Where all answers to a start are lost and the worker reports the run, the run was stopped and started again, which costs its work so far.

Cause: startMember withdrew each start without an answer, also when a report had shown meanwhile that the run had begun.

Evidence: TestRunWhoseStartWasNotAnsweredGoesOnOnceItIsReported: one stop order before, none after.

Why it works: a report that lists the run is as good as an answer. Later copies of the order change nothing at a worker that has the run or has ended it.

--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -78,6 +78,10 @@
 		return
 	}
 	reason := refusalOf(err)
+	if reason == "" && m.state == running {
+		s.metrics.orderAnswered("start", "reported")
+		return // the worker has reported the run, so only the answers were lost
+	}
 	if reason == "" {
 		s.metrics.orderAnswered("start", "unanswered")
 		s.config.Events.Emit(eventStartUnanswered, event.F("task", o.Task), event.F("run", o.Run), event.F("worker", m.worker.info.ID), event.F("cause", err))
