Reports: ends are handled in the order of their numbers

If a worker lists an end behind one with a higher number, it was skipped as handled, acknowledged with the others, and its run counted as lost and started again.

Evidence: TestEndsThatAreListedOutOfOrderAreAllHandled failed before (the job stayed running).

Why it works: in the order of numbers no new end is below one that was handled before it.

--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -188,8 +190,10 @@
 	}
 }
 
-// handleEnds handles reported ends that are new. Later heartbeats acknowledge them once their effects are durable.
+// handleEnds handles reported ends that are new, in the order of their numbers: an acknowledgement covers all lower ones. Later
+// heartbeats acknowledge them once their effects are durable.
 func (s *Scheduler) handleEnds(w *worker, ends []EndReport) {
+	slices.SortStableFunc(ends, func(a, b EndReport) int { return cmp.Compare(a.Number, b.Number) })
 	latest := int64(0)
 	for _, e := range ends {
 		if e.Number <= w.lastHandledEnd {
--- a/internal/dispatch/heartbeats_test.go
+++ b/internal/dispatch/heartbeats_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
 
@@ -94,3 +95,16 @@
 		assert.Equal(t, h.fleet.started(), 1)
 	})
 }
+
+// Guards against a task that runs again after its end was acknowledged, since a worker listed it behind an end with a higher number.
+func TestEndsThatAreListedOutOfOrderAreAllHandled(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	w := h.addWorker("w1", "r1", 8)
+	j := singleStepJob(1, stepOf(2))
+	h.submit(j)
+	h.pass()
+	h.awaitRunning(w, 2)
+	h.report(w, HeartbeatReport{Ended: []EndReport{{2, taskName(j, 0), 1, EndDone, ""}, {1, taskName(j, 1), 1, EndDone, ""}}})
+	assert.Equal(t, len(h.runsOn(w)), 0)
+	assert.Equal(t, h.state(j.ID), ledger.Completed)
+}
