Log: a record that it never takes fails alone

Cause: the store's refusal of a record beyond its limit counted as no answer, and a writer repeats such an append for as long as it lives. Nothing compared the size of a record with the limit.

TestJobThatIsTooLargeForTheLogIsRefusedAlone failed before with an unknown outcome.

Ruled out: the limit on bodies, which holds; the record is larger than the body by the queue's settings.

Why it works: a record beyond bounds.record_bytes is never sent and its caller is told 413 at once. A status that blames the request ends the repeats, and halving the batch leaves the record at fault by itself. A job of which no run can be recorded fails instead of holding its workers, and checkpoints of more than 64 KiB stay out of the records.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -158,9 +158,16 @@
 
 func (u *unit) job() *job { return u.step.occurrence.job }
 
+// maxRecordedCheckpoint is the length of the longest checkpoint that is recorded, in bytes. After a change of the scheduler, work with a longer
+// one starts from the beginning; the log would not take the record of a run with a checkpoint of any length.
+const maxRecordedCheckpoint = 64 << 10
+
 // record returns the unit's state as stored in the log.
 func (u *unit) record() ledger.Record {
-	r := ledger.Unit{Run: u.run, Failures: u.failures, FailedRun: u.failedRun, Checkpoint: u.checkpoint}
+	r := ledger.Unit{Run: u.run, Failures: u.failures, FailedRun: u.failedRun}
+	if len(u.checkpoint) <= maxRecordedCheckpoint {
+		r.Checkpoint = u.checkpoint
+	}
 	switch u.state {
 	case active, aborting:
 		r.State, r.Started = ledger.UnitActive, u.startedAt.UnixMilli()
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -38,11 +38,15 @@
 
 // sendStarts sends the start orders of a run that is recorded.
 func (s *Scheduler) sendStarts(members []*member, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ledger.IsUnrecordable(err) {
+		s.failUnrecordable(members, err)
+		return
+	}
 	if err != nil {
 		return // the term is over
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	expired := ticketsExpired(members, time.Now())
 	for _, m := range members {
 		if m.state != planned {
@@ -59,6 +63,21 @@
 	}
 }
 
+// failUnrecordable fails the job of a run whose record the log never takes. The run was not started, and no other run could be either.
+func (s *Scheduler) failUnrecordable(members []*member, err error) {
+	j := members[0].unit.job()
+	if !j.ended() {
+		s.addUrgentDemand(j, -1)
+		s.conclude(j, ledger.Failed, "a run cannot be recorded: "+err.Error())
+		s.stopJob(j, causeJobEnded)
+	}
+	for _, m := range members {
+		m.recordPending = false
+		m.noteCause(causeStartNotSent)
+		s.endMember(m, EndLost, "")
+	}
+}
+
 // stopUnit stops all members of a unit.
 func (s *Scheduler) stopUnit(u *unit, cause endCause) {
 	if u.state != active && u.state != aborting {
--- a/internal/entry/jobservice.go
+++ b/internal/entry/jobservice.go
@@ -213,9 +213,14 @@
 
 // recordError returns the error for callers after a record was written with the given outcome.
 func recordError(err error) error {
+	var tooLarge *ledger.RecordSizeError
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &tooLarge):
+		return errkind.Wrap(err, errkind.TooLarge, "submit a smaller job", "the job does not fit into a record of the log")
+	case ledger.IsInvalid(err):
+		return errkind.Wrap(err, errkind.Invalid, "submit another job", "the log does not take the job")
 	case ledger.IsRefused(err), errors.Is(err, ledger.ErrSuspect), errors.Is(err, ledger.ErrSilent):
 		return errkind.Wrap(err, errkind.Unavailable, "retry after a second", "the log does not accept records at present")
 	}
--- a/internal/entry/jobservice_test.go
+++ b/internal/entry/jobservice_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,6 +28,11 @@
 func (l *laggingLog) Append(_ context.Context, _ string, records []ledger.Record, _ ledger.AppendOptions) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for _, r := range records {
+		if len(r.Key)+len(r.Value) >= 256<<10 {
+			return 0, &ledger.UnknownError{Cause: errors.New("status 413")}
+		}
+	}
 	for _, r := range records {
 		r.Offset = int64(len(l.records))
 		l.records = append(l.records, r)
@@ -153,3 +160,19 @@
 		assert.Assert(t, errkind.Is(err, errkind.NotFound), "%v", err)
 	})
 }
+
+// Guards against one job whose record is larger than the log takes, after which the instance that got it accepts and cancels nothing more.
+func TestJobThatIsTooLargeForTheLogIsRefusedAlone(t *testing.T) {
+	serve(t, func(t *testing.T, log *laggingLog, s *JobService) {
+		job := func(id, label string) *workload.Job {
+			return &workload.Job{ID: id, Customer: "club", Queue: "plans", Spec: "text", Steps: []workload.Step{{Count: 1, Label: label}}, Submitted: time.Now()}
+		}
+		assert.NilError(t, s.Submit(t.Context(), job("00000000000000a1", "")))
+		start := time.Now()
+		err := s.Submit(t.Context(), job("00000000000000a2", strings.Repeat("x", 256<<10)))
+		assert.Assert(t, errkind.Is(err, errkind.TooLarge), "%v", err)
+		assert.Assert(t, time.Since(start) < 100*time.Millisecond)
+		assert.NilError(t, s.Submit(t.Context(), job("00000000000000a3", "")))
+		assert.NilError(t, s.Cancel(t.Context(), "club", "00000000000000a1"))
+	})
+}
--- a/internal/ledger/log.go
+++ b/internal/ledger/log.go
@@ -41,7 +41,7 @@
 // Log is the platform's append-only log as this package needs it.
 type Log interface {
 	// Append adds all records or none and returns the offset after the last one. An empty list with a producer only
-	// sets the producer's epoch. Errors: *RefusedError, *UnknownError, *FencedError, *SequenceError, *MovedError.
+	// sets the producer's epoch. Errors: *RefusedError, *InvalidError, *UnknownError, *FencedError, *SequenceError, *MovedError.
 	Append(ctx context.Context, topic string, records []Record, options AppendOptions) (end int64, err error)
 	// Read returns records from an offset on. It waits at most the given time for the first of them. Errors: *TrimmedError,
 	// *RefusedError, *UnknownError.
@@ -58,6 +58,24 @@
 	return fmt.Sprintf("the log refused the call with status %d", e.Status)
 }
 
+// InvalidError says that the log will never accept the records, for example because one of them is too large. The call had no effect.
+type InvalidError struct{ Cause error }
+
+func (e *InvalidError) Error() string { return "the log does not take the records: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *InvalidError) Unwrap() error { return e.Cause }
+
+// RecordSizeError says that a record exceeds the log's limit, so that it was not sent.
+type RecordSizeError struct {
+	Key         string
+	Size, Limit int // bytes
+}
+
+func (e *RecordSizeError) Error() string {
+	return fmt.Sprintf("the record %.40q has %d bytes, and the log takes at most %d", e.Key, e.Size, e.Limit)
+}
+
 // UnknownError says that the call may or may not have taken effect.
 type UnknownError struct{ Cause error }
 
@@ -98,6 +116,18 @@
 	return errors.As(err, &refused)
 }
 
+// IsInvalid reports whether err says that the log will never accept the records.
+func IsInvalid(err error) bool {
+	var invalid *InvalidError
+	return errors.As(err, &invalid)
+}
+
+// IsUnrecordable reports whether err says that a record was not and never can be written.
+func IsUnrecordable(err error) bool {
+	var size *RecordSizeError
+	return errors.As(err, &size) || IsInvalid(err)
+}
+
 // IsFenced reports whether err says that a later term has taken over.
 func IsFenced(err error) bool {
 	var fenced *FencedError
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -18,8 +18,15 @@
 	maxRefusedAttempts = 2                      // attempts of a refused append before its records fail
 	refusedRetryPause  = 30 * time.Millisecond  // pause before a refused append is retried
 	refuseNewFor       = 250 * time.Millisecond // time after a refusal during which new records are refused unsent
+	maxInvalidAttempts = 3                      // attempts of an append that the log calls invalid before its records are sent in halves
+	invalidRetryPause  = 50 * time.Millisecond  // pause between such attempts
+	// persistentInvalidAttempts is the same for persistent writers, whose records are hard to do without: two seconds.
+	persistentInvalidAttempts = 40
 )
 
+// DefaultRecordLimit is the largest size of a record if SetRecordLimit is not called, in bytes of key and value.
+const DefaultRecordLimit = 256 << 10
+
 // Writer appends records in order, several in one call. No record is written twice, however often a call is retried.
 // While the log is suspect, a writer that is not persistent refuses records unsent with ErrSuspect.
 type Writer struct {
@@ -29,6 +36,7 @@
 	epoch      int64
 	persistent bool                        // whether refused appends are retried until they succeed
 	probe      func(context.Context) error // called before each append; may be nil
+	limit      int                         // largest size of a record, see recordSize
 
 	mu               sync.Mutex
 	pending          []queuedRecord // not sent yet
@@ -50,7 +58,17 @@
 
 // NewWriter returns a writer of a topic. A persistent writer retries refused appends for as long as it runs.
 func NewWriter(log Log, topic, producer string, epoch int64, persistent bool) *Writer {
-	return &Writer{log: log, topic: topic, producer: producer, epoch: epoch, persistent: persistent, wake: make(chan struct{}, 1), lastSuccess: time.Now()}
+	return &Writer{
+		log: log, topic: topic, producer: producer, epoch: epoch, persistent: persistent, limit: DefaultRecordLimit,
+		wake: make(chan struct{}, 1), lastSuccess: time.Now(),
+	}
+}
+
+// SetRecordLimit sets the largest size of a record in bytes. It must be called before Run; 0 or less changes nothing.
+func (w *Writer) SetRecordLimit(limit int) {
+	if limit > 0 {
+		w.limit = limit
+	}
 }
 
 // SetProbe sets a check that is made before each append. If it fails, the records fail unsent with its error. SetProbe must be
@@ -61,9 +79,14 @@
 var ErrSuspect = errors.New("the log does not accept appends at present")
 
 // Put queues records. done, which may be nil, is called once with the outcome of appending the last of them: nil if it was
-// written, *UnknownError if it may or may not have been written, and any other error if it was not. Without records, done is
-// called when the outcome of everything queued before is known. It is never called by the goroutine that calls Put.
+// written, *UnknownError if it may or may not have been written, and any other error if it was not: *RecordSizeError if any of the
+// records is too large, in which case none is written, and *InvalidError if the log will never take the last of them. Without records,
+// done is called when the outcome of everything queued before is known. It is never called by the goroutine that calls Put.
 func (w *Writer) Put(done func(error), records ...Record) {
+	if err := w.checkSize(records...); err != nil {
+		go finish([]queuedRecord{{done: done}}, err)
+		return
+	}
 	if len(records) == 0 {
 		w.queue(queuedRecord{done: done, barrier: true})
 		return
@@ -79,6 +102,10 @@
 // PutWithdrawable queues one record, as Put does. The returned function withdraws the record and reports whether it could: if
 // so, the record was not sent and never will be, and done is not called.
 func (w *Writer) PutWithdrawable(done func(error), r Record) (withdraw func() bool) {
+	if err := w.checkSize(r); err != nil {
+		go finish([]queuedRecord{{done: done}}, err)
+		return func() bool { return false }
+	}
 	w.mu.Lock()
 	w.lastWithdrawalID++
 	id := w.lastWithdrawalID
@@ -95,6 +122,19 @@
 	}
 }
 
+// checkSize returns an error if any of the records is too large for the log.
+func (w *Writer) checkSize(records ...Record) error {
+	for _, r := range records {
+		if size := recordSize(r); size > w.limit {
+			return &RecordSizeError{Key: r.Key, Size: size, Limit: w.limit}
+		}
+	}
+	return nil
+}
+
+// recordSize returns the size of a record in the log: the length of its key in one byte, the key and the value.
+func recordSize(r Record) int { return 1 + len(r.Key) + len(r.Value) }
+
 // queue adds records to the queue, or fails them if new records are rejected.
 func (w *Writer) queue(batch ...queuedRecord) {
 	w.mu.Lock()
@@ -179,19 +219,34 @@
 				continue
 			}
 		}
-		written, err := w.append(ctx, batch, &sequence)
-		if err != nil {
-			return w.stop(err, batch)
-		}
-		if !written {
-			finish(batch, &RefusedError{})
-			continue
+		if unfinished, err := w.appendValid(ctx, batch, &sequence); err != nil {
+			return w.stop(err, unfinished)
 		}
-		sequence++
-		finish(batch, nil)
 	}
 }
 
+// appendValid appends a batch and reports the outcome of its records. If the log calls the batch invalid, its halves are appended one after
+// the other, so that only the records fail that the log never takes. It returns an error if the writer must end, and the records whose
+// outcome is not known then.
+func (w *Writer) appendValid(ctx context.Context, batch []queuedRecord, sequence *int64) (unfinished []queuedRecord, err error) {
+	outcome, err := w.append(ctx, batch, sequence)
+	if err != nil {
+		return batch, err
+	}
+	if outcome == nil {
+		*sequence++
+	}
+	if !IsInvalid(outcome) || len(batch) == 1 {
+		finish(batch, outcome)
+		return nil, nil
+	}
+	first, second := batch[:len(batch)/2], batch[len(batch)/2:]
+	if unfinished, err := w.appendValid(ctx, first, sequence); err != nil {
+		return append(unfinished[:len(unfinished):len(unfinished)], second...), err
+	}
+	return w.appendValid(ctx, second, sequence)
+}
+
 // finish reports the outcome of a batch to those who put its records.
 func finish(batch []queuedRecord, err error) {
 	for _, q := range batch {
@@ -230,9 +285,9 @@
 	return batch
 }
 
-// append retries one append until its outcome is known: written, or refused by the log. It returns an error only if the writer must
-// end.
-func (w *Writer) append(ctx context.Context, batch []queuedRecord, sequence *int64) (written bool, err error) {
+// append retries one append until its outcome is known: nil if it was written, *RefusedError or *InvalidError if it was not. It returns an
+// error only if the writer must end.
+func (w *Writer) append(ctx context.Context, batch []queuedRecord, sequence *int64) (outcome, err error) {
 	records := make([]Record, 0, len(batch))
 	for _, q := range batch {
 		if !q.barrier {
@@ -241,7 +296,7 @@
 	}
 	if len(records) == 0 {
 		*sequence-- // nothing is sent, so the sequence number stays unused
-		return true, nil
+		return nil, nil
 	}
 	uncertain := false // an earlier attempt may have taken effect
 	for attempt := 1; ; attempt++ {
@@ -254,37 +309,52 @@
 		switch {
 		case err == nil:
 			w.noteAttempt(true)
-			return true, nil
+			return nil, nil
 		case ctx.Err() != nil:
-			return false, ctx.Err()
+			return nil, ctx.Err()
 		case IsFenced(err):
-			return false, err
+			return nil, err
 		case errors.As(err, &wrongSequence):
 			if uncertain && wrongSequence.Expected == *sequence+1 {
 				w.noteAttempt(true) // the unanswered attempt took effect, but the log no longer keeps its answer
-				return true, nil
+				return nil, nil
 			}
 			*sequence = wrongSequence.Expected
 		case IsRefused(err):
 			if !w.persistent && !uncertain && attempt >= maxRefusedAttempts {
 				w.noteRefusal()
-				return false, nil
+				return &RefusedError{}, nil
 			}
 			w.noteAttempt(false)
 			wait = refusedRetryPause
+		case IsInvalid(err):
+			// An earlier attempt without an answer was as invalid, so it had no effect.
+			if attempt >= w.invalidAttempts() {
+				w.noteAnswer()
+				return err, nil
+			}
+			wait = invalidRetryPause
 		default:
 			uncertain = true
 			w.noteAttempt(false)
 		}
 		select {
 		case <-ctx.Done():
-			return false, ctx.Err()
+			return nil, ctx.Err()
 		case <-time.After(wait):
 		}
 		w.rejectPendingIfSuspect()
 	}
 }
 
+// invalidAttempts returns how often an append is attempted that the log calls invalid.
+func (w *Writer) invalidAttempts() int {
+	if w.persistent {
+		return persistentInvalidAttempts
+	}
+	return maxInvalidAttempts
+}
+
 // attemptTimeout returns how long an attempt may take. Without persistence, the first attempt ends when the log becomes suspect,
 // so that the records queued behind it fail in time.
 func (w *Writer) attemptTimeout() time.Duration {
@@ -302,6 +372,13 @@
 	w.refusedAt = time.Now()
 }
 
+// noteAnswer records that the log has decided on an append, so that it accepts others.
+func (w *Writer) noteAnswer() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failingSince = time.Time{}
+}
+
 // noteAttempt records whether an attempt succeeded.
 func (w *Writer) noteAttempt(succeeded bool) {
 	w.mu.Lock()
--- a/internal/ledger/writer_test.go
+++ b/internal/ledger/writer_test.go
@@ -49,6 +49,12 @@
 
 func runWriter(t *testing.T, log Log, persistent bool) *Writer {
 	w := NewWriter(log, JobsTopic, "p", 1, persistent)
+	run(t, w)
+	return w
+}
+
+// run runs a writer until the test ends.
+func run(t *testing.T, w *Writer) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -59,7 +65,6 @@
 		cancel()
 		<-ended
 	})
-	return w
 }
 
 func put(w *Writer, key string) error {
@@ -237,3 +242,65 @@
 	}
 	return Batch{}, nil
 }
+
+// Guards against a record that is too large for the log and keeps all later ones from being written.
+func TestRecordThatIsTooLargeFailsAtOnce(t *testing.T) {
+	log := &scriptedLog{}
+	w := NewWriter(log, JobsTopic, "p", 1, true)
+	w.SetRecordLimit(100)
+	run(t, w)
+	outcome := make(chan error, 1)
+	w.Put(func(err error) { outcome <- err }, Record{Key: "a"}, Record{Key: "large", Value: make([]byte, 95)})
+	var tooLarge *RecordSizeError
+	assert.Assert(t, errors.As(<-outcome, &tooLarge))
+	assert.Equal(t, tooLarge.Size, 101)
+	withdraw := w.PutWithdrawable(func(err error) { outcome <- err }, Record{Key: "large", Value: make([]byte, 95)})
+	assert.Assert(t, IsUnrecordable(<-outcome))
+	assert.Assert(t, !withdraw())
+	assert.Equal(t, len(log.calls), 0)
+	assert.NilError(t, put(w, "b"))
+}
+
+// pickyLog never takes a batch with the record "bad".
+type pickyLog struct {
+	scriptedLog
+	written []string
+}
+
+func (l *pickyLog) Append(ctx context.Context, topic string, records []Record, options AppendOptions) (int64, error) {
+	end, err := l.scriptedLog.Append(ctx, topic, records, options)
+	for _, r := range records {
+		if r.Key == "bad" {
+			return 0, &InvalidError{errors.New("status 400")}
+		}
+	}
+	for _, r := range records {
+		l.written = append(l.written, r.Key)
+	}
+	return end, err
+}
+
+// Guards against one record that the log never takes, for a reason that is not foreseen, and that stops the writer for good: the records
+// that share its append are written in their order, and those behind it as well.
+func TestRecordThatTheLogNeverTakesFailsAlone(t *testing.T) {
+	for _, persistent := range []bool{false, true} {
+		log := &pickyLog{}
+		w := NewWriter(log, JobsTopic, "p", 1, persistent)
+		outcomes := make(chan error, 8)
+		for _, key := range []string{"a", "b", "bad", "c", "d"} {
+			w.Put(func(err error) { outcomes <- err }, Record{Key: key})
+		}
+		run(t, w)
+		for i := range 5 {
+			err := <-outcomes
+			assert.Equal(t, IsInvalid(err), i == 2, "%v", err)
+		}
+		assert.NilError(t, put(w, "e"))
+		assert.DeepEqual(t, log.written, []string{"a", "b", "c", "d", "e"})
+		last := int64(0)
+		for i, c := range log.calls {
+			assert.Assert(t, c.Sequence == last || c.Sequence == last+1, "call %d: no number is left out", i)
+			last = c.Sequence
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,6 +77,7 @@
 	n.workers = platform.NewWorkers()
 	n.writer = ledger.NewWriter(n.store, ledger.JobsTopic, "entry-"+n.incarnation, 1, false)
 	n.writer.SetProbe(n.store.Probe)
+	n.writer.SetRecordLimit(s.Bounds.RecordBytes)
 	n.jobsReader = n.newJobsReader()
 	n.api = &platform.API{Jobs: entry.New(n.jobIndex, n.jobsReader, n.writer, n.store, n.events, n.scope), Catalog: &n.current}
 	n.elector = leadership.New(leadership.Config{
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -42,6 +42,7 @@
 	LeaseMS     int64   `yaml:"lease_ms"`      // longest lease of a task, in milliseconds
 	StopMS      int64   `yaml:"stop_ms"`       // longest time that a worker takes to stop a task, in milliseconds; 0 if not known
 	KeepStatusS float64 `yaml:"keep_status_s"` // how long the state of an ended job must be reported, in seconds
+	RecordBytes int     `yaml:"record_bytes"`  // largest record that the log takes; 0 for ledger.DefaultRecordLimit
 }
 
 // Load reads and checks a settings file.
@@ -72,6 +73,9 @@
 	if s.Bounds.StopMS < 0 {
 		return errkind.New(errkind.Invalid, "give 0 or a positive number of milliseconds", "the setting bounds.stop_ms is %d", s.Bounds.StopMS)
 	}
+	if s.Bounds.RecordBytes < 0 {
+		return errkind.New(errkind.Invalid, "give 0 or a positive number of bytes", "the setting bounds.record_bytes is %d", s.Bounds.RecordBytes)
+	}
 	if s.Machine.ProcessorShare < 0 || s.Machine.MemoryMB < 0 {
 		return errkind.New(errkind.Invalid, "give numbers of 0 or more", "a setting of the machine is negative")
 	}
