Stalls: judged by the time that one per cent of a run takes

Cause: a run counted as stalled when its whole percentage had not risen for 3 s, whatever its length, and its worker was quarantined at once.

Why it works: the limit follows from what one per cent of this run or of the step's other runs took, or from its estimate with a margin for estimates that are ten times off. It doubles with each run that was stopped for it, so no error of the estimate stops a job for good. A worker is quarantined at once only for a stall judged by what was observed.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -8,18 +8,24 @@
 
 // Limits for the quarantine of workers that fail, slow down or hang the tasks they start.
 const (
-	quarantineAfterJobs = 2                // different jobs in a row whose tasks failed, or whose gangs stood still, on the worker
+	quarantineAfterJobs = 2                // different jobs in a row whose tasks failed, or whose runs stood still, on the worker
 	minQuarantine       = 4 * time.Second  // first pause before a probe
 	maxQuarantine       = 16 * time.Second // longest pause before a probe
-	maxStall            = 3 * time.Second  // longest time without progress; runs on a worker several times slower than usual stay below it
-	gangProbeDelay      = 2 * time.Second  // single tasks probe first, since a probe that fails costs a gang the work of all its members
-	probeDuration       = 16 * time.Second // a probe that has run this long counts as successful; permanent tasks never end
+	minStallLimit       = 3 * time.Second  // a shorter time without progress is no stall, so that some reports lie within it
+	maxStallLimit       = 24 * time.Hour   // before it doubles; keeps estimates of any size within the range of a duration
+	maxStallDoublings   = 10               // most times that the limit of a unit doubles
+	// Times one per cent of a run may take longer than expected before it counts as stalled. What its progress or the step's other runs
+	// show holds but for workers that slow down; estimates are often several times too short.
+	observedStallMargin  = 8
+	estimatedStallMargin = 20
+	gangProbeDelay       = 2 * time.Second  // single tasks probe first, since a probe that fails costs a gang the work of all its members
+	probeDuration        = 16 * time.Second // a probe that has run this long counts as successful; permanent tasks never end
 )
 
 // health is the scheduler's judgement of a worker.
 type health struct {
 	failedJobs       map[string]bool // jobs whose tasks failed there since the last run that ended well
-	stalledJobs      map[string]bool // jobs whose gangs stood still there and elsewhere since the last run that ended well
+	stalledJobs      map[string]bool // jobs whose runs stood still there, or there and elsewhere, since the last run that ended well
 	quarantine       time.Duration   // pause before the next probe; 0 if the worker is not quarantined
 	quarantinedUntil time.Time       // earliest time of the next probe
 }
@@ -91,14 +97,14 @@
 	w.health = health{}
 }
 
-// trustAfterLongProbe ends the quarantine of a worker whose probe has run for long enough. Failing workers fail tasks soon after their
-// start, and stopStalledRuns stops those that stand still.
+// trustAfterLongProbe ends the quarantine of a worker whose probe has run for long enough and made progress. Failing workers fail tasks
+// soon after their start, and on others nothing makes progress.
 func (s *Scheduler) trustAfterLongProbe(w *worker, now time.Time) {
 	if w.health.quarantine == 0 || !w.answers(now) {
 		return
 	}
 	for _, m := range w.members {
-		if w.isProbe(m) && m.state == running && !m.stopWanted && now.Sub(m.runningSince) > probeDuration {
+		if w.isProbe(m) && m.state == running && !m.stopWanted && m.percent > 0 && now.Sub(m.runningSince) > probeDuration {
 			s.trustWorker(w)
 			return
 		}
@@ -122,7 +128,7 @@
 		return
 	}
 	for _, m := range w.members {
-		if m.stalled(s.resumedAt) && m.unit.mayStall(now) {
+		if s.stalled(m) && m.unit.mayStall(now) {
 			s.stopStalledUnit(m.unit)
 		}
 	}
@@ -133,9 +139,9 @@
 	return w.responsive && now.Sub(w.lastAnswerAt) <= maxSilence
 }
 
-// stalled reports whether the worker's latest reports show no progress of the run for longer than maxStall. Time before resumedAt does
-// not count: reports that waited while this process was paused are as old as the pause, but seem to be new.
-func (m *member) stalled(resumedAt time.Time) bool {
+// stalled reports whether the worker's latest reports show no progress of the run for longer than its stallLimit. Time before resumedAt
+// does not count: reports that waited while this process was paused are as old as the pause, but seem to be new.
+func (s *Scheduler) stalled(m *member) bool {
 	if m.state != running || m.stopWanted || m.unit.state != active || m.unit.step.spec.Permanent || m.percent >= 100 || m.progressedAt.IsZero() {
 		return false
 	}
@@ -143,10 +149,38 @@
 	if m.unit.answersSince.After(since) {
 		since = m.unit.answersSince
 	}
-	if resumedAt.After(since) {
-		since = resumedAt
+	if s.resumedAt.After(since) {
+		since = s.resumedAt
 	}
-	return m.worker.lastAnswerAt.Sub(since) > maxStall
+	limit, _ := s.stallLimit(m)
+	return limit > 0 && m.worker.lastAnswerAt.Sub(since) > limit
+}
+
+// stallLimit returns how long the run may show no progress, 0 if nothing tells. The limit follows from the time that one per cent of the
+// run takes, and doubles with each run of the unit that was stopped as stalled, since the estimate may be far too short. reliable says
+// that it follows from what was observed of this step.
+func (s *Scheduler) stallLimit(m *member) (limit time.Duration, reliable bool) {
+	st := m.unit.step
+	switch {
+	case m.rises > 1: // the first rise may be that of a checkpoint
+		limit, reliable = observedStallMargin*m.slowestPercent, true
+	case st.meanRunTime > 0:
+		limit, reliable = observedStallMargin*st.meanRunTime/100, true
+	case st.spec.Estimate > 0 || s.runTimes[st.occurrence.job.spec.Queue] != nil:
+		limit = s.expectedRunTime(st) / 100 * estimatedStallMargin
+	default:
+		return 0, false
+	}
+	return min(max(limit, minStallLimit), maxStallLimit) << min(m.unit.stalledRuns, maxStallDoublings), reliable
+}
+
+// noteProgress notes a rise of the reported progress.
+func (m *member) noteProgress(percent int, now time.Time) {
+	if rise := percent - m.percent; rise > 0 && !m.progressedAt.IsZero() {
+		m.rises++
+		m.slowestPercent = max(m.slowestPercent, now.Sub(m.progressedAt)/time.Duration(rise))
+	}
+	m.percent, m.progressedAt = percent, now
 }
 
 // mayStall reports whether all members of the unit's run are known to run on workers that answer. Otherwise a gang cannot work,
@@ -160,34 +194,42 @@
 	return true
 }
 
-// stopStalledUnit stops a unit whose run makes no progress. A worker of a gang is suspected unless other runs on it go on.
+// stopStalledUnit stops a unit whose run makes no progress. Its workers are suspected unless other runs there go on. One is quarantined at
+// once if the stall is certain to be its own; otherwise the runs of different jobs have to stall there.
 func (s *Scheduler) stopStalledUnit(u *unit) {
-	workers := map[*worker]bool{}
+	workers, certain := map[*worker]bool{}, true
 	for _, m := range u.members {
-		if !m.worker.hasProgress(u) {
+		if !s.hasProgress(m.worker, u) {
 			workers[m.worker] = true
 		}
+		_, reliable := s.stallLimit(m)
+		certain = certain && reliable
 	}
 	for w := range workers {
 		u.avoidWorker(w)
-		if len(workers) == 1 || w.noteSuspicion(u.job().spec.ID) {
+		alone := certain && len(workers) == 1
+		if w.noteSuspicion(u.job().spec.ID) || alone {
 			s.quarantineWorker(w, "a run makes no progress")
 		}
 	}
+	u.stalledRuns++
 	s.stopUnit(u, causeStalled)
 }
 
 // hasProgress reports whether the worker's reports show recent progress of a run of another unit than u.
-func (w *worker) hasProgress(u *unit) bool {
+func (s *Scheduler) hasProgress(w *worker, u *unit) bool {
 	for _, m := range w.members {
-		if m.unit != u && m.percent > 0 && w.lastAnswerAt.Sub(m.progressedAt) <= maxStall {
+		if m.unit == u || m.stopWanted || m.percent == 0 {
+			continue
+		}
+		if limit, _ := s.stallLimit(m); w.lastAnswerAt.Sub(m.progressedAt) <= limit {
 			return true
 		}
 	}
 	return false
 }
 
-// noteSuspicion notes that a job's gang made no progress on the worker and some others, and reports whether this has happened
+// noteSuspicion notes that a job's run made no progress on the worker, which may not be its fault, and reports whether this has happened
 // to enough jobs to quarantine the worker.
 func (w *worker) noteSuspicion(job string) bool {
 	if w.health.stalledJobs == nil {
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -272,7 +272,7 @@
 		}
 		s.markRunning(m)
 		if r.Percent > m.percent || m.progressedAt.IsZero() {
-			m.percent, m.progressedAt = r.Percent, now
+			m.noteProgress(r.Percent, now)
 		}
 		m.latencyOrCPU = r.LatencyOrCPU
 		m.noteCheckpoint(r.Checkpoint, now)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -54,6 +54,7 @@
 	run              int // number of the current or latest run, 0 before the first
 	failures         int // number of runs that ended as failed
 	failedRun        int // latest run that was counted in failures
+	stalledRuns      int // number of runs in this term that were stopped as stalled
 	checkpoint       string
 	members          []*member // of the current run
 	cause            endCause  // why the current run ends without success, that of the first member to end
@@ -92,11 +93,13 @@
 	stopWanted      bool      // the run is to end
 	stopAnsweredAt  time.Time // when the worker answered the stop order
 
-	runningSince   time.Time // when the run was first known to run
-	percent        int       // progress that the worker reported
-	pace           int       // last ordered speed in percent of full speed, or paceUnknown; used for spare-CPU work only
-	latencyOrCPU   int64     // last reported tail latency or CPU use, see RunReport.LatencyOrCPU
-	progressedAt   time.Time // when percent last rose
+	runningSince   time.Time     // when the run was first known to run
+	percent        int           // progress that the worker reported
+	pace           int           // last ordered speed in percent of full speed, or paceUnknown; used for spare-CPU work only
+	latencyOrCPU   int64         // last reported tail latency or CPU use, see RunReport.LatencyOrCPU
+	progressedAt   time.Time     // when percent last rose
+	rises          int           // number of reports with a higher percent than before
+	slowestPercent time.Duration // longest time that one per cent took, between two rises
 	checkpoint     string
 	checkpointedAt time.Time // when checkpoint was first seen
 	endedAt        time.Time
--- a/internal/dispatch/simfleet_test.go
+++ b/internal/dispatch/simfleet_test.go
@@ -46,6 +46,7 @@
 type simWorker struct {
 	info     WorkerInfo
 	cut      bool // calls do not reach it, and it works on
+	hung     bool // what starts there makes no progress
 	gone     bool
 	runs     map[runKey]*simRun
 	ended    []EndReport
@@ -163,6 +164,9 @@
 	}
 	total := time.Duration(float64(run.job.runTimes[run.key.task.Step]) * factor * (1 - run.begun))
 	run.startedAt = time.Now()
+	if run.worker.hung {
+		return
+	}
 	run.doneAt = run.startedAt.Add(total)
 	ending := EndDone
 	if f.random.Float64() < run.job.failing {
