Starts: a worker is looked at again directly before its order

Cause: the worker is chosen when the run is planned. Its order waits for the run's record, and a silent store makes that seconds, in which the worker may restart as another kind.

Why it works: the order follows the check under one lock, with what the scheduler has read and heard of the worker until then.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -89,6 +89,7 @@
 	resources       workload.Resources
 	state           memberState
 	recordPending   bool      // the run is not recorded yet, so the start order was not sent
+	processStart    int64     // start of the worker's process for which the run was planned
 	startAnsweredAt time.Time // when the worker confirmed the start; zero for runs of earlier terms
 	stopWanted      bool      // the run is to end
 	stopAnsweredAt  time.Time // when the worker answered the stop order
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
 
 // requeueDelay keeps a unit whose run failed from running into the same fault again at once.
@@ -20,7 +22,7 @@
 	u.members = make([]*member, len(workers))
 	resources := u.step.resources()
 	for i, w := range workers {
-		m := &member{unit: u, run: u.run, index: max(u.index, i), worker: w, resources: resources, recordPending: true, pace: fullPace}
+		m := &member{unit: u, run: u.run, index: max(u.index, i), worker: w, resources: resources, recordPending: true, pace: fullPace, processStart: w.processStart}
 		if u.index < 0 {
 			m.index = i
 		}
@@ -47,13 +49,14 @@
 	if err != nil {
 		return // the term is over
 	}
-	expired := ticketsExpired(members, time.Now())
+	now := time.Now()
+	obsolete := ticketsExpired(members, now) || slices.ContainsFunc(members, func(m *member) bool { return !m.mayStillStart(now) })
 	for _, m := range members {
 		if m.state != planned {
 			continue
 		}
 		m.recordPending = false
-		if m.stopWanted || expired || !s.config.Term.Authority() {
+		if m.stopWanted || obsolete || !s.config.Term.Authority() {
 			m.noteCause(causeStartNotSent)
 			s.endMember(m, EndLost, "")
 			continue
@@ -63,6 +66,19 @@
 	}
 }
 
+// mayStillStart reports whether a member's worker would still be chosen for it. The record of a run may have waited for the log, and the
+// worker may be of another kind by now, draining, silent, without room or of a service to which the queue no longer sends its work.
+func (m *member) mayStillStart(now time.Time) bool {
+	w, spec := m.worker, m.unit.step.spec
+	if !w.listed || w.info.Draining || !w.answers(now) || w.describesAnotherProcess() || w.processStart != m.processStart {
+		return false
+	}
+	if w.info.Service != m.unit.job().queueSettings.Service || spec.Label != "" && !slices.Contains(w.info.Labels, spec.Label) {
+		return false
+	}
+	return (workload.Resources{}).Fits(w.free) // what it has booked, this run included, is within its capacity
+}
+
 // failUnrecordable fails the job of a run whose record the log never takes. The run was not started, and no other run could be either.
 func (s *Scheduler) failUnrecordable(members []*member, err error) {
 	j := members[0].unit.job()
