Pools: mostly idle and reserved go by cores where there are no accelerators

Cause: a service counted as mostly idle by its free accelerators, never without any; the limits on reservations had the same fault.

Why it works: the resource that is scarce in a service decides, as it already did for starvation.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -14,8 +14,9 @@
 	dataCentres    map[string][]*worker // by data centre
 	accelerators   int64                // of all workers
 	cpu            int64                // of all workers, in thousandths of a core
+	freeCPUAtStart int64                // thousandths of a core that were free at the start of the pass
 	freeAtStart    int64                // accelerators that were free at the start of the pass
-	reserved       int64                // accelerators of workers kept free by reservations
+	reserved       int64                // scarcest resource of workers kept free by reservations, see scarceCapacity
 	headroomTarget int64                // accelerators to be left free for urgent work
 }
 
@@ -32,6 +33,7 @@
 	pl.accelerators += w.info.Capacity.Accelerators
 	pl.cpu += w.info.Capacity.CPU
 	pl.freeAtStart += w.free.Accelerators
+	pl.freeCPUAtStart += w.free.CPU
 }
 
 // sortByID makes the order of workers independent of the map they come from.
@@ -45,8 +47,13 @@
 	}
 }
 
-// mostlyIdle reports whether more than half of the pool's accelerators were free at the start of the pass.
-func (pl *pool) mostlyIdle() bool { return 2*pl.freeAtStart > pl.accelerators }
+// mostlyIdle reports whether more than half of the pool's scarcest resource was free at the start of the pass.
+func (pl *pool) mostlyIdle() bool {
+	if pl.accelerators == 0 {
+		return 2*pl.freeCPUAtStart > pl.cpu
+	}
+	return 2*pl.freeAtStart > pl.accelerators
+}
 
 func sortedKeys(groups map[string][]*worker) []string {
 	names := make([]string, 0, len(groups))
@@ -66,6 +73,14 @@
 	return max(r.Accelerators, 1)
 }
 
+// scarceCapacity returns how much of the pool's scarcest resource the given resources hold.
+func (pl *pool) scarceCapacity(r workload.Resources) int64 {
+	if pl.accelerators == 0 {
+		return r.CPU / 1000
+	}
+	return r.Accelerators
+}
+
 // scarceTotal returns how much of its scarcest resource the pool has.
 func (pl *pool) scarceTotal() int64 {
 	if pl.accelerators == 0 {
--- a/internal/dispatch/reservations.go
+++ b/internal/dispatch/reservations.go
@@ -19,7 +19,7 @@
 // that are expected to be free first, within one rack for a gang that should run in one. They are kept from pass to pass
 // until the unit starts, since workers that are chosen anew in each pass never become free.
 func (p *plan) reserve(pl *pool, u *unit) {
-	if u.index >= 0 && 2*u.step.resources().Accelerators <= pl.workers[0].info.Capacity.Accelerators {
+	if u.index >= 0 && 2*pl.scarceCapacity(u.step.resources()) <= pl.scarceCapacity(pl.workers[0].info.Capacity) {
 		return // small tasks find room without a reservation
 	}
 	if len(u.reservedWorkers) > 0 {
@@ -39,20 +39,20 @@
 	}
 }
 
-// keepFree keeps workers free for a unit, and reports whether the limit on reserved accelerators allows it.
+// keepFree keeps workers free for a unit, and reports whether the limit on reserved resources allows it.
 func (p *plan) keepFree(pl *pool, u *unit, workers []*worker) bool {
-	accelerators := int64(0)
+	reserved := int64(0)
 	for _, w := range workers {
-		accelerators += w.info.Capacity.Accelerators
+		reserved += pl.scarceCapacity(w.info.Capacity)
 	}
 	limit := maxReservedShare
 	if pl.reserved == 0 {
 		limit = maxReservedByOne // else the largest gangs would never fit in a small fleet
 	}
-	if pl.reserved+accelerators > int64(limit*float64(pl.accelerators)) {
+	if pl.reserved+reserved > int64(limit*float64(pl.scarceTotal())) {
 		return false
 	}
-	pl.reserved += accelerators
+	pl.reserved += reserved
 	for _, w := range workers {
 		p.keptFor[w] = u.step
 	}
