Headroom: a bound on the wait behind permanent tasks

What callers saw: nothing on the sites in force, which have no permanent tasks; the wait was listed without a bound. Work that is not urgent never starts on a service of which permanent tasks hold half or more, if it fits only on the workers kept free for urgent work.

Cause: the headroom is kept while half of the service is in use, and permanent tasks keep it so for good.

Evidence: TestWorkStartsBesidePermanentTasksAfterAWhile failed before with 8 of 9 starts.

Why it works: after 10 s such work may use the headroom; urgent work preempts it there if it needs the room.

--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -14,11 +14,25 @@
 // permanentStartWait is how long a permanent task that was never at work leaves the headroom to urgent work.
 const permanentStartWait = 2 * time.Second
 
+// headroomWait is how long other work leaves the headroom to urgent work on a service of which permanent tasks hold half or more.
+const headroomWait = 10 * time.Second
+
 // mayUseHeadroom reports whether a unit may run on workers that are kept free for urgent work: if it is urgent, or permanent and not
 // just submitted. Permanent tasks that run do not make room for others, so on a fleet that is full of them one that was lost would never
-// start again beside idle workers.
+// start again beside idle workers, and other work would wait for ever for less than half of the service to be in use.
 func (p *plan) mayUseHeadroom(u *unit) bool {
-	return u.urgent() || u.step.spec.Permanent && (u.run > 0 || !u.waitingAt.IsZero() && p.now.Sub(u.waitingAt) > permanentStartWait)
+	waited := time.Duration(0)
+	if !u.waitingAt.IsZero() {
+		waited = p.now.Sub(u.waitingAt)
+	}
+	switch {
+	case u.urgent():
+		return true
+	case u.step.spec.Permanent:
+		return u.run > 0 || waited > permanentStartWait
+	}
+	pl := p.pools[u.job().queueSettings.Service]
+	return pl != nil && pl.mostlyPermanent() && waited > headroomWait
 }
 
 // markHeadroom keeps workers free for urgent work. It picks them rack by rack, beginning with the rack with the most free
--- a/internal/dispatch/permanent_test.go
+++ b/internal/dispatch/permanent_test.go
@@ -170,3 +170,20 @@
 	time.Sleep(10 * time.Millisecond)
 	assert.Equal(t, h.fleet.stopped(), 1)
 }
+
+// Guards against work that is not urgent and waits for ever beside idle workers kept for urgent work, because permanent tasks keep its service
+// more than half full.
+func TestWorkStartsBesidePermanentTasksAfterAWhile(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	startPermanentJobs(h, 10, 8)
+	j := wholeWorker(9)
+	h.submit(j)
+	h.pass()
+	assert.Equal(t, h.fleet.started(), 8)
+	h.scheduler.mu.Lock()
+	u := h.scheduler.jobs[j.ID].occurrences[0].steps[0].units[0]
+	u.waitingAt = u.waitingAt.Add(-headroomWait - time.Millisecond)
+	h.scheduler.mu.Unlock()
+	h.pass()
+	awaitStarts(t, h.fleet, 9)
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -16,6 +16,7 @@
 	cpu            int64                // of all workers, in thousandths of a core
 	freeCPUAtStart int64                // thousandths of a core that were free at the start of the pass
 	freeAtStart    int64                // accelerators that were free at the start of the pass
+	permanent      workload.Resources   // held by permanent tasks, which do not make room by ending
 	reserved       int64                // scarcest resource of workers kept free by reservations, see scarceCapacity
 	headroomTarget int64                // accelerators to be left free for urgent work
 }
@@ -34,6 +35,11 @@
 	pl.cpu += w.info.Capacity.CPU
 	pl.freeAtStart += w.free.Accelerators
 	pl.freeCPUAtStart += w.free.CPU
+	for _, m := range w.members {
+		if m.unit.step.spec.Permanent {
+			pl.permanent = pl.permanent.Plus(m.resources)
+		}
+	}
 }
 
 // sortByID makes the order of workers independent of the map they come from.
@@ -55,6 +61,9 @@
 	return 2*pl.freeAtStart > pl.accelerators
 }
 
+// mostlyPermanent reports whether permanent tasks hold half of the pool's scarcest resource or more, so that it can never be mostly idle.
+func (pl *pool) mostlyPermanent() bool { return 2*pl.scarceCapacity(pl.permanent) >= pl.scarceTotal() }
+
 func sortedKeys(groups map[string][]*worker) []string {
 	names := make([]string, 0, len(groups))
 	for name := range groups {
