Leases end by the time that the next scheduler reckons with

Cause: a scheduler acts for 6 s on its last confirmed heartbeat and granted leases of full length until the end of them. Its successor has to reckon with 6 s and a whole lease after its claim, 16.8 s with leases of 10 s.

Why it works: leases end 10 s after the last confirmed heartbeat, or one longest lease if that is longer, and the record of the role says for how long its holder grants leases of full length. A claim succeeds only if nothing was written after the record that was read last, so the last confirmed heartbeat was sent before that was read. Holders of an earlier version do not say so; after them 6 s count as before.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -148,9 +148,16 @@
 
 // fakeTerm is a term that lasts until Lose is called.
 type fakeTerm struct {
-	mu    sync.Mutex
-	lost  error
-	pause time.Duration // of the process, directly after it has found its authority to be valid
+	mu          sync.Mutex
+	lost        error
+	pause       time.Duration // of the process, directly after it has found its authority to be valid
+	unconfirmed time.Duration // by how much leases must be shorter
+}
+
+func (t *fakeTerm) LeaseAuthority() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return -t.unconfirmed
 }
 
 func (t *fakeTerm) Authority() bool {
--- a/internal/dispatch/heartbeats_test.go
+++ b/internal/dispatch/heartbeats_test.go
@@ -40,6 +40,20 @@
 	})
 }
 
+// Guards against leases that outlive what the next leader reckons with, when this one has lost touch with the log.
+func TestLeasesAreShortenedWhileTheTermIsNotConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+		w := h.addWorker("w1", "r1", 8) // its clock was 1000 ms just now
+		assert.Equal(t, h.nextHeartbeat(w).LeaseEnd, 1000+testLease.Milliseconds())
+		h.term.unconfirmed = 3 * time.Second
+		limit := 1000 + (testLease - 3*time.Second).Milliseconds()
+		assert.Equal(t, h.nextHeartbeat(w).LeaseEnd, limit)
+		h.startOn(1, w)
+		assert.Equal(t, h.fleet.starts[0].LeaseEnd, limit)
+	})
+}
+
 // Guards against one worker's answer that ends the whole process, or that leaves the scheduler locked.
 func TestPanicInAHeartbeatIsCaught(t *testing.T) {
 	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -31,9 +31,9 @@
 }
 
 // grantLease returns the end of a lease that begins now, on the worker's clock. It also updates when the worker's leases
-// have certainly expired.
+// have certainly expired. The lease ends no later than the next leader reckons with.
 func (s *Scheduler) grantLease(w *worker, now time.Time) int64 {
-	lease := s.leaseOn(w)
+	lease := max(min(s.leaseOn(w), s.config.Bounds.Lease+s.config.Term.LeaseAuthority()), 0)
 	end := now.Add(expiryOf(lease))
 	if end.After(w.leasesOverAt) {
 		w.leasesOverAt = end
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -28,10 +28,11 @@
 	StatusRetention time.Duration // how long the status of an ended job must be available
 }
 
-// Term is the leadership term on whose behalf the scheduler acts. Authority reports whether it may still act; Lose ends
-// the term.
+// Term is the leadership term on whose behalf the scheduler acts. Authority reports whether it may still act; LeaseAuthority returns how
+// much longer leases of full length may be granted, and, if negative, by how much they must be shorter; Lose ends the term.
 type Term interface {
 	Authority() bool
+	LeaseAuthority() time.Duration
 	Lose(cause error)
 }
 
@@ -54,7 +55,7 @@
 	Events            *event.Log
 	Metrics           tally.Scope
 	Now               func() time.Time // wall clock, for times that customers give
-	PreviousAuthority time.Duration    // how long leaders of earlier terms may still renew leases
+	PreviousAuthority time.Duration    // how long leaders of earlier terms may still renew leases for their full length; negative if not any more
 }
 
 // Scheduler schedules the jobs of one leadership term on workers. It is safe for concurrent use.
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -28,7 +28,7 @@
 func (s *Scheduler) addWorker(id string) *worker {
 	w := &worker{members: map[runKey]*member{}, endsRecorded: make(chan struct{}, 1)}
 	w.info.ID = id
-	// Earlier leaders may renew leases until their authority ends.
+	// Earlier leaders may renew leases for their full length until that authority ends; later renewals last no longer.
 	w.leasesOverAt = s.createdAt.Add(s.config.PreviousAuthority + expiryOf(s.config.Bounds.Lease))
 	s.workers[id] = w
 	return w
--- a/internal/leadership/authority_test.go
+++ b/internal/leadership/authority_test.go
@@ -48,10 +48,12 @@
 	t     *testing.T
 	log   *termLog
 	clock time.Duration
+
+	leaseAuthority time.Duration
 }
 
 func newSuccession(t *testing.T) *succession {
-	return &succession{t: t, log: &termLog{}, clock: time.Hour}
+	return &succession{t: t, log: &termLog{}, clock: time.Hour, leaseAuthority: AuthorityLimit}
 }
 
 // claim lets a new process of an instance claim the role and returns its elector and term.
@@ -65,7 +67,7 @@
 	s.t.Helper()
 	e := New(Config{
 		Log: s.log, Instance: instance, Incarnation: incarnation, ProcessorShare: 1, Events: event.Discard(),
-		Clock: func() time.Duration { return s.clock }, Eligible: func() bool { return true },
+		Clock: func() time.Duration { return s.clock }, Eligible: func() bool { return true }, LeaseAuthority: s.leaseAuthority,
 	})
 	assert.NilError(s.t, e.load(s.t.Context()))
 	return e
@@ -197,3 +199,52 @@
 	_, next := s.claim("b", "2")
 	assert.Equal(t, next.EarlierAuthority, formerAuthorityLimit)
 }
+
+// Guards against work of lost workers that waits for leases which the lost holder could not have granted, and against leases that
+// outlive what the next holder reckons with: tasks would run twice.
+func TestLeasesEndByTheTimeThatTheNextHolderReckonsWith(t *testing.T) {
+	for _, lease := range []time.Duration{3 * time.Second, 6 * time.Second, 10 * time.Second, 30 * time.Second} {
+		for _, resigns := range []bool{false, true} {
+			s := newSuccession(t)
+			s.leaseAuthority = LeaseAuthority(lease)
+			a, first := s.claim("a", "1")
+			b := s.join("b", "2")
+			s.clock += time.Second
+			assert.NilError(t, a.renew(t.Context(), first))
+			heardAt := s.clock
+			_, err := b.follow(t.Context(), 0)
+			assert.NilError(t, err)
+			latest := time.Duration(0) // end of any lease of the first holder, which is cut off from now on
+			for ; s.clock < heardAt+claimAfter; s.clock += 50 * time.Millisecond {
+				latest = max(latest, s.clock+min(lease, lease+first.LeaseAuthority()))
+			}
+			_, term := s.claimWith(b)
+			if resigns {
+				b.resign(term, "")
+				_, term = s.claim("c", "3")
+			}
+			bound := s.clock + term.EarlierAuthority + lease
+			for ; first.Authority(); s.clock += 50 * time.Millisecond {
+				latest = max(latest, s.clock+min(lease, lease+first.LeaseAuthority()))
+			}
+			assert.Assert(t, latest <= bound, "lease of %v, resigns %v: %v after the last heartbeat, %v expected", lease, resigns, latest-heardAt, bound-heardAt)
+			target := max(leaseReach, lease)
+			if resigns {
+				target = max(target, claimAfter+lease) // the holder after it may have granted leases until then
+			}
+			assert.Assert(t, bound <= heardAt+target, "lease of %v, resigns %v: work waits for %v", lease, resigns, bound-heardAt)
+		}
+	}
+}
+
+// Guards against leases of an earlier version's holder, which shortens none, that count as if it did.
+func TestHolderOfAnEarlierVersionGrantsFullLeasesToTheEnd(t *testing.T) {
+	s := newSuccession(t)
+	s.leaseAuthority = 0
+	e, _ := s.claim("a", "1")
+	last := e.Current()
+	last.LeaseAuthority = nil
+	assert.NilError(t, e.write(t.Context(), last, e.topicEnd))
+	_, next := s.claim("b", "2")
+	assert.Equal(t, next.EarlierAuthority, AuthorityLimit)
+}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -65,8 +65,12 @@
 	LargestShare   float64 `msgpack:"l,omitempty"` // largest processor share of any holder so far
 	Successor      string  `msgpack:"n,omitempty"` // incarnation in whose favour the holder resigned, may be empty
 
-	// EarlierAuthority is how long after this record holders of earlier terms may still act; nil if the record does not say so.
+	// EarlierAuthority is how long after this record holders of earlier terms may still grant leases of full length; nil if the record
+	// does not say so.
 	EarlierAuthority *time.Duration `msgpack:"e,omitempty"`
+	// LeaseAuthority is how long after this record the holder may still grant leases of full length if it confirms no further heartbeat;
+	// nil if the record does not say so.
+	LeaseAuthority *time.Duration `msgpack:"f,omitempty"`
 }
 
 // candidate is the record of an instance that requests the term of a smaller holder. Scheduling takes most of a small machine's
@@ -81,9 +85,9 @@
 type Term struct {
 	Number  int64
 	Context context.Context // ends with the term
-	// EarlierAuthority is how long after the claim holders of earlier terms may still act. It is 0 if all of them are known to have
-	// stopped, because they resigned or were earlier processes of an instance that claimed the role again, or if their authority has
-	// certainly ended.
+	// EarlierAuthority is how long after the claim holders of earlier terms may still grant leases of full length. It is 0 if all of them
+	// are known to have stopped, because they resigned or were earlier processes of an instance that claimed the role again, or if their
+	// authority has certainly ended, and negative if none of them can have granted any for some time before the claim.
 	EarlierAuthority time.Duration
 
 	elector *Elector
@@ -99,6 +103,7 @@
 	events         *event.Log
 	clock          func() time.Duration // monotonic; includes time during which the machine was suspended
 	eligible       func() bool          // whether the instance has the configuration that a scheduler needs
+	leaseAuthority time.Duration        // how long after a confirmed heartbeat a term of this instance grants leases of full length
 
 	mu              sync.Mutex
 	current         State         // last observed record of the holder
@@ -108,7 +113,7 @@
 	topicEnd        int64         // offset after the last known record of the topic
 	confirmedAt     time.Duration // when the last confirmed heartbeat was sent, by clock
 	heardAt         time.Duration // when the last record of a holder was read, by clock
-	earlierUntil    time.Duration // until when holders of earlier terms than the one held may act, by clock
+	earlierUntil    time.Duration // until when holders of earlier terms than the one held may grant leases of full length, by clock
 	failures        int           // number of calls in a row without a usable answer
 }
 
@@ -121,11 +126,16 @@
 	Events         *event.Log
 	Clock          func() time.Duration // monotonic; must include time during which the machine was suspended
 	Eligible       func() bool          // whether the instance can schedule; false keeps it from claiming the role
+	// LeaseAuthority is how long after its last confirmed heartbeat the holder grants leases of full length, at most AuthorityLimit.
+	LeaseAuthority time.Duration
 }
 
 // New returns an elector.
 func New(c Config) *Elector {
-	return &Elector{log: c.Log, instance: c.Instance, incarnation: c.Incarnation, processorShare: min(c.ProcessorShare, 1), events: c.Events, clock: c.Clock, eligible: c.Eligible}
+	return &Elector{
+		log: c.Log, instance: c.Instance, incarnation: c.Incarnation, processorShare: min(c.ProcessorShare, 1), events: c.Events, clock: c.Clock,
+		eligible: c.Eligible, leaseAuthority: c.LeaseAuthority,
+	}
 }
 
 // Current returns the last observed holder.
@@ -326,7 +336,7 @@
 	e.mu.Unlock()
 	next := State{Term: previous.Term + 1, Holder: e.instance, Incarnation: e.incarnation, ProcessorShare: e.processorShare, LargestShare: max(previous.LargestShare, e.processorShare)}
 	earlier := e.authorityBefore(previous)
-	next.EarlierAuthority = &earlier
+	next.EarlierAuthority, next.LeaseAuthority = &earlier, &e.leaseAuthority
 	sent := e.clock()
 	if err := e.write(ctx, next, at); err != nil {
 		e.noteFailure(ctx, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,7 +83,8 @@
 	n.api = &platform.API{Jobs: entry.New(n.jobIndex, n.jobsReader, n.writer, n.store, n.events, n.scope), Catalog: &n.current}
 	n.elector = leadership.New(leadership.Config{
 		Log: n.store, Instance: s.Instance, Incarnation: n.incarnation, ProcessorShare: s.Machine.ProcessorShare, Events: n.events, Clock: bootTime,
-		Eligible: func() bool { return n.current.Get() != nil },
+		Eligible:       func() bool { return n.current.Get() != nil },
+		LeaseAuthority: leadership.LeaseAuthority(s.Bounds.dispatchBounds().Lease),
 	})
 	return n
 }
