What a scheduler knows of silent workers is known to the next one

Callers saw: after the loss of workers, their work did not start again while schedulers were lost in a row (LOST).

Cause: the scheduler alone knew which workers are silent and how long their leases last. Each successor took a worker that does not answer to have got a lease directly before the last heartbeat of its predecessor, so changes that are closer together than 10.8 s put off the work without a bound.

Ruled out: the record of runs (the lost tasks are restored in each term).

Why it works: a listed worker gets no lease and no start until a heartbeat of the term without it is confirmed, also if an unconfirmed one without it may have been written. So what a successor reads bounds the leases of this holder, and of those before it, as this holder's own bound does. Tried first: only workers with runs were listed, until their leases were over.

--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -51,6 +51,7 @@
 		})
 		p.scheduler.Recover(nil)
 		go p.scheduler.Run(ctx)
+		go confirmLists(ctx, p.scheduler)
 		for i := range workers {
 			p.addWorker(i)
 		}
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -14,6 +14,7 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/catalog"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
+	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
 
@@ -174,6 +175,15 @@
 	t.lost = cause
 }
 
+// confirmLists records the scheduler's lists of workers without leases until ctx ends, as the heartbeats of its term do.
+func confirmLists(ctx context.Context, s *Scheduler) {
+	for ctx.Err() == nil {
+		number, _ := s.Withheld()
+		wait.For(ctx, 350*time.Millisecond)
+		s.ConfirmWithheld(number)
+	}
+}
+
 // harness is a scheduler without a loop of its own; the test makes its passes.
 type harness struct {
 	t         *testing.T
@@ -189,6 +199,11 @@
 const testLease = 10 * time.Second
 
 func newHarness(t *testing.T, jobs, runs *memoryLedger, entries ...ledger.Entry) *harness {
+	return newHarnessKnowing(t, nil, jobs, runs, entries...)
+}
+
+// newHarnessKnowing returns a harness whose scheduler knows how long leases may last on workers that its predecessor granted none any more.
+func newHarnessKnowing(t *testing.T, leasesLeft map[string]time.Duration, jobs, runs *memoryLedger, entries ...ledger.Entry) *harness {
 	h := &harness{t: t, fleet: &scriptedFleet{}, jobs: jobs, runs: runs, term: &fakeTerm{}, metrics: tally.NewTestScope("", nil), entries: entries}
 	var current catalog.Current
 	current.Advance((&catalog.Catalog{Version: 1, Customers: []catalog.Customer{{Name: "club", GuaranteedAccelerators: 8}}}).Build())
@@ -196,7 +211,7 @@
 	t.Cleanup(cancel)
 	h.scheduler = New(ctx, Config{
 		Fleet: h.fleet, Jobs: jobs, Runs: runs, Term: h.term, Token: 1, Catalog: &current, Events: event.Discard(),
-		Metrics: h.metrics, Now: time.Now, PreviousAuthority: 8 * time.Second,
+		Metrics: h.metrics, Now: time.Now, PreviousAuthority: 8 * time.Second, LeasesLeft: leasesLeft,
 		Bounds: Bounds{Lease: testLease, StatusRetention: time.Minute},
 	})
 	for _, e := range entries {
@@ -212,10 +227,13 @@
 }
 
 // nextTerm returns a scheduler of the next term, which restores the durable records.
-func (h *harness) nextTerm() *harness {
+func (h *harness) nextTerm() *harness { return h.nextTermKnowing(nil) }
+
+// nextTermKnowing returns a scheduler of the next term, as nextTerm does, which knows how long leases may last on some workers.
+func (h *harness) nextTermKnowing(leasesLeft map[string]time.Duration) *harness {
 	h.jobs.drop()
 	h.runs.drop()
-	return newHarness(h.t, h.jobs, h.runs, h.entries...)
+	return newHarnessKnowing(h.t, leasesLeft, h.jobs, h.runs, h.entries...)
 }
 
 func (h *harness) submit(j *workload.Job) {
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -25,6 +25,8 @@
 	endRecordWait       = 400 * time.Millisecond  // wait for reported ends to be recorded before the next heartbeat
 	maxSilence          = 2 * heartbeatWait       // a worker that has not answered for this long gets no new work
 	maxHeldBack         = 3                       // heartbeats in a row from which an acknowledgement may be held back
+	// withheldHeartbeatWait is the wait of a worker that gets leases once its silence is no longer on record.
+	withheldHeartbeatWait = 200 * time.Millisecond
 )
 
 // startHeartbeats starts the heartbeat loop of a worker that has none.
@@ -98,12 +100,18 @@
 	if !w.responsive {
 		return order, w.target()
 	}
-	order.LeaseEnd, order.AcknowledgedEnd, order.SameProcess = s.grantLease(w, now), w.lastRecordedEnd, w.lastRecordedEnd > 0
-	if w.lastRecordedEnd == w.lastHandledEnd {
+	if !w.withheld {
+		order.LeaseEnd = s.grantLease(w, now)
+	}
+	order.AcknowledgedEnd, order.SameProcess = w.lastRecordedEnd, w.lastRecordedEnd > 0
+	switch {
+	case w.lastRecordedEnd != w.lastHandledEnd:
+	case w.withheld:
+		order.Wait = withheldHeartbeatWait
+	case w.hasMixedWork():
+		order.Wait = mixedHeartbeatWait
+	default:
 		order.Wait = heartbeatWait
-		if w.hasMixedWork() {
-			order.Wait = mixedHeartbeatWait
-		}
 	}
 	if w.heldBack >= maxHeldBack {
 		// Such a worker closes its connections after each answer, and would list no more ends after some time. Without a wait, a new
@@ -321,17 +329,17 @@
 	}
 }
 
-// expireLeases ends all members on a silent worker whose leases have certainly expired. It removes the worker if discovery
+// expireLeases ends all members on a silent worker whose leases have certainly expired. It removes the worker later if discovery
 // no longer shows it.
 func (s *Scheduler) expireLeases(w *worker, now time.Time) {
 	if now.Before(w.leasesOverAt) || w.responsive && now.Sub(w.lastAnswerAt) < maxSilence {
 		return
 	}
 	if len(w.members) > 0 {
-		s.config.Events.Emit(eventLeasesExpired, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("silent_ms", now.Sub(w.lastAnswerAt).Milliseconds()))
+		s.config.Events.Emit(eventLeasesExpired, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("silent_ms", s.silence(w, now).Milliseconds()))
 		s.loseMembers(w, causeLeaseExpired)
 	}
-	if !w.listed && len(w.members) == 0 {
+	if !w.listed && len(w.members) == 0 && now.Sub(w.leasesOverAt) >= withheldAfterLeases {
 		if w.stopHeartbeats != nil {
 			w.stopHeartbeats()
 		}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -128,6 +128,8 @@
 	processStart    int64     // start of its process, Unix milliseconds; 0 if not known
 	processSeenAt   time.Time // when processStart last changed
 	leasesOverAt    time.Time // when all leases granted so far have certainly expired
+	withheld        bool      // it is granted no leases, see withheldList
+	withheldIn      int64     // number of the latest list that names it
 	lastHandledEnd  int64     // number of the last reported end that was handled
 	lastRecordedEnd int64     // number of the last reported end whose effects are durable
 	heldBack        int       // number of latest heartbeats from which an acknowledgement was held back
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -56,6 +56,8 @@
 	Metrics           tally.Scope
 	Now               func() time.Time // wall clock, for times that customers give
 	PreviousAuthority time.Duration    // how long leaders of earlier terms may still renew leases for their full length; negative if not any more
+	// LeasesLeft says how long leases may last on workers that the previous leader granted none any more; zero or negative if they are over.
+	LeasesLeft map[string]time.Duration
 }
 
 // Scheduler schedules the jobs of one leadership term on workers. It is safe for concurrent use.
@@ -80,6 +82,8 @@
 	nextQueryAt     time.Time                // earliest time of the next query to the advisor, after one without an answer
 	// holdsNothingSince says since when the kinds of work that wait and hold nothing do so.
 	holdsNothingSince map[kind]time.Time
+
+	withheld withheldList
 }
 
 // New returns a scheduler without jobs and workers. It sends no orders after ctx has ended, which ends with the term.
@@ -141,6 +145,7 @@
 		s.trustAfterLongProbe(w, now)
 		s.evacuateWorker(w, now)
 	}
+	s.listWithheld(now)
 	s.removeExpiredJobs(now)
 	s.config.Metrics.Gauge("dispatch_workers").Update(float64(len(s.workers)))
 	s.config.Metrics.Gauge("dispatch_jobs").Update(float64(len(s.unfinished)))
--- a/internal/dispatch/simday_test.go
+++ b/internal/dispatch/simday_test.go
@@ -137,6 +137,7 @@
 	r.scheduler.Recover(nil)
 	var group sync.WaitGroup
 	group.Go(func() { r.scheduler.Run(ctx) })
+	group.Go(func() { confirmLists(ctx, r.scheduler) })
 	for i := range d.workers {
 		r.addWorker(i)
 	}
--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -31,6 +31,7 @@
 	s.Recover(nil)
 	var group sync.WaitGroup
 	group.Go(func() { s.Run(ctx) })
+	group.Go(func() { confirmLists(ctx, s) })
 	for i := range workers {
 		info := WorkerInfo{
 			ID: fmt.Sprintf("w%d", i), Address: fmt.Sprintf("host%d:1", i), Service: "render", Rack: "r", Labels: []string{"a", "r"},
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -29,7 +29,11 @@
 	w := &worker{members: map[runKey]*member{}, endsRecorded: make(chan struct{}, 1)}
 	w.info.ID = id
 	// Earlier leaders may renew leases for their full length until that authority ends; later renewals last no longer.
-	w.leasesOverAt = s.createdAt.Add(s.config.PreviousAuthority + expiryOf(s.config.Bounds.Lease))
+	left := s.config.PreviousAuthority + expiryOf(s.config.Bounds.Lease)
+	if known, withheld := s.config.LeasesLeft[id]; withheld {
+		left, w.withheld = min(left, known), true
+	}
+	w.leasesOverAt = s.createdAt.Add(left)
 	s.workers[id] = w
 	return w
 }
--- a/internal/leadership/authority_test.go
+++ b/internal/leadership/authority_test.go
@@ -78,7 +78,7 @@
 	s.t.Helper()
 	assert.Assert(s.t, e.claim(s.t.Context()))
 	state := e.Current()
-	term := &Term{Number: state.Term, EarlierAuthority: *state.EarlierAuthority, elector: e}
+	term := &Term{Number: state.Term, EarlierAuthority: *state.EarlierAuthority, LeasesLeft: state.LeasesLeft, elector: e, claimed: e.clock()}
 	term.Context, term.cancel = context.WithCancelCause(s.t.Context())
 	return e, term
 }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -71,6 +71,9 @@
 	// LeaseAuthority is how long after this record the holder may still grant leases of full length if it confirms no further heartbeat;
 	// nil if the record does not say so.
 	LeaseAuthority *time.Duration `msgpack:"f,omitempty"`
+	// LeasesLeft names workers that the holder grants no leases before it has written a record without them, and how long after this
+	// record leases there may last; zero or negative if they are over.
+	LeasesLeft map[string]time.Duration `msgpack:"w,omitempty"`
 }
 
 // candidate is the record of an instance that requests the term of a smaller holder. Scheduling takes most of a small machine's
@@ -89,9 +92,15 @@
 	// are known to have stopped, because they resigned or were earlier processes of an instance that claimed the role again, or if their
 	// authority has certainly ended, and negative if none of them can have granted any for some time before the claim.
 	EarlierAuthority time.Duration
+	// LeasesLeft names workers that no earlier holder grants leases any more, and how long after the claim leases there may last.
+	LeasesLeft map[string]time.Duration
 
 	elector *Elector
 	cancel  context.CancelCauseFunc
+	claimed time.Duration // when the role was claimed, by the elector's clock
+
+	mu       sync.Mutex
+	withhold Withholder // nil until the holder has one
 }
 
 // Elector takes part in the election for one instance.
@@ -336,7 +345,7 @@
 	e.mu.Unlock()
 	next := State{Term: previous.Term + 1, Holder: e.instance, Incarnation: e.incarnation, ProcessorShare: e.processorShare, LargestShare: max(previous.LargestShare, e.processorShare)}
 	earlier := e.authorityBefore(previous)
-	next.EarlierAuthority, next.LeaseAuthority = &earlier, &e.leaseAuthority
+	next.EarlierAuthority, next.LeaseAuthority, next.LeasesLeft = &earlier, &e.leaseAuthority, e.leasesLeft(previous)
 	sent := e.clock()
 	if err := e.write(ctx, next, at); err != nil {
 		e.noteFailure(ctx, err)
@@ -384,7 +393,7 @@
 // holdTerm runs lead and sends heartbeats until the term is lost or ctx ends.
 func (e *Elector) holdTerm(ctx context.Context, lead func(*Term)) {
 	state := e.Current()
-	term := &Term{Number: state.Term, EarlierAuthority: *state.EarlierAuthority, elector: e}
+	term := &Term{Number: state.Term, EarlierAuthority: *state.EarlierAuthority, LeasesLeft: state.LeasesLeft, elector: e, claimed: e.clock()}
 	term.Context, term.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
 	leadReturned := make(chan struct{})
 	go func() {
@@ -430,6 +439,8 @@
 	next.EarlierAuthority = e.earlierAuthority()
 	e.mu.Unlock()
 	next.Heartbeats++
+	var number int64
+	number, next.LeasesLeft = term.withheld()
 	sent := e.clock()
 	err := e.write(ctx, next, at)
 	var moved *ledger.MovedError
@@ -451,6 +462,7 @@
 	e.mu.Lock()
 	e.current, e.confirmedAt = next, sent
 	e.mu.Unlock()
+	term.confirmWithheld(number)
 	return nil
 }
 
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -40,6 +40,7 @@
 	s := dispatch.New(ctx, dispatch.Config{
 		Fleet: n.workers, Advisor: advisor, Jobs: outcomes, Runs: runs, Term: term, Token: term.Number, Catalog: &n.current,
 		Bounds: n.settings.Bounds.dispatchBounds(), Events: n.events, Metrics: n.scope, Now: time.Now, PreviousAuthority: term.EarlierAuthority,
+		LeasesLeft: term.LeasesLeft,
 	})
 	jobs := n.newSchedulerJobsReader(s)
 	if !retry(ctx, n, func() error { return jobs.Load(ctx) }) {
@@ -54,6 +55,7 @@
 		return
 	}
 	s.Recover(units.Records)
+	term.Withhold(s)
 	n.runScheduler(term, s, jobs, outcomes, runs)
 }
 
