--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -17,7 +17,7 @@
 	if w.leavesAt.IsZero() {
 		return
 	}
-	for _, m := range w.members {
+	for _, m := range w.membersWhere(func(m *member) bool { return m.unit.state == active }) {
 		if u := m.unit; u.state == active && s.mustEvacuate(u, w.leavesAt.Sub(now), now) {
 			s.stopUnit(u, causeEvacuated)
 		}
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -177,6 +177,7 @@
 
 // confirmLists records the scheduler's lists of workers without leases until ctx ends, as the heartbeats of its term do.
 func confirmLists(ctx context.Context, s *Scheduler) {
+	wait.For(ctx, 13*time.Millisecond) // keeps it apart from what the scheduler does each 100 ms
 	for ctx.Err() == nil {
 		number, _ := s.Withheld()
 		wait.For(ctx, 350*time.Millisecond)
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -127,8 +127,8 @@
 	if !w.answers(now) {
 		return
 	}
-	for _, m := range w.members {
-		if s.stalled(m) && m.unit.mayStall(now) {
+	for _, m := range w.membersWhere(s.stalled) {
+		if s.stalled(m) && m.unit.mayStall(now) { // another member of its gang may have been stopped just now
 			s.stopStalledUnit(m.unit)
 		}
 	}
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -295,10 +295,7 @@
 	for _, run := range r.Running {
 		listed[runKey{run.Task, run.Run}] = true
 	}
-	for key, m := range w.members {
-		if listed[key] || m.recordPending {
-			continue
-		}
+	for _, m := range w.membersWhere(func(m *member) bool { return !listed[m.key()] && !m.recordPending }) {
 		confirmed := m.state == running && m.startAnsweredAt.Before(sent)
 		withdrawn := !m.stopAnsweredAt.IsZero() && m.stopAnsweredAt.Before(sent)
 		if confirmed || withdrawn {
@@ -319,7 +316,7 @@
 // loseMembers ends the members on a worker whose runs are certainly over. Members whose run is being recorded are only
 // marked, so that their start order is not sent.
 func (s *Scheduler) loseMembers(w *worker, cause endCause) {
-	for _, m := range w.members {
+	for _, m := range w.membersWhere(func(*member) bool { return true }) {
 		m.noteCause(cause)
 		if m.recordPending {
 			m.stopWanted = true
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
@@ -150,6 +152,25 @@
 	run  int
 }
 
+// compare orders runs by their tasks, then by their numbers.
+func (k runKey) compare(o runKey) int {
+	a, b := k.task, o.task
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index), cmp.Compare(k.run, o.run))
+}
+
+// membersWhere returns the worker's members that match, in the order of their tasks. What is decided of one may change what is decided of
+// the next.
+func (w *worker) membersWhere(match func(*member) bool) []*member {
+	var found []*member
+	for _, m := range w.members {
+		if match(m) {
+			found = append(found, m)
+		}
+	}
+	slices.SortFunc(found, func(a, b *member) int { return a.key().compare(b.key()) })
+	return found
+}
+
 func (m *member) taskName() workload.TaskName {
 	o := m.unit.step.occurrence
 	return workload.TaskName{Job: o.job.spec.ID, Occurrence: o.index, Step: m.unit.step.index, Index: m.index}
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -39,7 +39,7 @@
 	for _, j := range s.unfinished {
 		s.reconcileJob(j)
 	}
-	s.listWithheld(time.Now())
+	s.listWithheld(s.sortedWorkers(), time.Now())
 	s.config.Events.Emit(eventTakeover, event.F("jobs", len(s.unfinished)), event.F("units", restored), event.F("stale_units", len(stale)))
 }
 
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -105,16 +108,27 @@
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	for {
+		checksAreDue := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.wake:
 		case <-ticker.C:
-			s.mu.Lock()
-			s.tick(time.Now())
-			s.mu.Unlock()
+			checksAreDue = true
 		}
 		s.mu.Lock()
+		select {
+		case <-ticker.C:
+			checksAreDue = true
+		default:
+		}
+		select {
+		case <-s.wake: // the pass answers all requests so far
+		default:
+		}
+		if checksAreDue {
+			s.tick(time.Now())
+		}
 		s.pass(time.Now())
 		s.mu.Unlock()
 		select {
@@ -125,6 +139,11 @@
 	}
 }
 
+// sortedWorkers returns the workers in the order of their IDs.
+func (s *Scheduler) sortedWorkers() []*worker {
+	return slices.SortedFunc(maps.Values(s.workers), func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+}
+
 // requestPass makes Run start another pass.
 func (s *Scheduler) requestPass() {
 	select {
@@ -139,13 +158,14 @@
 		s.resumedAt = now
 	}
 	s.tickedAt = now
-	for _, w := range s.workers {
+	workers := s.sortedWorkers()
+	for _, w := range workers {
 		s.expireLeases(w, now)
 		s.stopStalledRuns(w, now)
 		s.trustAfterLongProbe(w, now)
 		s.evacuateWorker(w, now)
 	}
-	s.listWithheld(now)
+	s.listWithheld(workers, now)
 	s.removeExpiredJobs(now)
 	s.config.Metrics.Gauge("dispatch_workers").Update(float64(len(s.workers)))
 	s.config.Metrics.Gauge("dispatch_jobs").Update(float64(len(s.unfinished)))
--- a/internal/dispatch/simday_test.go
+++ b/internal/dispatch/simday_test.go
@@ -99,16 +99,19 @@
 // simResult is what all callers of a day got.
 type simResult struct {
 	kinds      map[string]simScore
-	unfinished []string // names of jobs that did not end although nobody cancelled them
+	unfinished []string   // names of jobs that did not end although nobody cancelled them
+	started    []simStart // in order
 }
 
 const (
-	simLead    = 8 * time.Second  // from the start of the scheduler to the first arrivals
-	simUseful  = 44 * time.Second // from the last arrival until work is of use
-	simTail    = 3 * time.Minute  // from the last arrival to the end, long enough for all work to end
-	simLease   = 6 * time.Second
-	simWeight  = 8.0 // processor cores that an accelerator counts as
-	simService = "service"
+	simLead   = 8 * time.Second  // from the start of the scheduler to the first arrivals
+	simUseful = 44 * time.Second // from the last arrival until work is of use
+	simTail   = 3 * time.Minute  // from the last arrival to the end, long enough for all work to end
+	simLease  = 6 * time.Second
+	// simTroubleLag keeps troubles apart from what the scheduler does each 100 ms.
+	simTroubleLag = 37 * time.Millisecond
+	simWeight     = 8.0 // processor cores that an accelerator counts as
+	simService    = "service"
 )
 
 // play plays a day in virtual time and returns what callers got.
@@ -140,17 +143,22 @@
 	group.Go(func() { confirmLists(ctx, r.scheduler) })
 	for i := range d.workers {
 		r.addWorker(i)
+		time.Sleep(simPutGap)
 	}
 	r.start = time.Now().Add(simLead)
 	for i := range d.kinds {
 		k := &d.kinds[i]
 		for range k.atStart {
 			r.submit(k, false)
+			time.Sleep(simPutGap)
 		}
 	}
 	time.Sleep(simLead)
 	if d.trouble != nil {
-		group.Go(func() { d.trouble(r) })
+		group.Go(func() {
+			time.Sleep(simTroubleLag)
+			d.trouble(r)
+		})
 	}
 	for i := range d.kinds {
 		kind, random := &d.kinds[i], rand.New(rand.NewPCG(seed, uint64(10+i)))
@@ -265,7 +273,7 @@
 func (r *simPlay) score() simResult {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	result := simResult{kinds: map[string]simScore{}}
+	result := simResult{kinds: map[string]simScore{}, started: r.fleet.started}
 	for id, o := range r.owed {
 		if o.cancelled {
 			continue
--- a/internal/dispatch/simfleet_test.go
+++ b/internal/dispatch/simfleet_test.go
@@ -1,10 +1,14 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -15,18 +19,23 @@
 
 // Delays of the simulated platform.
 const (
-	simCallTime   = 2 * time.Millisecond // one way of a call to a worker
+	simCallTime   = 2 * time.Millisecond // one way of a call to a worker, at least
+	simCallSpread = 2 * time.Millisecond // by how much it may take longer
 	simAppendTime = 8 * time.Millisecond // one append to the log
+	simPutGap     = time.Microsecond     // between jobs or workers that come together, and between records that become durable together
 	simStopTime   = 150 * time.Millisecond
 	simRemote     = 3.0 // factor on the run time of tasks away from their data or of gangs over several racks
 )
 
 var errSimUnreachable = errors.New("the worker does not answer")
 
-// simFleet simulates workers in virtual time. Its clocks are those of the test's bubble.
+// simFleet simulates workers in virtual time. Its clocks are those of the test's bubble. Calls take different times, which follow from the
+// seed and the call: no two events of a day come at the same instant, so that their order does not depend on the order of goroutines.
 type simFleet struct {
 	mu      sync.Mutex
-	random  *rand.Rand
+	seed    uint64
+	calls   map[string]int        // number of calls so far, by what they are
+	started []simStart            // in order
 	workers map[string]*simWorker // by ID
 	jobs    map[string]*simJob    // by ID
 	gangs   map[string]*simGang   // by unit and run
@@ -35,6 +44,13 @@
 	refusedTickets int
 }
 
+// simStart is a start that a worker has taken.
+type simStart struct {
+	at     time.Time
+	worker string
+	run    runKey
+}
+
 // simJob is a job and how long its tasks really run.
 type simJob struct {
 	spec     *workload.Job
@@ -75,10 +91,25 @@
 
 func newSimFleet(seed uint64) *simFleet {
 	return &simFleet{
-		random: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*simWorker{}, jobs: map[string]*simJob{}, gangs: map[string]*simGang{},
+		seed: seed, calls: map[string]int{}, workers: map[string]*simWorker{}, jobs: map[string]*simJob{}, gangs: map[string]*simGang{},
 	}
 }
 
+// randomOf returns a generator of random numbers that depend on nothing but the fleet's seed and the name.
+func (f *simFleet) randomOf(name string) *rand.Rand {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // never fails
+	return rand.New(rand.NewPCG(f.seed, h.Sum64()))
+}
+
+// callTime returns how long a call takes one way. Calls with the same name follow each other.
+func (f *simFleet) callTime(name string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[name]++
+	return simCallTime + time.Duration(f.randomOf(fmt.Sprint(name, f.calls[name])).Int64N(int64(simCallSpread)))
+}
+
 // add adds a worker.
 func (f *simFleet) add(info WorkerInfo) *simWorker {
 	f.mu.Lock()
@@ -88,15 +119,17 @@
 	return w
 }
 
-// reach returns the worker of an order after the time that the order takes to reach it.
-func (f *simFleet) reach(ctx context.Context, to Target) (*simWorker, error) {
-	time.Sleep(simCallTime)
+// reach returns the worker of an order after the time that the order takes to reach it. name tells it from orders that may be sent at
+// the same time.
+func (f *simFleet) reach(ctx context.Context, to Target, name string) (*simWorker, error) {
+	time.Sleep(f.callTime(to.ID + name))
 	f.mu.Lock()
 	w := f.workers[to.ID]
 	unreachable := w == nil || w.cut || w.gone
 	f.mu.Unlock()
 	if unreachable {
 		<-ctx.Done()
+		time.Sleep(f.callTime(to.ID + name))
 		return nil, errSimUnreachable
 	}
 	return w, nil
@@ -104,7 +137,7 @@
 
 // Start implements Fleet.
 func (f *simFleet) Start(ctx context.Context, to Target, o StartOrder) (int64, error) {
-	w, err := f.reach(ctx, to)
+	w, err := f.reach(ctx, to, fmt.Sprint("start", o.Task, o.Run))
 	if err != nil {
 		return 0, err
 	}
@@ -125,6 +158,7 @@
 		run.begun = float64(permille) / 1000
 	}
 	w.runs[key] = run
+	f.started = append(f.started, simStart{run.startedAt, w.info.ID, key})
 	if !step.Gang {
 		f.work(run, false)
 		return 0, nil
@@ -169,9 +203,10 @@
 	}
 	run.doneAt = run.startedAt.Add(total)
 	ending := EndDone
-	if f.random.Float64() < run.job.failing {
+	random := f.randomOf(fmt.Sprint("work", run.key))
+	if random.Float64() < run.job.failing {
 		ending = EndFailed
-		total = time.Duration(float64(total) * f.random.Float64())
+		total = time.Duration(float64(total) * random.Float64())
 	}
 	run.timer = time.AfterFunc(total, func() {
 		f.mu.Lock()
@@ -224,6 +259,11 @@
 	w.changed = make(chan struct{})
 }
 
+// sortedRuns returns the worker's runs in an order that does not vary.
+func (w *simWorker) sortedRuns() []*simRun {
+	return slices.SortedFunc(maps.Values(w.runs), func(a, b *simRun) int { return cmp.Compare(fmt.Sprint(a.key), fmt.Sprint(b.key)) })
+}
+
 // progress returns the share of the run's work that is done.
 func (r *simRun) progress() float64 {
 	if r.doneAt.IsZero() {
@@ -238,7 +278,7 @@
 
 // Stop implements Fleet.
 func (f *simFleet) Stop(ctx context.Context, to Target, o StopOrder) (int64, error) {
-	w, err := f.reach(ctx, to)
+	w, err := f.reach(ctx, to, fmt.Sprint("stop", o.Task, o.Run))
 	if err != nil {
 		return 0, err
 	}
@@ -258,7 +298,7 @@
 
 // Heartbeat implements Fleet.
 func (f *simFleet) Heartbeat(ctx context.Context, to Target, o HeartbeatOrder) (HeartbeatReport, error) {
-	w, err := f.reach(ctx, to)
+	w, err := f.reach(ctx, to, "heartbeat")
 	if err != nil {
 		return HeartbeatReport{}, err
 	}
@@ -276,14 +316,14 @@
 			return HeartbeatReport{}, ctx.Err()
 		}
 	}
-	if _, err := f.reach(ctx, to); err != nil {
+	if _, err := f.reach(ctx, to, "report"); err != nil {
 		return HeartbeatReport{}, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	report := HeartbeatReport{Clock: time.Now().UnixMilli(), ProcessStart: 1, Ended: append([]EndReport(nil), w.ended...)}
-	for key, run := range w.runs {
-		report.Running = append(report.Running, RunReport{Task: key.task, Run: key.run, Percent: int(100 * run.progress())})
+	for _, run := range w.sortedRuns() {
+		report.Running = append(report.Running, RunReport{Task: run.key.task, Run: run.key.run, Percent: int(100 * run.progress())})
 	}
 	return report, nil
 }
@@ -303,7 +343,7 @@
 		time.AfterFunc(lease, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			for _, run := range w.runs {
+			for _, run := range w.sortedRuns() {
 				if w.cut {
 					f.endRun(run, EndLeaseExpired)
 				}
@@ -329,7 +369,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		w.gone = true
-		for _, run := range w.runs {
+		for _, run := range w.sortedRuns() {
 			f.endRun(run, EndLost)
 		}
 	})
@@ -357,6 +397,7 @@
 			return
 		case <-l.wake:
 		}
+		time.Sleep(simPutGap) // until all records of a pass are there
 		l.mu.Lock()
 		batch := l.queue
 		l.queue = nil
@@ -368,6 +409,7 @@
 			}
 			if put.done != nil {
 				put.done(nil)
+				time.Sleep(simPutGap)
 			}
 		}
 	}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -38,20 +38,37 @@
 // The least urgent kind is to earn at least this share of its worth on a heavy day.
 const leastUrgentShare = 0.2
 
+// troubledHeavyDay returns a day that asks for more than the fleet has while a data centre is cut off and a worker leaves.
+func troubledHeavyDay() *simDay {
+	d := heavyDay(1.1)
+	d.trouble = func(r *simPlay) {
+		time.Sleep(12 * time.Second)
+		r.fleet.cutOff("d0", 9*time.Second, simLease)
+		time.Sleep(8 * time.Second)
+		r.fleet.leave(r.scheduler, "w0017", 2*time.Second)
+	}
+	return d
+}
+
+// Guards against simulated days that come out differently on each run, so that a failure cannot be repeated.
+func TestSimulatedDayFollowsFromItsSeed(t *testing.T) {
+	for _, seed := range []uint64{0, 4} {
+		first := troubledHeavyDay().play(t, seed)
+		second := troubledHeavyDay().play(t, seed)
+		for i := range min(len(first.started), len(second.started)) {
+			assert.Equal(t, first.started[i], second.started[i], "seed %d, start %d of %d", seed, i, len(first.started))
+		}
+		assert.Equal(t, len(first.started), len(second.started))
+	}
+}
+
 // Guards against a kind of work that gets next to nothing on a day that asks for more than the fleet has while a data centre is cut
 // off, against urgent work that is served worse than other work, and against accepted work that never ends.
 func TestEveryKindIsServedOnAHeavyDay(t *testing.T) {
 	worth := map[string]simScore{}
-	for seed := range uint64(6) {
+	for _, seed := range []uint64{0, 1, 2, 3, 4, 5, 6, 7, 13, 18, 25} { // of 60 seeds, 18 and 25 earn the least
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			d := heavyDay(1.1)
-			d.trouble = func(r *simPlay) {
-				time.Sleep(12 * time.Second)
-				r.fleet.cutOff("d0", 9*time.Second, simLease)
-				time.Sleep(8 * time.Second)
-				r.fleet.leave(r.scheduler, "w0017", 2*time.Second)
-			}
-			r := d.play(t, seed)
+			r := troubledHeavyDay().play(t, seed)
 			for name, s := range r.kinds {
 				t.Logf("%s: %.2f of the worth of %d jobs, %d in time, %d late", name, s.share(), s.asked, s.onTime, s.late)
 				worth[name] = simScore{owed: worth[name].owed + s.owed, earned: worth[name].earned + s.earned}
--- a/internal/dispatch/withheld.go
+++ b/internal/dispatch/withheld.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 )
@@ -43,16 +41,15 @@
 
 // listWithheld makes a new list, of the workers that have been silent for maxSilence. A worker that answers again gets leases once a list
 // without it is recorded.
-func (s *Scheduler) listWithheld(now time.Time) {
+func (s *Scheduler) listWithheld(workers []*worker, now time.Time) {
 	l := &s.withheld
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.number++
 	l.leasesLeft = map[string]time.Duration{}
-	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
-		w := s.workers[id]
+	for _, w := range workers {
 		if left := w.leasesOverAt.Sub(now); s.foundSilent(w, now) && left > -withheldAfterLeases && len(l.leasesLeft) < maxWithheld {
-			l.leasesLeft[id] = left
+			l.leasesLeft[w.info.ID] = left
 			w.withheld, w.withheldIn = true, l.number
 		}
 		if l.confirmed > w.withheldIn {
