Tasks of accepted jobs take a bounded part of an instance's memory

Callers would see: one accepted submission of 64 steps of 10,000 tasks (some kilobytes) ends the process that schedules, and each one that takes over after it, as all load the same record.

Cause: limits for the steps of a job and the tasks of a step, none for their product, for repetitions or for all jobs.

Evidence: the scheduler's heap grows by 219 MB for the one job; the smallest instance has 284 MB. A pass over it takes 3 to 144 ms, so time is not the problem.

Ruled out: the entry instances' index of jobs, which keeps no tasks.

Figures: that job is refused now.

Why it works: a job has at most 100,000 tasks in all steps and repetitions, and the scheduler creates the tasks of due jobs only as long as they take half of what the Go runtime aims to stay under; later ones wait in the log, in the order of arrival, and urgent ones have a tenth of the room. A job that is too large by itself is created alone.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -19,7 +19,8 @@
 	cancelled          bool
 	endedAt            time.Time
 	outcomeDurable     bool          // the final state is durable
-	unitsDeleted       bool          // the records of its units are deleted
+	unitsDeleted       bool          // the records of its units are deleted, and the units are no longer kept
+	postponed          bool          // an occurrence was due and not created, see taskBudget
 	occurrences        []*occurrence // by number, nil if not created yet
 	occurrencesCreated int           // number of occurrences created
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -138,14 +138,14 @@
 func (s *Scheduler) waitingSteps(now time.Time) []rank {
 	var ranks []rank
 	wall := s.config.Now()
-	kept := s.unfinished[:0]
+	s.unfinished = slices.DeleteFunc(s.unfinished, (*job).ended)
+	budget := taskBudget{limit: s.config.Bounds.Tasks}
+	for _, j := range s.unfinished {
+		budget.kept += j.spec.Tasks() * j.occurrencesCreated
+	}
 	for _, j := range s.unfinished {
-		if j.ended() {
-			continue
-		}
-		kept = append(kept, j)
 		s.refreshQueueSettings(j)
-		s.createDueOccurrences(j, wall)
+		s.createDueOccurrences(j, wall, &budget)
 		for _, o := range j.occurrences {
 			if o == nil || o.stepsLeft == 0 {
 				continue
@@ -157,20 +157,23 @@
 			}
 		}
 	}
-	clear(s.unfinished[len(kept):])
-	s.unfinished = kept
 	return ranks
 }
 
-// createDueOccurrences creates the occurrences that have become due.
-func (s *Scheduler) createDueOccurrences(j *job, wall time.Time) {
+// createDueOccurrences creates the occurrences that have become due, as far as the budget allows.
+func (s *Scheduler) createDueOccurrences(j *job, wall time.Time, budget *taskBudget) {
 	if j.occurrencesCreated == len(j.occurrences) {
 		return
 	}
 	for k, o := range j.occurrences {
-		if o == nil && !wall.Before(j.spec.Due(k)) {
-			j.createOccurrence(k)
+		if o != nil || wall.Before(j.spec.Due(k)) {
+			continue
+		}
+		if !budget.take(j.spec.Tasks(), j.queueSettings.Priority == 0) {
+			s.notePostponed(j, budget)
+			return
 		}
+		j.createOccurrence(k)
 	}
 }
 
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -29,6 +29,7 @@
 	Lease           time.Duration // longest lease
 	Stop            time.Duration // longest time that a worker takes to stop a run; 0 if not known
 	StatusRetention time.Duration // how long the status of an ended job must be available
+	Tasks           int           // number of tasks that are kept in memory; 0 for no limit
 }
 
 // Term is the leadership term on whose behalf the scheduler acts. Authority reports whether it may still act; LeaseAuthority returns how
--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -50,15 +50,22 @@
 		fleet.mu.Unlock()
 		s.Load(ledger.Entry{ID: j.ID, Submission: j})
 	}
+	time.Sleep(20 * time.Millisecond)
+	s.mu.Lock()
+	var units []*unit // ended jobs keep none
+	for _, j := range s.jobs {
+		units = append(units, j.occurrences[0].steps[0].units...)
+	}
+	s.mu.Unlock()
 	time.Sleep(length)
 	s.mu.Lock()
 	for _, j := range s.jobs {
 		if j.state == ledger.Completed {
 			completed++
 		}
-		for _, u := range j.occurrences[0].steps[0].units {
-			stalled += u.stalledRuns
-		}
+	}
+	for _, u := range units {
+		stalled += u.stalledRuns
 	}
 	s.mu.Unlock()
 	cancel()
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -245,6 +245,7 @@
 	if len(removals) > 0 {
 		s.config.Runs.Put(nil, removals...)
 	}
+	j.occurrences, j.occurrencesCreated = nil, 0
 }
 
 // requeueUnit lets a unit wait for its next run after a run without success whose members have all ended. It fails the job
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -39,7 +39,7 @@
 	}
 	s := dispatch.New(ctx, dispatch.Config{
 		Fleet: n.workers, Advisor: advisor, Jobs: outcomes, Runs: runs, Term: term, Token: term.Number, Catalog: &n.current,
-		Bounds: n.settings.Bounds.dispatchBounds(), Events: n.events, Metrics: n.scope, Now: time.Now, PreviousAuthority: term.EarlierAuthority,
+		Bounds: n.settings.dispatchBounds(), Events: n.events, Metrics: n.scope, Now: time.Now, PreviousAuthority: term.EarlierAuthority,
 		LeasesLeft: term.LeasesLeft,
 	})
 	jobs := n.newSchedulerJobsReader(s)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,7 +84,7 @@
 	n.elector = leadership.New(leadership.Config{
 		Log: n.store, Instance: s.Instance, Incarnation: n.incarnation, ProcessorShare: s.Machine.ProcessorShare, Events: n.events, Clock: bootTime,
 		Eligible:       func() bool { return n.current.Get() != nil },
-		LeaseAuthority: leadership.LeaseAuthority(s.Bounds.dispatchBounds().Lease),
+		LeaseAuthority: leadership.LeaseAuthority(s.dispatchBounds().Lease),
 	})
 	return n
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -86,7 +86,14 @@
 
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
-// dispatchBounds returns the bounds in the form that the scheduler uses.
-func (b Bounds) dispatchBounds() dispatch.Bounds {
-	return dispatch.Bounds{Lease: milliseconds(b.LeaseMS), Stop: milliseconds(b.StopMS), StatusRetention: seconds(b.KeepStatusS)}
+// taskBytes is the memory that the scheduler needs for a task of an accepted job: 360 bytes and its share of records that are being written.
+const taskBytes = 400
+
+// dispatchBounds returns the bounds of the scheduler. Tasks may take half of the memory that the Go runtime aims to stay under.
+func (s *Settings) dispatchBounds() dispatch.Bounds {
+	b := s.Bounds
+	return dispatch.Bounds{
+		Lease: milliseconds(b.LeaseMS), Stop: milliseconds(b.StopMS), StatusRetention: seconds(b.KeepStatusS),
+		Tasks: int(memoryLimitShare / 2 * float64(s.Machine.MemoryMB) * (1 << 20) / taskBytes),
+	}
 }
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -14,7 +14,8 @@
 const (
 	maxSteps        = 64
 	maxTasksPerStep = 10_000
-	maxSpecBytes    = 4_000 // the platform's limit for the text that is passed to each task
+	maxTasks        = 100_000 // of a job, in all its steps and occurrences; the scheduler keeps some hundred bytes for each
+	maxSpecBytes    = 4_000   // the platform's limit for the text that is passed to each task
 	maxOccurrences  = 10_000
 )
 
@@ -146,9 +147,21 @@
 			return err
 		}
 	}
+	if n := j.Tasks() * j.Occurrences(); n > maxTasks {
+		return invalid("split the job into several of at most 100000 tasks", "the job has %d tasks in all its steps and repetitions", n)
+	}
 	return nil
 }
 
+// Tasks returns the number of tasks in one occurrence of the job.
+func (j *Job) Tasks() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 func (s *Step) validate(index int) error {
 	if s.Count < 1 || s.Count > maxTasksPerStep {
 		return invalid("give 1 to 10000 tasks", "step %d has %d tasks", index, s.Count)
