A panic costs the record, job, worker or order at which it occurs, not the process

Cause: nothing caught a panic in the readers of the log or in the scheduler's goroutines, heartbeats apart.

A panic half-way through a change may leave the state of that job or worker wrong until the next takeover.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -240,7 +240,8 @@
 	settings := o.job.queueSettings
 	answerTime := settings.AdviceDecision + time.Duration(len(q.workers))*settings.AdvicePerWorker
 	timeout := answerTime + backOffBy(adviceTimeout, st.advice.failures, maxAdviceTimeout)
-	go s.exchangeQuery(q, StepName{o.job.spec.ID, o.index, st.index}, timeout)
+	name := StepName{o.job.spec.ID, o.index, st.index}
+	go s.protect("advice", func() { s.exchangeQuery(q, name, timeout) })
 }
 
 // backOffBy doubles a time for each failure, up to a limit.
@@ -253,7 +254,12 @@
 	askedAt := time.Now()
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
-	texts, validity, err := s.config.Advisor.Ask(ctx, name, q.workers)
+	var texts map[string]string
+	var validity time.Duration
+	err := panicAsError(func() (err error) {
+		texts, validity, err = s.config.Advisor.Ask(ctx, name, q.workers)
+		return err
+	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -195,6 +195,7 @@
 	term      *fakeTerm
 	metrics   tally.TestScope
 	entries   []ledger.Entry // submissions and cancellations so far
+	mayPanic  bool           // the test lets the scheduler panic
 }
 
 const testLease = 10 * time.Second
@@ -215,6 +216,11 @@
 		Metrics: h.metrics, Now: time.Now, PreviousAuthority: 8 * time.Second, LeasesLeft: leasesLeft,
 		Bounds: Bounds{Lease: testLease, StatusRetention: time.Minute},
 	})
+	t.Cleanup(func() {
+		h.scheduler.panicMu.Lock()
+		defer h.scheduler.panicMu.Unlock()
+		assert.Equal(t, h.scheduler.panics > 0, h.mayPanic, "panics were caught: %d", h.scheduler.panics)
+	})
 	for _, e := range entries {
 		h.scheduler.Load(e)
 	}
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -272,7 +272,8 @@
 		m := w.members[key]
 		if m == nil {
 			s.config.Events.Emit(eventStray, event.F("worker", w.info.ID), event.F("task", r.Task), event.F("run", r.Run))
-			go s.stopStrayRun(w.target(), key)
+			target := w.target()
+			go s.protect("stop", func() { s.stopStrayRun(target, key) })
 			continue
 		}
 		if m.state == starting {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -20,6 +20,8 @@
 	endedAt            time.Time
 	outcomeDurable     bool          // the final state is durable
 	unitsDeleted       bool          // the records of its units are deleted, and the units are no longer kept
+	setAsideFor        time.Duration // latest pause after its handling panicked
+	setAsideUntil      time.Time     // end of that pause
 	postponed          bool          // an occurrence was due and not created, see taskBudget
 	occurrences        []*occurrence // by number, nil if not created yet
 	occurrencesCreated int           // number of occurrences created
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -112,7 +112,10 @@
 	var unanswered error
 	for range startAttempts {
 		ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
-		_, err := s.config.Fleet.Start(ctx, target, o)
+		err := panicAsError(func() error {
+			_, err := s.config.Fleet.Start(ctx, target, o)
+			return err
+		})
 		cancel()
 		reason := refusalOf(err)
 		switch {
@@ -162,7 +165,10 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(s.ctx, stopTimeout)
-		_, err := s.config.Fleet.Stop(ctx, target, order)
+		err := panicAsError(func() error {
+			_, err := s.config.Fleet.Stop(ctx, target, order)
+			return err
+		})
 		cancel()
 		reason := refusalOf(err)
 		s.mu.Lock()
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -68,7 +68,8 @@
 		if pace != m.pace {
 			m.pace = pace
 			s.config.Events.Emit(eventPaced, event.F("worker", w.info.ID), event.F("task", m.taskName()), event.F("percent", pace), event.F("worst_share_of_target", worst))
-			go s.sendPace(m, PaceOrder{Task: m.taskName(), Run: m.run, Percent: pace, Token: s.config.Token}, w.target())
+			order, target := PaceOrder{Task: m.taskName(), Run: m.run, Percent: pace, Token: s.config.Token}, w.target()
+			go s.protect("pace", func() { s.sendPace(m, order, target) })
 		}
 	}
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -81,17 +81,31 @@
 	}
 	ranks = p.preventStarvation(ranks)
 	slices.SortStableFunc(ranks, compareRanks)
-	p.keepReservations(ranks)
+	if !p.forEach(ranks, p.keepReservations) {
+		return
+	}
 	for _, pl := range p.pools {
 		p.markHeadroom(pl)
 	}
-	for _, r := range ranks {
-		p.placeStep(r)
+	if !p.forEach(ranks, p.placeStep) {
+		return
 	}
 	p.dropEarmarks(0)
 	p.sendSpareQuery()
 	s.metrics.passTime.RecordDuration(time.Since(begun))
-	p.logBacklog()
+	s.protect("log of what waits", p.logBacklog)
+}
+
+// forEach calls f for each rank. If f panics, forEach sets the job aside and returns false: what the plan holds may be wrong.
+func (p *plan) forEach(ranks []rank, f func(rank)) bool {
+	for _, r := range ranks {
+		j := r.step.occurrence.job
+		if !p.scheduler.protect("job "+j.spec.ID, func() { f(r) }) {
+			j.setAside(p.now)
+			return false
+		}
+	}
+	return true
 }
 
 // logBacklog logs at intervals what waits and what is free, so that the log explains why work waits that seems to fit.
@@ -144,16 +158,31 @@
 		budget.kept += j.spec.Tasks() * j.occurrencesCreated
 	}
 	for _, j := range s.unfinished {
-		s.refreshQueueSettings(j)
-		s.createDueOccurrences(j, wall, &budget)
-		for _, o := range j.occurrences {
-			if o == nil || o.stepsLeft == 0 {
-				continue
-			}
-			for _, st := range o.steps {
-				if st.unitsWaiting > 0 && st.ready() {
-					ranks = append(ranks, s.rankStep(st, wall))
-				}
+		if now.Before(j.setAsideUntil) {
+			continue
+		}
+		var found []rank
+		if s.protect("job "+j.spec.ID, func() { found = s.waitingStepsOf(j, wall, &budget) }) {
+			ranks = append(ranks, found...)
+		} else {
+			j.setAside(now)
+		}
+	}
+	return ranks
+}
+
+// waitingStepsOf returns the steps of a job that have units to start.
+func (s *Scheduler) waitingStepsOf(j *job, wall time.Time, budget *taskBudget) []rank {
+	var ranks []rank
+	s.refreshQueueSettings(j)
+	s.createDueOccurrences(j, wall, budget)
+	for _, o := range j.occurrences {
+		if o == nil || o.stepsLeft == 0 {
+			continue
+		}
+		for _, st := range o.steps {
+			if st.unitsWaiting > 0 && st.ready() {
+				ranks = append(ranks, s.rankStep(st, wall))
 			}
 		}
 	}
--- a/internal/dispatch/reservations.go
+++ b/internal/dispatch/reservations.go
@@ -59,23 +59,21 @@
 	return true
 }
 
-// keepReservations renews the reservations of earlier passes, in the order of waiting work. A reservation ends when one of
-// its workers is no longer usable or is kept for other work, when the limit on reserved accelerators no longer allows it,
-// and after maxReservationAge.
-func (p *plan) keepReservations(ranks []rank) {
-	for _, r := range ranks {
-		if r.class >= late && !r.assured {
-			continue // the step's assured rank came before
+// keepReservations renews a step's reservations of earlier passes; it is called in the order of waiting work. A reservation ends when one
+// of its workers is no longer usable or is kept for other work, when the limit on reserved accelerators no longer allows it, and after
+// maxReservationAge.
+func (p *plan) keepReservations(r rank) {
+	if r.class >= late && !r.assured {
+		return // the step's assured rank came before
+	}
+	pl := p.pools[r.step.occurrence.job.queueSettings.Service]
+	for _, u := range r.step.units {
+		if len(u.reservedWorkers) == 0 || u.state != waiting {
+			continue
 		}
-		pl := p.pools[r.step.occurrence.job.queueSettings.Service]
-		for _, u := range r.step.units {
-			if len(u.reservedWorkers) == 0 || u.state != waiting {
-				continue
-			}
-			usable := func(w *worker) bool { return w.usable(p.now) && p.allowed(w, u) }
-			if pl == nil || p.now.Sub(u.reservedAt) > maxReservationAge || !allWorkers(u.reservedWorkers, usable) || !p.keepFree(pl, u, u.reservedWorkers) {
-				u.reservedWorkers = nil
-			}
+		usable := func(w *worker) bool { return w.usable(p.now) && p.allowed(w, u) }
+		if pl == nil || p.now.Sub(u.reservedAt) > maxReservationAge || !allWorkers(u.reservedWorkers, usable) || !p.keepFree(pl, u, u.reservedWorkers) {
+			u.reservedWorkers = nil
 		}
 	}
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -88,6 +88,10 @@
 	holdsNothingSince map[kind]time.Time
 
 	withheld withheldList
+
+	panicMu       sync.Mutex
+	panics        int                  // number of panics that were caught
+	panicLoggedAt map[string]time.Time // by what panicked
 }
 
 // New returns a scheduler without jobs and workers. It sends no orders after ctx has ended, which ends with the term.
@@ -95,7 +99,7 @@
 	return &Scheduler{
 		config: c, metrics: newSchedulerMetrics(c.Metrics), createdAt: time.Now(), wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, workers: map[string]*worker{}, runTimes: map[string]*runTimeModel{}, urgentDemand: map[string]int64{},
-		ctx: ctx, loading: true,
+		panicLoggedAt: map[string]time.Time{}, ctx: ctx, loading: true,
 	}
 }
 
@@ -117,21 +121,23 @@
 		case <-ticker.C:
 			checksAreDue = true
 		}
-		s.mu.Lock()
-		select {
-		case <-ticker.C:
-			checksAreDue = true
-		default:
-		}
-		select {
-		case <-s.wake: // the pass answers all requests so far
-		default:
-		}
-		if checksAreDue {
-			s.tick(time.Now())
-		}
-		s.pass(time.Now())
-		s.mu.Unlock()
+		s.protect("pass", func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			select {
+			case <-ticker.C:
+				checksAreDue = true
+			default:
+			}
+			select {
+			case <-s.wake: // the pass answers all requests so far
+			default:
+			}
+			if checksAreDue {
+				s.protect("checks", func() { s.tick(time.Now()) })
+			}
+			s.pass(time.Now())
+		})
 		select {
 		case <-ctx.Done():
 			return
@@ -161,10 +167,7 @@
 	s.tickedAt = now
 	workers := s.sortedWorkers()
 	for _, w := range workers {
-		s.expireLeases(w, now)
-		s.stopStalledRuns(w, now)
-		s.trustAfterLongProbe(w, now)
-		s.evacuateWorker(w, now)
+		s.protect("checks of worker "+w.info.ID, func() { s.checkWorker(w, now) })
 	}
 	s.listWithheld(workers, now)
 	s.removeExpiredJobs(now)
@@ -172,6 +175,14 @@
 	s.config.Metrics.Gauge("dispatch_jobs").Update(float64(len(s.unfinished)))
 }
 
+// checkWorker makes the periodic checks of a worker.
+func (s *Scheduler) checkWorker(w *worker, now time.Time) {
+	s.expireLeases(w, now)
+	s.stopStalledRuns(w, now)
+	s.trustAfterLongProbe(w, now)
+	s.evacuateWorker(w, now)
+}
+
 // removeExpiredJobs deletes jobs whose status need no longer be available, and the unit records of all ended jobs.
 func (s *Scheduler) removeExpiredJobs(now time.Time) {
 	for id, j := range s.jobs {
--- a/internal/dispatch/simday_test.go
+++ b/internal/dispatch/simday_test.go
@@ -169,6 +169,9 @@
 	cancel()
 	group.Wait()
 	time.Sleep(time.Minute) // lets the goroutines that send orders end
+	if r.scheduler.panics > 0 {
+		panic("the scheduler caught panics")
+	}
 	return result
 }
 
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -35,7 +35,9 @@
 		event.F("tasks", len(workers)), event.F("worker", workers[0].info.ID), event.F("rack", workers[0].info.Rack),
 		event.F("checkpoint", u.checkpoint), event.F("waited_ms", now.Sub(u.waitingAt).Milliseconds()))
 	members := u.members
-	s.config.Runs.Put(func(err error) { s.sendStarts(members, err) }, u.record())
+	s.config.Runs.Put(func(err error) {
+		s.protect("starts", func() { s.sendStarts(members, err) })
+	}, u.record())
 }
 
 // sendStarts sends the start orders of a run that is recorded.
@@ -62,7 +64,8 @@
 			continue
 		}
 		m.state = starting
-		go s.startMember(m, m.worker.target(), s.startOrderFor(m))
+		target, order := m.worker.target(), s.startOrderFor(m)
+		go s.protect("start", func() { s.startMember(m, target, order) })
 	}
 }
 
@@ -120,7 +123,7 @@
 	}
 	m.stopWanted, m.cause = true, cause
 	if !m.recordPending {
-		go s.sendStop(m)
+		go s.protect("stop", func() { s.sendStop(m) })
 	}
 	return true
 }
--- a/internal/ledger/follow.go
+++ b/internal/ledger/follow.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 )
 
@@ -31,7 +33,7 @@
 	// Synced, which may be nil, is called whenever the reader has caught up with the log. Record has been called for all that
 	// was appended before the given time, when the answered call was sent.
 	Synced func(sent time.Time)
-	// Failed is called for each call without a usable answer.
+	// Failed is called for each call without a usable answer, and with an UnhandledError for each record at which Record panicked.
 	Failed func(error)
 
 	next   int64 // offset of the next record to read
@@ -169,10 +171,20 @@
 
 func (r *Reader) deliver(batch Batch) {
 	for _, record := range batch.Records {
-		r.Record(record)
+		r.handle(record)
 	}
 }
 
+// handle passes on one record. A panic costs this record: all readers of the topic get it, so the process would end at each instance.
+func (r *Reader) handle(record Record) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.Failed(&UnhandledError{Key: record.Key, Cause: eris.Errorf("%v", cause)})
+		}
+	}()
+	r.Record(record)
+}
+
 func (r *Reader) synced(sent time.Time) {
 	if r.Synced != nil {
 		r.Synced(sent)
--- a/internal/ledger/log.go
+++ b/internal/ledger/log.go
@@ -76,6 +76,19 @@
 	return fmt.Sprintf("the record %.40q has %d bytes, and the log takes at most %d", e.Key, e.Size, e.Limit)
 }
 
+// UnhandledError says that handling a record panicked. The record is skipped.
+type UnhandledError struct {
+	Key   string
+	Cause error
+}
+
+func (e *UnhandledError) Error() string {
+	return fmt.Sprintf("handling the record %.40q panicked: %v", e.Key, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnhandledError) Unwrap() error { return e.Cause }
+
 // UnknownError says that the call may or may not have taken effect.
 type UnknownError struct{ Cause error }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,7 @@
 	eventLogLost         = event.Define(2705, "log lost", zerolog.WarnLevel, "A call to the log had no usable answer. Further failures in a row to read the jobs topic are counted, not logged.", "Check the log service if this persists.")
 	eventLogRecovered    = event.Define(2706, "log regained", zerolog.InfoLevel, "The log answers again.", "")
 	eventRecordRejected  = event.Define(2708, "record rejected", zerolog.ErrorLevel, "A record will never be written: it is too large for the log, or the log calls it invalid. A submission is refused, and a job of which no run can be recorded fails.", "Submit smaller jobs; if the cause is not the size, check the log service.")
+	eventUnhandled       = event.Define(2709, "record skipped", zerolog.ErrorLevel, "Handling a record of the log panicked, so the record is skipped.", "Report the fault to the maintainers.")
 	eventUnreadableEntry = event.Define(2707, "entry not understood", zerolog.WarnLevel, "A record that the platform or another program wrote cannot be decoded and is ignored.", "Check which program wrote it.")
 )
 
@@ -232,6 +233,10 @@
 			}
 		},
 		Failed: func(err error) {
+			if errors.As(err, new(*ledger.UnhandledError)) {
+				failed(err)
+				return
+			}
 			if !failing {
 				failing = true
 				failed(err)
@@ -244,6 +249,10 @@
 // readFailed returns a function that logs a failed read of a topic.
 func (n *Node) readFailed(topic string) func(error) {
 	return func(err error) {
+		if unhandled := (*ledger.UnhandledError)(nil); errors.As(err, &unhandled) {
+			n.events.Emit(eventUnhandled, event.F("topic", topic), event.F("key", unhandled.Key), event.F("cause", unhandled.Cause))
+			return
+		}
 		n.events.Emit(eventLogLost, event.F("topic", topic), event.F("cause", err))
 	}
 }
