--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,9 @@
 	go test ./internal/peer -run xxx -fuzz FuzzFrame -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 	go test ./internal/api -run xxx -fuzz FuzzCalls -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 	go test ./platform -run xxx -fuzz FuzzHeartbeat -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
+	go test ./platform -run xxx -fuzz FuzzSubmission -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
+	go test ./platform -run xxx -fuzz FuzzRecords -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
+	go test ./platform -run xxx -fuzz FuzzAdvice -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 	go test ./platform -run xxx -fuzz FuzzWorkerEntry -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 	go test ./internal/dispatch -run xxx -fuzz FuzzLoad -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -17,6 +17,8 @@
 	maxTasks        = 100_000 // of a job, in all its steps and occurrences; the scheduler keeps some hundred bytes for each
 	maxSpecBytes    = 4_000   // the platform's limit for the text that is passed to each task
 	maxOccurrences  = 10_000
+
+	maxScheduleLength = 100 * 365 * 24 * time.Hour
 )
 
 // Resources is an amount of a worker's resources.
@@ -147,6 +149,9 @@
 			return err
 		}
 	}
+	if last := time.Duration(max(j.Schedule.Occurrences-1, 0)); j.Schedule.Interval < 0 || last > 0 && j.Schedule.Interval > maxScheduleLength/last {
+		return invalid("let the repetitions end within 100 years", "the job repeats %d times at an interval of %v", j.Schedule.Occurrences, j.Schedule.Interval)
+	}
 	if n := j.Tasks() * j.Occurrences(); n > maxTasks {
 		return invalid("split the job into several of at most 100000 tasks", "the job has %d tasks in all its steps and repetitions", n)
 	}
