SIGHUP is taken before other packages are initialized

Cause: the handler was installed after all packages were initialized and the settings read.

Why it works: Go initializes packages by import path as soon as their imports are; this one needs only os and os/signal. Commands that are no daemons give the signal back.

--- a/cmd/dogwoodnotch/main.go
+++ b/cmd/dogwoodnotch/main.go
@@ -5,11 +5,13 @@
 	"context"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/rs/zerolog/diode"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/cli"
+	"dogwoodnotch.example/dogwoodnotch/internal/hangup"
 	"dogwoodnotch.example/dogwoodnotch/internal/node"
 	"dogwoodnotch.example/dogwoodnotch/internal/server"
 	"dogwoodnotch.example/dogwoodnotch/internal/settings"
@@ -20,6 +22,9 @@
 func run() int {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	if !slices.Contains(os.Args, "node") {
+		hangup.Restore()
+	}
 	cli.Serve = serve
 	cli.Node = runNode
 	return cli.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
@@ -47,10 +52,8 @@
 	out := diode.NewWriter(os.Stdout, logBuffer, 0, nil)
 	defer func() { _ = out.Close() }() // an error of the log itself cannot be logged
 	n := node.New(s, out)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
-		for range hangups {
+		for range hangup.Signals {
 			n.Reload(path)
 		}
 	}()
