Headroom, order of workers and cost of preemption go by cores on services without accelerators

Cause: headroom, the order of racks and workers, and lost work were counted in accelerators alone.

Ruled out: peakAccelerators and guarantees, which the platform gives in accelerators; counters of lost work, which count both.

Figures: on ten workers without accelerators work that is not urgent took 10 of 10 workers, now 8. Services with accelerators are treated as before: the same quantities are compared.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -196,7 +196,7 @@
 		return 1
 	}
 	slices.SortStableFunc(unknown, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(preference(b), preference(a)), cmp.Compare(b.free.Accelerators, a.free.Accelerators))
+		return cmp.Or(cmp.Compare(preference(b), preference(a)), cmp.Compare(pl.scarceCapacity(b.free), pl.scarceCapacity(a.free)))
 	})
 	return unknown[:min(len(unknown), exploredPerQuery)]
 }
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -60,11 +60,12 @@
 	return p.packInOneGroup(pl.racks, u, free)
 }
 
-// packInOneGroup places a gang in the group of workers with the fewest free accelerators of those in which it fits. It prefers groups in
+// packInOneGroup places a gang in the group of workers with the least room, in the scarcest resource, of those in which it fits. It prefers groups in
 // which the gang probes no quarantined worker.
 func (p *plan) packInOneGroup(groups map[string][]*worker, u *unit, free func(*worker) workload.Resources) []*worker {
 	var best []*worker
 	bestKey := [2]int64{}
+	pl := p.pools[u.job().queueSettings.Service]
 	for _, name := range sortedKeys(groups) {
 		group := groups[name]
 		chosen := p.pack(group, u, free)
@@ -73,7 +74,7 @@
 		}
 		left := int64(0)
 		for _, w := range group {
-			left += free(w).Accelerators
+			left += pl.scarceCapacity(free(w))
 		}
 		key := [2]int64{quarantinedAmong(chosen), left}
 		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
@@ -173,9 +174,10 @@
 }
 
 // pack places all tasks of a gang on the given workers, or returns nil. It fills preferred workers first, and those with the
-// fewest free accelerators first among them.
+// least room first among them, in the scarcest resource.
 func (p *plan) pack(workers []*worker, u *unit, free func(*worker) workload.Resources) []*worker {
 	resources, need := u.step.resources(), u.size()
+	pl := p.pools[u.job().queueSettings.Service]
 	type candidate struct {
 		worker     *worker
 		tasks      int
@@ -200,7 +202,7 @@
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.preference, b.preference), cmp.Compare(free(a.worker).Accelerators, free(b.worker).Accelerators))
+		return cmp.Or(cmp.Compare(a.preference, b.preference), cmp.Compare(pl.scarceCapacity(free(a.worker)), pl.scarceCapacity(free(b.worker))))
 	})
 	chosen := make([]*worker, 0, need)
 	for _, c := range candidates {
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// headroomShare is the share of a service's accelerators that is left free for urgent work. A preemption takes most of a
+// headroomShare is the share of a service's scarcest resource that is left free for urgent work. A preemption takes most of a
 // second, which is about the whole slack of a small urgent job, so under high load such jobs must find resources that are
 // free already.
 const headroomShare = 0.2
@@ -36,8 +36,8 @@
 }
 
 // markHeadroom keeps workers free for urgent work. It picks them rack by rack, beginning with the rack with the most free
-// accelerators since urgent gangs often should run in one rack, and workers with the most free accelerators first. Workers
-// that are reserved do not count, since their free accelerators are used as soon as the reserving unit fits.
+// room since urgent gangs often should run in one rack, and workers with the most room first, in the pool's scarcest resource. Workers that
+// are reserved do not count, since their room is used as soon as the reserving unit fits.
 func (p *plan) markHeadroom(pl *pool) {
 	if pl.mostlyIdle() {
 		return
@@ -47,34 +47,35 @@
 	freeByRack := map[string]int64{}
 	for _, name := range names {
 		for _, w := range pl.racks[name] {
-			freeByRack[name] += w.free.Accelerators
+			freeByRack[name] += pl.scarceCapacity(w.free)
 		}
 	}
 	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(freeByRack[b], freeByRack[a]) })
 	for _, name := range names {
 		workers := slices.Clone(pl.racks[name])
-		slices.SortStableFunc(workers, func(a, b *worker) int { return cmp.Compare(b.free.Accelerators, a.free.Accelerators) })
+		slices.SortStableFunc(workers, func(a, b *worker) int { return cmp.Compare(pl.scarceCapacity(b.free), pl.scarceCapacity(a.free)) })
 		for _, w := range workers {
-			if missing <= 0 || w.free.Accelerators <= 0 {
+			free := pl.scarceCapacity(w.free)
+			if missing <= 0 || free <= 0 {
 				break
 			}
 			if p.keptFor[w] == nil {
 				p.headroomWorkers[w] = true
-				missing -= w.free.Accelerators
+				missing -= free
 			}
 		}
 	}
 }
 
-// chooseFromHeadroom places a gang that fits only on workers kept free for urgent work, if enough accelerators stay free
+// chooseFromHeadroom places a gang that fits only on workers kept free for urgent work, if enough room stays free
 // elsewhere. The caller then marks the headroom anew.
 func (p *plan) chooseFromHeadroom(pl *pool, u *unit) []*worker {
 	if u.urgent() || u.index >= 0 || len(p.headroomWorkers) == 0 {
 		return nil
 	}
-	freeAfter := -u.step.resources().Accelerators * int64(u.size())
+	freeAfter := -pl.scarceCapacity(u.step.resources()) * int64(u.size())
 	for _, w := range pl.workers {
-		freeAfter += max(w.free.Accelerators, 0)
+		freeAfter += max(pl.scarceCapacity(w.free), 0)
 	}
 	if freeAfter < pl.headroomTarget {
 		return nil
--- a/internal/dispatch/noaccelerators_test.go
+++ b/internal/dispatch/noaccelerators_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
 
 // Guards against a task that waits for the rack of its data, which long tasks fill, while most of its service is idle: on workers without
@@ -58,3 +60,74 @@
 	}
 	assert.Equal(t, len(reserved), 3, "30 % of ten workers for one gang, none for more")
 }
+
+// Guards against urgent work that finds no room on a busy service without accelerators, where nothing was kept free for it.
+func TestHeadroomIsKeptOnAServiceWithoutAccelerators(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	for i := range 10 {
+		h.addWorker(fmt.Sprintf("w%d", i), "r1", 0)
+	}
+	step := func(count int) workload.Step {
+		s := stepOf(count)
+		s.Resources.Accelerators, s.Resources.CPU = 0, 64_000
+		return s
+	}
+	h.submit(singleStepJob(1, step(6)))
+	h.pass()
+	h.submit(singleStepJob(2, step(4)))
+	h.pass()
+	awaitStarts(t, h.fleet, 8)
+	urgent := singleStepJob(3, step(2))
+	urgent.QueueSettings.Priority = 0
+	h.submit(urgent)
+	h.pass()
+	awaitStarts(t, h.fleet, 10)
+}
+
+// Guards against a gang that breaks up the only rack with room for a large one, on a service without accelerators: all racks counted as
+// equally full.
+func TestGangTakesTheFullestRackOnAServiceWithoutAccelerators(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	w := map[string]*worker{}
+	for _, id := range []string{"a1", "a2", "b1", "b2"} {
+		w[id] = h.addWorker(id, "rack-"+id[:1], 0)
+	}
+	filler := stepOf(1)
+	filler.Resources.Accelerators, filler.Resources.CPU, filler.DataRack = 0, 32_000, "rack-b"
+	h.submit(singleStepJob(1, filler))
+	h.pass()
+	awaitStarts(t, h.fleet, 1)
+	gang := stepOf(2)
+	gang.Resources.Accelerators, gang.Resources.CPU, gang.Gang, gang.SameRack = 0, 16_000, true, true
+	h.submit(singleStepJob(2, gang))
+	h.pass()
+	awaitStarts(t, h.fleet, 3)
+	assert.Equal(t, len(h.runsOn(w["a1"]))+len(h.runsOn(w["a2"])), 0)
+}
+
+// Guards against a preemption that throws away the work of long runs on a service without accelerators, where all runs counted as equally
+// cheap.
+func TestShortRunsArePreemptedOnAServiceWithoutAccelerators(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	step := stepOf(1)
+	step.Resources.Accelerators, step.Resources.CPU = 0, 64_000
+	long, short := singleStepJob(1, step), singleStepJob(2, step)
+	workers := []*worker{h.addWorker("w1", "r1", 0), h.addWorker("w2", "r1", 0)}
+	h.submit(long)
+	h.submit(short)
+	h.pass()
+	for _, w := range workers {
+		h.awaitRunning(w, 1)
+		for key, m := range w.members {
+			if key.task.Job == long.ID {
+				m.runningSince = m.runningSince.Add(-time.Minute)
+			}
+		}
+	}
+	urgent := singleStepJob(3, step)
+	urgent.QueueSettings.Priority = 0
+	h.submit(urgent)
+	h.pass()
+	awaitStops(t, h.fleet, 1)
+	assert.Equal(t, h.fleet.stops[0].Task.Job, short.ID)
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -77,7 +77,7 @@
 	}
 	for _, pl := range p.pools {
 		pl.sortByID()
-		pl.headroomTarget = int64(headroomShare * float64(pl.accelerators))
+		pl.headroomTarget = int64(headroomShare * float64(pl.scarceTotal()))
 	}
 	ranks = p.preventStarvation(ranks)
 	slices.SortStableFunc(ranks, compareRanks)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
@@ -18,7 +19,7 @@
 	freeAtStart    int64                // accelerators that were free at the start of the pass
 	permanent      workload.Resources   // held by permanent tasks, which do not make room by ending
 	reserved       int64                // scarcest resource of workers kept free by reservations, see scarceCapacity
-	headroomTarget int64                // accelerators to be left free for urgent work
+	headroomTarget int64                // scarcest resource to be left free for urgent work
 }
 
 // addWorker adds a usable worker to the pool of its service.
@@ -82,14 +83,22 @@
 	return max(r.Accelerators, 1)
 }
 
-// scarceCapacity returns how much of the pool's scarcest resource the given resources hold.
+// scarceCapacity returns how much of the pool's scarcest resource the given resources hold: accelerators, also if there is no pool, or cores.
 func (pl *pool) scarceCapacity(r workload.Resources) int64 {
-	if pl.accelerators == 0 {
+	if pl != nil && pl.accelerators == 0 {
 		return r.CPU / 1000
 	}
 	return r.Accelerators
 }
 
+// scarceLoss returns how much time of the pool's scarcest resource is lost.
+func (pl *pool) scarceLoss(l loss) time.Duration {
+	if pl != nil && pl.accelerators == 0 {
+		return l.core
+	}
+	return l.accelerator
+}
+
 // scarceTotal returns how much of its scarcest resource the pool has.
 func (pl *pool) scarceTotal() int64 {
 	if pl.accelerators == 0 {
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -200,14 +200,15 @@
 // fullyAtWork is the progress that a worker reports of a permanent task that is at work.
 const fullyAtWork = 100
 
-// lostWork returns the accelerator-seconds of work that are lost if a unit is stopped.
+// lostWork returns the work that is lost if a unit is stopped, in seconds of the scarcest resource.
 func (p *plan) lostWork(u *unit) float64 {
+	pl := p.pools[u.job().queueSettings.Service]
 	loss := 0.0
 	for _, m := range u.members {
-		lost := m.lossOf(time.Time{}, p.now).accelerator
+		lost := pl.scarceLoss(m.lossOf(time.Time{}, p.now))
 		if u.step.spec.Checkpoints {
 			// Only the work since the last checkpoint, and the time to restore it, is lost.
-			lost = min(lost, time.Second*time.Duration(m.resources.Accelerators))
+			lost = min(lost, time.Second*time.Duration(pl.scarceCapacity(m.resources)))
 		}
 		loss += lost.Seconds() + 0.1
 	}
