Soak: own faults of tasks, records that the store never takes, starts after a cancellation, instances that accept nothing

Now one job in 16 is larger than the store takes, and the tasks of some jobs fail once by their own fault. A start more than 3 s (cancel_ms) after the answer to a cancellation, 410 included, breaks a promise, and so does an instance that accepts no job after the faults, or whose job does not end.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return fmt.Errorf("%w (logs are in %s)", err, o.Directory)
 	}
-	for _, problem := range slices.Concat(verdict.Lost, verdict.FalseRefusals, verdict.Workers.Violations) {
+	for _, problem := range slices.Concat(verdict.Lost, verdict.FalseRefusals, verdict.Unasked, verdict.Stuck, verdict.Workers.Violations) {
 		fmt.Println("problem:", problem)
 	}
 	fmt.Printf("%v seed=%d\n", verdict, o.Seed)
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/taskworker"
 )
 
 // judge waits until all accepted jobs have ended and compares the answers that callers received with the actual states.
@@ -38,16 +40,49 @@
 			v.Cancelled++
 		}
 	}
+	for i := range r.nodes {
+		if err := r.awaitAnotherJob(ctx, i); err != nil {
+			v.Stuck = append(v.Stuck, err.Error())
+		}
+	}
+	if err := r.readReport(ctx, &v.Workers); err != nil {
+		return v, err
+	}
+	for id, j := range r.jobs {
+		if last := time.UnixMilli(v.Workers.LastStarts[id]); !j.cancelled.IsZero() && last.After(j.cancelled.Add(startsAfterCancel)) {
+			v.Unasked = append(v.Unasked, fmt.Sprintf("%s started %v after its cancellation was answered", id, last.Sub(j.cancelled)))
+		}
+	}
+	return v, nil
+}
+
+// awaitAnotherJob waits until an instance accepts one more job and the job has ended.
+func (r *run) awaitAnotherJob(ctx context.Context, i int) error {
+	n, id, deadline := r.nodes[i], fmt.Sprintf("%s%02x", lastJobs, i), time.Now().Add(r.options.SettleTimeout)
+	for !r.submit(ctx, id, n, 1, 10) {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s accepts no job", n.name)
+		}
+		time.Sleep(pollInterval)
+	}
+	if state, _, err := r.finalState(ctx, id, r.jobs[id], deadline); err != nil || state != "completed" {
+		return fmt.Errorf("job %s of %s is %s: %w", id, n.name, state, err)
+	}
+	return nil
+}
+
+// readReport reads what the workers have counted.
+func (r *run) readReport(ctx context.Context, into *taskworker.Report) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.workersAddress+"/report/workers", nil)
 	if err != nil {
-		return v, err
+		return err
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
-		return v, err
+		return err
 	}
 	defer resp.Body.Close()
-	return v, json.NewDecoder(resp.Body).Decode(&v.Workers)
+	return json.NewDecoder(resp.Body).Decode(into)
 }
 
 // ended reports whether a job is in a final state that its caller may expect. A cancellation whose answer was lost may have
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -24,17 +25,20 @@
 
 // Timings and fixed values of a run.
 const (
-	startTimeout   = 20 * time.Second       // timeout until an instance accepts the first job
-	settleTimeout  = 60 * time.Second       // timeout until all accepted jobs have ended after the last fault
-	submitInterval = 60 * time.Millisecond  // mean interval between two submissions
-	callTimeout    = 3 * time.Second        // callers' timeout for one call
-	pollInterval   = 200 * time.Millisecond // interval between two attempts of a repeated call
-	host           = "jobs.example"
-	apiKey         = "soak-key"
-	workerCount    = 6
-	firstJob       = "ffffffffffffffff" // id of the job that is submitted until an instance accepts it
-	workersTopic   = "keyed.servers"    // list of workers
-	advisedQueue   = "advised"          // queue with advice
+	startTimeout   = 20 * time.Second      // timeout until an instance accepts the first job
+	settleTimeout  = 60 * time.Second      // timeout until all accepted jobs have ended after the last fault
+	submitInterval = 60 * time.Millisecond // mean interval between two submissions
+	callTimeout    = 3 * time.Second       // callers' timeout for one call
+	// startsAfterCancel is how long after the answer to a cancellation a task of the job may still start (cancel_ms of the platform's bounds).
+	startsAfterCancel = 3 * time.Second
+	pollInterval      = 200 * time.Millisecond // interval between two attempts of a repeated call
+	host              = "jobs.example"
+	apiKey            = "soak-key"
+	workerCount       = 6
+	firstJob          = "ffffffffffffffff" // id of the job that is submitted until an instance accepts it
+	lastJobs          = "eeeeeeeeeeeeee"   // beginning of the ids of the jobs that each instance is to accept after the faults
+	workersTopic      = "keyed.servers"    // list of workers
+	advisedQueue      = "advised"          // queue with advice
 )
 
 // Options of a run.
@@ -54,7 +58,9 @@
 type Violations struct {
 	Store          store.Faults // faults of the store, active while no other store fault is injected
 	HideRuns       bool         // see taskworker.Fleet.HideRuns
-	DenyAcceptance bool         // callers see an acceptance as a refusal
+	DenyAcceptance bool         // callers see an acceptance as a refusal, but for the first and last jobs
+	DropCancels    bool         // cancellations are not sent, and count as answered startsAfterCancel earlier
+	DeafInstance   bool         // the first instance gets no more calls after the faults
 }
 
 // Verdict counts what callers and workers saw.
@@ -62,18 +68,20 @@
 	Accepted, Completed, Cancelled, Refused, Unknown int      // numbers of jobs; Unknown, printed as open, counts those without a certain outcome of the submission
 	Lost                                             []string // accepted jobs that did not end as expected
 	FalseRefusals                                    []string // jobs that exist although every submission was refused
+	Unasked                                          []string // jobs of which a task started later than startsAfterCancel after their cancellation was answered
+	Stuck                                            []string // instances that accept no job, or whose job does not end, after the faults
 	Workers                                          taskworker.Report
 }
 
 // Passed reports whether every invariant held.
 func (v Verdict) Passed() bool {
-	return v.Accepted > 0 && len(v.Lost) == 0 && len(v.FalseRefusals) == 0 && v.Workers.Doubled == 0
+	return v.Accepted > 0 && len(v.Lost) == 0 && len(v.FalseRefusals) == 0 && len(v.Unasked) == 0 && len(v.Stuck) == 0 && v.Workers.Doubled == 0
 }
 
 // String returns the last line of a run's output.
 func (v Verdict) String() string {
-	return fmt.Sprintf("soak: accepted=%d completed=%d cancelled=%d refused=%d open=%d lost=%d false_refusals=%d started=%d doubled=%d lapsed=%d unticketed=%d",
-		v.Accepted, v.Completed, v.Cancelled, v.Refused, v.Unknown, len(v.Lost), len(v.FalseRefusals), v.Workers.Started, v.Workers.Doubled, v.Workers.Lapsed, v.Workers.Unticketed)
+	return fmt.Sprintf("soak: accepted=%d completed=%d cancelled=%d refused=%d open=%d lost=%d false_refusals=%d unasked=%d stuck=%d started=%d doubled=%d lapsed=%d unticketed=%d",
+		v.Accepted, v.Completed, v.Cancelled, v.Refused, v.Unknown, len(v.Lost), len(v.FalseRefusals), len(v.Unasked), len(v.Stuck), v.Workers.Started, v.Workers.Doubled, v.Workers.Lapsed, v.Workers.Unticketed)
 }
 
 // run is the state of one run.
@@ -96,8 +104,9 @@
 // submittedJob is what a caller knows about its job.
 type submittedJob struct {
 	accepted   bool
-	unknown    bool // an attempt was answered by neither an acceptance nor a refusal
-	cancelSent bool // a cancellation was sent, whether or not it was answered
+	unknown    bool      // an attempt was answered by neither an acceptance nor a refusal
+	cancelSent bool      // a cancellation was sent, whether or not it was answered
+	cancelled  time.Time // when a cancellation was first answered, also with 410
 }
 
 // node is an entry instance, which faults may restart.
@@ -140,6 +149,9 @@
 		return Verdict{}, err
 	}
 	<-loadDone
+	if options.Violations.DeafInstance {
+		r.nodes[0].callerProxy.close()
+	}
 	return r.judge(ctx)
 }
 
@@ -309,10 +321,19 @@
 	}
 	r.mu.Lock()
 	r.jobs[id].cancelSent = true
+	if r.options.Violations.DropCancels {
+		r.jobs[id].cancelled = time.Now().Add(-startsAfterCancel)
+	}
 	r.mu.Unlock()
+	if r.options.Violations.DropCancels {
+		return
+	}
 	for attempt := range 4 {
 		status, _, err := r.call(ctx, r.nodes[(first+attempt)%len(r.nodes)], http.MethodDelete, id, nil)
-		if err == nil && status == http.StatusOK {
+		if err == nil && (status == http.StatusOK || status == http.StatusGone) {
+			r.mu.Lock()
+			r.jobs[id].cancelled = time.Now()
+			r.mu.Unlock()
 			return
 		}
 	}
@@ -320,10 +341,10 @@
 
 // submit sends a job once and reports whether this or an earlier attempt was accepted.
 func (r *run) submit(ctx context.Context, id string, n *node, tasks, runTimeMS int) bool {
-	body := fmt.Appendf(nil, `{"spec":"{\"takes_ms\":%d,\"advised\":%t}","phases":[{"count":%d,"cpu":1000,"mem_mb":1000,"gpu":1,"estimate_ms":%d}]}`,
-		runTimeMS, queueOf(id) == advisedQueue, tasks, runTimeMS)
+	body := fmt.Appendf(nil, `{"spec":"{\"takes_ms\":%d,\"advised\":%t,\"fails\":%d}","phases":[{"count":%d,"cpu":1000,"mem_mb":1000,"gpu":1,"estimate_ms":%d%s}]}`,
+		runTimeMS, queueOf(id) == advisedQueue, failsOf(id), tasks, runTimeMS, paddingOf(id))
 	status, _, err := r.call(ctx, n, http.MethodPost, id, body)
-	if r.options.Violations.DenyAcceptance && id != firstJob && err == nil && status == http.StatusOK {
+	if r.options.Violations.DenyAcceptance && id != firstJob && !strings.HasPrefix(id, lastJobs) && err == nil && status == http.StatusOK {
 		status = http.StatusServiceUnavailable
 	}
 	r.mu.Lock()
@@ -336,12 +357,29 @@
 	switch {
 	case err == nil && status == http.StatusOK:
 		j.accepted = true
-	case err != nil || status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests:
+	case err != nil || status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests && status != http.StatusBadRequest:
 		j.unknown = true
 	}
 	return j.accepted
 }
 
+// failsOf returns how many runs of each task of a job fail by its own fault.
+func failsOf(id string) int {
+	if id[len(id)-1]%5 == 2 {
+		return 1
+	}
+	return 0
+}
+
+// paddingOf returns fields with which the record of one job in 16 is larger than the store takes. No instance may accept it, and none may
+// stop accepting others because of it.
+func paddingOf(id string) string {
+	if id[len(id)-1] != '7' {
+		return ""
+	}
+	return `,"image":"` + strings.Repeat("x", 9<<10) + `"`
+}
+
 // queueOf returns the queue of a job.
 func queueOf(id string) string {
 	switch id[len(id)-1] % 4 {
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -45,7 +45,7 @@
 		o.Seed, o.Directory = seed, t.TempDir()
 		verdict, err := Run(context.Background(), o)
 		assert.NilError(t, err)
-		assert.Assert(t, verdict.Passed(), "seed %d: %v %v %v", seed, verdict, verdict.Lost, verdict.FalseRefusals)
+		assert.Assert(t, verdict.Passed(), "seed %d: %v %v %v %v %v", seed, verdict, verdict.Lost, verdict.FalseRefusals, verdict.Unasked, verdict.Stuck)
 	}
 }
 
@@ -61,6 +61,8 @@
 	}{
 		{"acknowledged records are not stored", Violations{Store: store.Faults{Forgets: 0.3}}, func(v Verdict) bool { return len(v.Lost) > 0 }},
 		{"accepted jobs are reported as refused", Violations{DenyAcceptance: true}, func(v Verdict) bool { return len(v.FalseRefusals) > 0 }},
+		{"cancellations are lost", Violations{DropCancels: true}, func(v Verdict) bool { return len(v.Unasked) > 0 }},
+		{"an instance answers no callers", Violations{DeafInstance: true}, func(v Verdict) bool { return len(v.Stuck) > 0 }},
 		{"workers hide running tasks", Violations{HideRuns: true}, func(v Verdict) bool { return v.Workers.Doubled > 0 }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -21,6 +21,7 @@
 const (
 	pageItems       = 500     // records in one page of the newest records by key
 	maxBody         = 2 << 20 // bytes of one request body
+	maxRecord       = 8 << 10 // bytes of one record; the platform's limit is higher
 	repeatedAnswers = 5       // number of latest appends of a producer whose answers are repeated for a retry
 	headerBytes     = 16      // bytes of the end offset and the first offset at the start of a read's answer
 )
@@ -212,6 +213,9 @@
 	if !ok {
 		return http.StatusBadRequest, nil
 	}
+	if slices.ContainsFunc(records, func(r []byte) bool { return len(r) > maxRecord }) {
+		return http.StatusRequestEntityTooLarge, nil
+	}
 	name := r.URL.Query().Get("producer")
 	if name == "" {
 		return http.StatusOK, t.appendAll(records)
--- a/internal/standin/taskworker/taskworker.go
+++ b/internal/standin/taskworker/taskworker.go
@@ -7,9 +7,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,7 +50,8 @@
 	Acknowledged int `json:"acknowledged"` // ends that were acknowledged
 	Unticketed   int `json:"unticketed"`   // starts refused for want of a valid ticket
 
-	Violations []string `json:"violations"` // what is known of each doubled run
+	Violations []string         `json:"violations"`  // what is known of each doubled run
+	LastStarts map[string]int64 `json:"last_starts"` // latest start of a task of each job, in Unix milliseconds
 }
 
 // worker is one worker of a fleet.
@@ -70,6 +73,7 @@
 	number  int // number of the run of this task
 	started time.Time
 	runTime time.Duration
+	outcome string // how it ends after runTime
 }
 
 // end is the end of a run.
@@ -77,7 +81,7 @@
 	sequence     int64 // sequence number, by which callers acknowledge ends
 	task         string
 	run          int    // number of the run
-	outcome      string // done, stopped or lapsed
+	outcome      string // done, failed, stopped or lapsed
 	checkpoint   string
 	leaseExpired bool // the worker's leases expired before the acknowledgement, so the task may have started elsewhere
 }
@@ -85,12 +89,13 @@
 // spec is the specification of a job as the stand-in understands it.
 type spec struct {
 	TakesMS int64 `json:"takes_ms"` // run time of each task
+	Fails   int   `json:"fails"`    // number of first runs of each task that fail after half of that time
 	Advised bool  `json:"advised"`  // a start needs a ticket
 }
 
 // New returns a fleet with one worker for each id.
 func New(ids ...string) *Fleet {
-	f := &Fleet{router: mux.NewRouter(), started: time.Now(), workers: map[string]*worker{}, running: map[string]int{}, finished: map[string]bool{}, tickets: map[string]ticket{}}
+	f := &Fleet{router: mux.NewRouter(), started: time.Now(), workers: map[string]*worker{}, running: map[string]int{}, finished: map[string]bool{}, tickets: map[string]ticket{}, report: Report{LastStarts: map[string]int64{}}}
 	for _, id := range ids {
 		f.workers[id] = newWorker(f.started)
 	}
@@ -114,7 +119,9 @@
 func (f *Fleet) Report() Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.report
+	report := f.report
+	report.LastStarts = maps.Clone(report.LastStarts)
+	return report
 }
 
 // HideRuns makes all workers omit their current runs from their answers. No real worker may do this; it shows that the checks of
@@ -239,7 +246,7 @@
 			f.report.Lapsed++
 			f.endRun(w, r, "lapsed")
 		case completion.Before(now):
-			f.endRun(w, r, "done")
+			f.endRun(w, r, r.outcome)
 		}
 	}
 	if !w.leaseExpiry.IsZero() && w.leaseExpiry.Before(now) {
@@ -300,12 +307,23 @@
 	}
 	f.report.Started++
 	f.running[c.Task]++
-	target.runs[c.Task] = &run{c.Task, c.Run, time.Now(), time.Duration(s.TakesMS) * time.Millisecond}
+	f.report.LastStarts[jobOf(c.Task)] = time.Now().UnixMilli()
+	started := &run{c.Task, c.Run, time.Now(), time.Duration(s.TakesMS) * time.Millisecond, "done"}
+	if c.Run <= s.Fails {
+		started.runTime, started.outcome = started.runTime/2, "failed"
+	}
+	target.runs[c.Task] = started
 	f.extendLeases(target, c.DeadlineMS)
 	writeJSON(w, http.StatusOK, map[string]int64{"clock_ms": f.clockMS()})
 	return true
 }
 
+// jobOf returns the job of a task, whose name is JOB.OCCURRENCE.STEP.INDEX.
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
 // extendLeases moves the expiry of a worker's leases forward, never back. The caller holds mu.
 func (f *Fleet) extendLeases(w *worker, deadlineMS int64) {
 	if expiry := f.started.Add(time.Duration(deadlineMS) * time.Millisecond); deadlineMS > 0 && expiry.After(w.leaseExpiry) {
