Repetitions of a job that are done keep no tasks in memory

Callers would see: with the bound on tasks in memory, the repetitions of a schedule wait until others' jobs have ended, although most of the tasks that count are done.

Cause: the tasks of a repetition were kept until its job had ended.

Fix: they are dropped once all are done and no run is left. Their records stay, since a later term would run them again, and are deleted with the job by their names.

Test: TestRepetitionsThatAreDoneMakeRoom (before: the third repetition never starts; also that the next term knows the two that are done, and that no record is left in the end).

--- a/internal/dispatch/budget_test.go
+++ b/internal/dispatch/budget_test.go
@@ -80,3 +80,34 @@
 	h.pass()
 	awaitStarts(t, h.fleet, 8)
 }
+
+// Guards against a schedule whose later repetitions wait for the end of the job, because those that are done still count; and against
+// records of them that stay in the log for ever, or are deleted before the job has ended, so that a later term would run them again.
+func TestRepetitionsThatAreDoneMakeRoom(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	h.scheduler.config.Bounds.Tasks = 2
+	w := h.addWorker("w1", "r1", 8)
+	j := singleStepJob(1, stepOf(1))
+	j.Schedule = workload.Schedule{First: time.Now().Add(-time.Minute), Interval: time.Second, Occurrences: 3}
+	h.submit(j)
+	h.pass()
+	awaitStarts(t, h.fleet, 2)
+	assert.Equal(t, h.scheduler.jobs[j.ID].occurrencesCreated, 2)
+	for k := range 3 {
+		task := workload.TaskName{Job: j.ID, Occurrence: k}
+		h.report(w, HeartbeatReport{Partial: true, Ended: []EndReport{{int64(k + 1), task, 1, EndDone, ""}}})
+		h.pass()
+		assert.Equal(t, h.scheduler.jobs[j.ID].state.Final(), k == 2)
+		if k == 1 {
+			next := h.nextTerm()
+			next.pass()
+			assert.Equal(t, next.scheduler.jobs[j.ID].occurrencesReleased, 2, "the next term knows that two are done")
+		}
+		h.tickAt(time.Now())
+		h.pass()
+	}
+	awaitStarts(t, h.fleet, 3)
+	for _, r := range h.runs.records() {
+		assert.Equal(t, len(r.Value), 0, "the record %s is left", r.Key)
+	}
+}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -60,8 +60,8 @@
 	return p.packInOneGroup(pl.racks, u, free)
 }
 
-// packInOneGroup places a gang in the group of workers with the least room, in the scarcest resource, of those in which it fits. It prefers groups in
-// which the gang probes no quarantined worker.
+// packInOneGroup places a gang in the group of workers with the least room, in the scarcest resource, of those in which it fits. It
+// prefers groups in which the gang probes no quarantined worker.
 func (p *plan) packInOneGroup(groups map[string][]*worker, u *unit, free func(*worker) workload.Resources) []*worker {
 	var best []*worker
 	bestKey := [2]int64{}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -11,20 +11,21 @@
 
 // job is a submitted job. It is kept until its status need no longer be available.
 type job struct {
-	spec               *workload.Job          // nil until the submission is loaded
-	queueSettings      workload.QueueSettings // settings of its queue, as last configured
-	state              ledger.State           // last recorded or being recorded
-	createdAt          time.Time              // when the first record of the job was loaded
-	cancellations      ledger.Cancellations   // requests to end the job that were loaded before its submission
-	cancelled          bool
-	endedAt            time.Time
-	outcomeDurable     bool          // the final state is durable
-	unitsDeleted       bool          // the records of its units are deleted, and the units are no longer kept
-	setAsideFor        time.Duration // latest pause after its handling panicked
-	setAsideUntil      time.Time     // end of that pause
-	postponed          bool          // an occurrence was due and not created, see taskBudget
-	occurrences        []*occurrence // by number, nil if not created yet
-	occurrencesCreated int           // number of occurrences created
+	spec                *workload.Job          // nil until the submission is loaded
+	queueSettings       workload.QueueSettings // settings of its queue, as last configured
+	state               ledger.State           // last recorded or being recorded
+	createdAt           time.Time              // when the first record of the job was loaded
+	cancellations       ledger.Cancellations   // requests to end the job that were loaded before its submission
+	cancelled           bool
+	endedAt             time.Time
+	outcomeDurable      bool          // the final state is durable
+	unitsDeleted        bool          // the records of its units are deleted, and the units are no longer kept
+	setAsideFor         time.Duration // latest pause after its handling panicked
+	setAsideUntil       time.Time     // end of that pause
+	occurrencesReleased int           // number of occurrences of which no units are kept
+	postponed           bool          // an occurrence was due and not created, see taskBudget
+	occurrences         []*occurrence // by number, nil if not created yet
+	occurrencesCreated  int           // number of occurrences created
 }
 
 // occurrence is one execution of a job's steps.
@@ -33,7 +34,8 @@
 	index     int
 	due       time.Time // zero if the steps may start at once
 	steps     []*step
-	stepsLeft int // number of steps that are not done
+	stepsLeft int  // number of steps that are not done
+	released  bool // all steps are done, and their units are no longer kept
 }
 
 // step is one step of an occurrence.
@@ -257,6 +259,22 @@
 	return o
 }
 
+// unitNames returns the names of the step's units, also if these are no longer kept.
+func (s *step) unitNames() []ledger.UnitName {
+	o := s.occurrence
+	names := make([]ledger.UnitName, s.spec.Units())
+	for i := range names {
+		names[i] = ledger.UnitName{Job: o.job.spec.ID, Occurrence: o.index, Step: s.index, Index: i}
+		if s.spec.Gang {
+			names[i].Index = -1
+		}
+	}
+	return names
+}
+
+// tasksKept returns how many tasks of the job are kept in memory.
+func (j *job) tasksKept() int { return j.spec.Tasks() * (j.occurrencesCreated - j.occurrencesReleased) }
+
 // createOccurrence adds occurrence k to the job.
 func (j *job) createOccurrence(k int) {
 	j.occurrences[k] = j.newOccurrence(k)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -155,7 +155,7 @@
 	s.unfinished = slices.DeleteFunc(s.unfinished, (*job).ended)
 	budget := taskBudget{limit: s.config.Bounds.Tasks}
 	for _, j := range s.unfinished {
-		budget.kept += j.spec.Tasks() * j.occurrencesCreated
+		budget.kept += j.tasksKept()
 	}
 	for _, j := range s.unfinished {
 		if now.Before(j.setAsideUntil) {
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -38,6 +38,7 @@
 	}
 	for _, j := range s.unfinished {
 		s.reconcileJob(j)
+		j.releaseOccurrences()
 	}
 	s.listWithheld(s.sortedWorkers(), time.Now())
 	s.config.Events.Emit(eventTakeover, event.F("jobs", len(s.unfinished)), event.F("units", restored), event.F("stale_units", len(stale)))
@@ -58,7 +59,7 @@
 	}
 	st := o.steps[n.Step]
 	if st.spec.Gang {
-		if n.Index != -1 {
+		if n.Index != -1 || len(st.units) == 0 {
 			return nil
 		}
 		return st.units[0]
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -186,6 +186,7 @@
 // removeExpiredJobs deletes jobs whose status need no longer be available, and the unit records of all ended jobs.
 func (s *Scheduler) removeExpiredJobs(now time.Time) {
 	for id, j := range s.jobs {
+		j.releaseOccurrences()
 		s.deleteUnitRecords(j)
 		retention := s.config.Bounds.StatusRetention + retentionSlack
 		if j.spec == nil && j.endedAt.IsZero() && now.Sub(j.createdAt) >= retention {
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -238,6 +238,11 @@
 			continue
 		}
 		for _, st := range o.steps {
+			if o.released {
+				for _, name := range st.unitNames() {
+					removals = append(removals, ledger.Record{Key: name.Key()})
+				}
+			}
 			for _, u := range st.units {
 				if u.run > 0 {
 					removals = append(removals, ledger.Record{Key: u.name().Key()})
@@ -251,6 +256,21 @@
 	j.occurrences, j.occurrencesCreated = nil, 0
 }
 
+// releaseOccurrences drops the units of a job's occurrences that are done, so that they take no memory until the last one is. Their records
+// stay, since a later term would run them again.
+func (j *job) releaseOccurrences() {
+	for _, o := range j.occurrences {
+		if o == nil || o.released || o.stepsLeft > 0 || o.hasRuns() {
+			continue
+		}
+		o.released = true
+		j.occurrencesReleased++
+		for _, st := range o.steps {
+			st.units = nil
+		}
+	}
+}
+
 // requeueUnit lets a unit wait for its next run after a run without success whose members have all ended. It fails the job
 // if the queue allows no further attempt.
 func (s *Scheduler) requeueUnit(u *unit, ending Ending, last *member) {
@@ -277,16 +297,16 @@
 
 // hasRuns reports whether a worker may still have a run of the job.
 func (j *job) hasRuns() bool {
-	for _, o := range j.occurrences {
-		if o == nil {
-			continue
-		}
-		for _, st := range o.steps {
-			for _, u := range st.units {
-				for _, m := range u.members {
-					if m.state != ended {
-						return true
-					}
+	return slices.ContainsFunc(j.occurrences, func(o *occurrence) bool { return o != nil && o.hasRuns() })
+}
+
+// hasRuns reports whether a worker may still have a run of the occurrence.
+func (o *occurrence) hasRuns() bool {
+	for _, st := range o.steps {
+		for _, u := range st.units {
+			for _, m := range u.members {
+				if m.state != ended {
+					return true
 				}
 			}
 		}
