Dispatch: one method for whether a worker takes work, one for its labels

Found by reading: the check of a label stood four times and that of listed, answering and not draining workers twice. No change of behaviour; the tests of the package are unchanged.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -182,7 +182,7 @@
 func (p *plan) unknownWorkers(pl *pool, st *step) []*worker {
 	var unknown []*worker
 	for _, w := range pl.workers {
-		if st.advice.isUnknown(w) && st.resources().Fits(capacityOf(w)) && (st.spec.Label == "" || slices.Contains(w.info.Labels, st.spec.Label)) {
+		if st.advice.isUnknown(w) && st.resources().Fits(capacityOf(w)) && w.hasLabel(st.spec.Label) {
 			unknown = append(unknown, w)
 		}
 	}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -109,7 +109,7 @@
 	if u.job().queueSettings.Advised && !u.step.advice.approves(w) {
 		return false
 	}
-	return u.step.spec.Label == "" || slices.Contains(w.info.Labels, u.step.spec.Label)
+	return w.hasLabel(u.step.spec.Label)
 }
 
 // preference orders the allowed workers for a unit.
@@ -230,7 +230,7 @@
 // mayFitLater reports whether a task of the unit would fit on one of the workers once the tasks there that end have ended.
 func (p *plan) mayFitLater(workers []*worker, u *unit) bool {
 	for _, w := range workers {
-		if u.step.resources().Fits(freeLater(w)) && (u.step.spec.Label == "" || slices.Contains(w.info.Labels, u.step.spec.Label)) {
+		if u.step.resources().Fits(freeLater(w)) && w.hasLabel(u.step.spec.Label) {
 			return true
 		}
 	}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -32,7 +32,7 @@
 
 // usable reports whether the worker may get work now. A quarantined worker gets one probe at a time.
 func (w *worker) usable(now time.Time) bool {
-	if !w.listed || w.info.Draining || !w.answers(now) || w.describesAnotherProcess() {
+	if !w.takesWork(now) {
 		return false
 	}
 	return w.health.quarantine == 0 || now.After(w.health.quarantinedUntil) && !w.hasProbe()
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -151,6 +151,16 @@
 // hold the lock.
 func (w *worker) target() Target { return Target{w.info.ID, w.info.Address} }
 
+// takesWork reports whether work may start on the worker now, apart from its health.
+func (w *worker) takesWork(now time.Time) bool {
+	return w.listed && !w.info.Draining && w.answers(now) && !w.describesAnotherProcess()
+}
+
+// hasLabel reports whether the worker has a label; all have the empty one.
+func (w *worker) hasLabel(label string) bool {
+	return label == "" || slices.Contains(w.info.Labels, label)
+}
+
 // runKey identifies a run of a task on a worker.
 type runKey struct {
 	task workload.TaskName
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -73,10 +73,7 @@
 // worker may be of another kind by now, draining, silent, without room or of a service to which the queue no longer sends its work.
 func (m *member) mayStillStart(now time.Time) bool {
 	w, spec := m.worker, m.unit.step.spec
-	if !w.listed || w.info.Draining || !w.answers(now) || w.describesAnotherProcess() || w.processStart != m.processStart {
-		return false
-	}
-	if w.info.Service != m.unit.job().queueSettings.Service || spec.Label != "" && !slices.Contains(w.info.Labels, spec.Label) {
+	if !w.takesWork(now) || w.processStart != m.processStart || w.info.Service != m.unit.job().queueSettings.Service || !w.hasLabel(spec.Label) {
 		return false
 	}
 	return (workload.Resources{}).Fits(w.free) // what it has booked, this run included, is within its capacity
