Soak: each instance is asked once for a job's state, also after the deadline

Cause: with the first instance deaf on purpose and the short deadline of that test over, only the first instance was asked for the remaining jobs, so the run ended with an error in place of a verdict.

Fix: a call without an answer leads to the next instance until each was asked once. No check is changed.

--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -97,8 +97,8 @@
 	answered := false
 	for i := 0; ; i++ {
 		status, reported, callErr := r.call(ctx, r.nodes[i%len(r.nodes)], http.MethodGet, id, nil)
-		if callErr != nil && (i+1)%len(r.nodes) != 0 && time.Now().Before(deadline) {
-			continue // another instance may answer
+		if callErr != nil && (i+1)%len(r.nodes) != 0 && (i < len(r.nodes) || time.Now().Before(deadline)) {
+			continue // another instance may answer; each is asked once at least
 		}
 		if callErr == nil && (status == http.StatusOK || status == http.StatusGone) {
 			answered, state, exists = true, reported, status == http.StatusOK
