A superseded holder writes no heartbeat and no resignation in its successor's name

Cause: a holder whose heartbeat was refused reads the newest record, that of its successor, and ends its term. If the ticker was due as well, select could choose it first, and the next heartbeat was built from the record just read: the successor's identity with the old holder's list of silent workers. A third instance relied on that list. With SIGTERM it would have been a resignation.

Ruled out: the making and confirming of lists (withheld_test.go); the bound for workers that are not listed (9.5 s).

Why it works: heartbeats and resignations are written only from a state of the own term and process; the log refuses those built from an older state by their offset.

Test: TestSupersededHolderWritesNothingMore (before: the second heartbeat was written). The race is older than the lists.

--- a/internal/leadership/authority_test.go
+++ b/internal/leadership/authority_test.go
@@ -237,6 +237,26 @@
 	}
 }
 
+// Guards against a holder that was superseded and writes in the name of the next one, whose record it has read: a heartbeat with what it
+// believes of silent workers, or a resignation, upon which a third instance starts work that the second one still runs.
+func TestSupersededHolderWritesNothingMore(t *testing.T) {
+	s := newSuccession(t)
+	a, first := s.claim("a", "1")
+	first.Withhold(&list{number: 1, leasesLeft: map[string]time.Duration{"w1": 0}})
+	s.clock += claimAfter
+	b, second := s.claim("b", "2")
+	written := len(s.log.records)
+	for range 2 { // the tick may come once more before the end of the term is noticed
+		assert.ErrorIs(t, a.renew(t.Context(), first), errSuperseded)
+	}
+	a.resign(first, "")
+	assert.Equal(t, len(s.log.records), written)
+	assert.NilError(t, b.renew(t.Context(), second))
+	c := s.join("c", "3")
+	assert.Equal(t, c.Current().Resigned, false)
+	assert.Equal(t, len(c.Current().LeasesLeft), 0)
+}
+
 // Guards against leases of an earlier version's holder, which shortens none, that count as if it did.
 func TestHolderOfAnEarlierVersionGrantsFullLeasesToTheEnd(t *testing.T) {
 	s := newSuccession(t)
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -438,6 +438,9 @@
 	next, at := e.current, e.topicEnd
 	next.EarlierAuthority = e.earlierAuthority()
 	e.mu.Unlock()
+	if !e.holds(term, next) {
+		return errSuperseded
+	}
 	next.Heartbeats++
 	var number int64
 	number, next.LeasesLeft = term.withheld()
@@ -449,8 +452,7 @@
 			e.noteFailure(ctx, loadErr)
 			return nil
 		}
-		now := e.Current()
-		if now.Term != term.Number || now.Incarnation != e.incarnation {
+		if !e.holds(term, e.Current()) {
 			return errSuperseded
 		}
 		return nil // an earlier heartbeat took effect although its answer was lost, or a candidate wrote a request
@@ -466,6 +468,11 @@
 	return nil
 }
 
+// holds reports whether a state is that of the term. After another instance's claim was read, a write would be in its name.
+func (e *Elector) holds(term *Term, s State) bool {
+	return s.Term == term.Number && s.Incarnation == e.incarnation
+}
+
 // resign makes the role vacant, so that other instances need not wait for claimAfter. successor is the incarnation that should
 // claim it, or "" for any.
 func (e *Elector) resign(term *Term, successor string) {
@@ -474,6 +481,9 @@
 	last, at := e.current, e.topicEnd
 	last.EarlierAuthority = e.earlierAuthority()
 	e.mu.Unlock()
+	if !e.holds(term, last) {
+		return
+	}
 	last.Resigned, last.Successor = true, successor
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
