Configuration test: the reference reads the log's records under its lock

Cause: an append that the fake log delays is carried out by a timer, and compareWithLog read the records without the lock; in virtual time both can fall on the same instant (fakes_test.go:71 and invariant_test.go:312 in the detector's report).

Ruled out: the product, of which no code is in either stack.

Fix: the records are copied under the lock. No check is changed.

--- a/internal/configuration/invariant_test.go
+++ b/internal/configuration/invariant_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -273,7 +274,9 @@
 
 // compareWithLog checks the instances and the publish results against the reference fold of the complete log.
 func (d *deployment) compareWithLog() {
-	version, raw, accepted := referenceFold(d.t, d.log.records, d.keys)
+	var records []platform.LogRecord
+	d.log.set(func() { records = slices.Clone(d.log.records) }) // an append that was delayed may have been carried out at this instant
+	version, raw, accepted := referenceFold(d.t, records, d.keys)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for publishID, result := range d.results {
