--- a/internal/dispatch/reservations.go
+++ b/internal/dispatch/reservations.go
@@ -60,7 +60,7 @@
 }
 
 // keepReservations renews a step's reservations of earlier passes; it is called in the order of waiting work. A reservation ends when one
-// of its workers is no longer usable or is kept for other work, when the limit on reserved accelerators no longer allows it, and after
+// of its workers is no longer usable or is kept for other work, when the limit on reserved resources no longer allows it, and after
 // maxReservationAge.
 func (p *plan) keepReservations(r rank) {
 	if r.class >= late && !r.assured {
