The log of what waits names the unit that has waited longest

Change: the event 'work waits' gives the unit that has waited longest in each service, its tasks and its waits by cause.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -115,6 +115,7 @@
 		return
 	}
 	waits := map[string][classCount]int{}
+	longest := map[string]*unit{} // of each service, the unit that has waited longest
 	for _, j := range s.unfinished {
 		for _, o := range j.occurrences {
 			if o == nil || o.stepsLeft == 0 || j.ended() {
@@ -125,6 +126,9 @@
 					perClass := waits[j.queueSettings.Service]
 					perClass[s.rankStep(st, s.config.Now()).class] += st.unitsWaiting
 					waits[j.queueSettings.Service] = perClass
+					if u := st.longestWaiting(); u != nil && (longest[j.queueSettings.Service] == nil || u.waitingAt.Before(longest[j.queueSettings.Service].waitingAt)) {
+						longest[j.queueSettings.Service] = u
+					}
 				}
 			}
 		}
@@ -142,10 +146,25 @@
 				headroom += w.free.Accelerators
 			}
 		}
-		s.config.Events.Emit(eventBacklog, event.F("service", service), event.F("workers", len(pl.workers)), event.F("accelerators", pl.accelerators), event.F("free", free),
+		fields := []event.Field{event.F("service", service), event.F("workers", len(pl.workers)), event.F("accelerators", pl.accelerators), event.F("free", free),
 			event.F("free_for_urgent_only", headroom), event.F("reserved", pl.reserved), event.F("waiting_guaranteed", perClass[guaranteed]), event.F("waiting_urgent", perClass[urgent]),
-			event.F("waiting_on_time", perClass[onTime]), event.F("waiting_late", perClass[late]), event.F("waiting_overdue", perClass[overdue]))
+			event.F("waiting_on_time", perClass[onTime]), event.F("waiting_late", perClass[late]), event.F("waiting_overdue", perClass[overdue])}
+		if u := longest[service]; u != nil {
+			fields = append(fields, event.F("longest_unit", u.name().Key()), event.F("longest_ms", p.now.Sub(u.waitingAt).Milliseconds()), event.F("longest_tasks", u.size()), event.F("longest_causes", u.step.waited))
+		}
+		s.config.Events.Emit(eventBacklog, fields...)
+	}
+}
+
+// longestWaiting returns the unit of the step that has waited longest, or nil if no pass has considered any.
+func (s *step) longestWaiting() *unit {
+	var longest *unit
+	for _, u := range s.units {
+		if u.state == waiting && !u.waitingAt.IsZero() && (longest == nil || u.waitingAt.Before(longest.waitingAt)) {
+			longest = u
+		}
 	}
+	return longest
 }
 
 // waitingSteps returns the steps that have units to start, and removes ended jobs from the list of unfinished ones.
