Headroom is released when no urgent work has come for 5 s

Cause: a fifth of a busy service stayed free for urgent work until less than half of it was in use, also after the last urgent job, so other work, gangs above all, waited beside free workers without a bound. Change: headroom is kept only while urgent work came within the last 5 s, or the term began within them. Result: TestHeadroomIsReleasedWithoutUrgentWork (22 of 24 starts without the change).

--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -11,6 +11,10 @@
 // free already.
 const headroomShare = 0.2
 
+// headroomHold is how long after the latest urgent work resources are left free for more of it. Urgent customers send several jobs a second
+// while they are active; without the limit, other work waited until less than half of the service was in use, however long that took.
+const headroomHold = 5 * time.Second
+
 // permanentStartWait is how long a permanent task that was never at work leaves the headroom to urgent work.
 const permanentStartWait = 2 * time.Second
 
@@ -39,7 +43,7 @@
 // room since urgent gangs often should run in one rack, and workers with the most room first, in the pool's scarcest resource. Workers that
 // are reserved do not count, since their room is used as soon as the reserving unit fits.
 func (p *plan) markHeadroom(pl *pool) {
-	if pl.mostlyIdle() {
+	if pl.mostlyIdle() || p.now.Sub(p.scheduler.urgentArrivedAt) > headroomHold {
 		return
 	}
 	missing := pl.headroomTarget
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -181,7 +181,7 @@
 			continue
 		}
 		var found []rank
-		if s.protect("job "+j.spec.ID, func() { found = s.waitingStepsOf(j, wall, &budget) }) {
+		if s.protect("job "+j.spec.ID, func() { found = s.waitingStepsOf(j, now, wall, &budget) }) {
 			ranks = append(ranks, found...)
 		} else {
 			j.setAside(now)
@@ -191,10 +191,10 @@
 }
 
 // waitingStepsOf returns the steps of a job that have units to start.
-func (s *Scheduler) waitingStepsOf(j *job, wall time.Time, budget *taskBudget) []rank {
+func (s *Scheduler) waitingStepsOf(j *job, now, wall time.Time, budget *taskBudget) []rank {
 	var ranks []rank
 	s.refreshQueueSettings(j)
-	s.createDueOccurrences(j, wall, budget)
+	s.createDueOccurrences(j, now, wall, budget)
 	for _, o := range j.occurrences {
 		if o == nil || o.stepsLeft == 0 {
 			continue
@@ -209,7 +209,7 @@
 }
 
 // createDueOccurrences creates the occurrences that have become due, as far as the budget allows.
-func (s *Scheduler) createDueOccurrences(j *job, wall time.Time, budget *taskBudget) {
+func (s *Scheduler) createDueOccurrences(j *job, now, wall time.Time, budget *taskBudget) {
 	if j.occurrencesCreated == len(j.occurrences) {
 		return
 	}
@@ -222,6 +222,9 @@
 			return
 		}
 		j.createOccurrence(k)
+		if j.queueSettings.Priority == 0 {
+			s.urgentArrivedAt = now
+		}
 	}
 }
 
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -40,6 +40,27 @@
 	assert.Equal(t, h.fleet.stopped(), 0)
 }
 
+// Guards against work that waits beside workers that are kept free for urgent work, although no such work comes any more. Work that is
+// urgent keeps them free for a while after it came.
+func TestHeadroomIsReleasedWithoutUrgentWork(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	for _, id := range []string{"w1", "w2", "w3", "w4", "w5"} {
+		h.addWorker(id, "r1", 8)
+	}
+	h.fillWithLowPriority(21) // more than half of 40, so headroom is kept
+	urgent := singleStepJob(901, stepOf(1))
+	urgent.QueueSettings.Priority = 0
+	h.submit(urgent)
+	h.submit(gangOf(902, 2)) // needs two whole workers, and only one is neither in use nor kept free
+	h.pass()
+	awaitStarts(t, h.fleet, 22)
+	h.scheduler.mu.Lock()
+	h.scheduler.urgentArrivedAt = h.scheduler.urgentArrivedAt.Add(-headroomHold - time.Millisecond)
+	h.scheduler.mu.Unlock()
+	h.pass()
+	awaitStarts(t, h.fleet, 24)
+}
+
 // Guards against a customer whose guaranteed accelerators are used by others: their work must be preempted for the
 // guaranteed job.
 func TestGuaranteedJobPreemptsLessUrgentWork(t *testing.T) {
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -82,6 +82,7 @@
 	urgentDemand    map[string]int64         // accelerators that the unfinished jobs of priority 0 need, by customer
 	tickedAt        time.Time                // of the latest periodic checks
 	resumedAt       time.Time                // when the process last went on after a pause
+	urgentArrivedAt time.Time                // when urgent work last came, or this term began
 	queryInProgress bool                     // a query to the advisor is not answered yet
 	nextQueryAt     time.Time                // earliest time of the next query to the advisor, after one without an answer
 	// holdsNothingSince says since when the kinds of work that wait and hold nothing do so.
@@ -96,8 +97,9 @@
 
 // New returns a scheduler without jobs and workers. It sends no orders after ctx has ended, which ends with the term.
 func New(ctx context.Context, c Config) *Scheduler {
+	now := time.Now()
 	return &Scheduler{
-		config: c, metrics: newSchedulerMetrics(c.Metrics), createdAt: time.Now(), wake: make(chan struct{}, 1),
+		config: c, metrics: newSchedulerMetrics(c.Metrics), createdAt: now, urgentArrivedAt: now, wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, workers: map[string]*worker{}, runTimes: map[string]*runTimeModel{}, urgentDemand: map[string]int64{},
 		panicLoggedAt: map[string]time.Time{}, ctx: ctx, loading: true,
 	}
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -278,6 +278,9 @@
 	u.step.unitsWaiting++
 	u.waitingAt = now
 	u.notBefore = now
+	if u.urgent() {
+		s.urgentArrivedAt = now
+	}
 	if u.failedRun == u.run {
 		u.notBefore = now.Add(requeueDelay)
 	}
