The end of an earlier run completes a task that runs again

An end that was listed before the leases of a silent worker expired was dropped, and acknowledged, if its task had been started again meanwhile; the task was done twice and the steps after it waited for the second run. Ruled out: headroom and reservations, which the longest-waiting unit in the log did not wait for at the end. Change: such an end completes its task whichever run is the latest, and later runs are stopped.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -39,6 +39,7 @@
 	eventHeartbeatPanic  = event.Define(2529, "heartbeat panicked", zerolog.ErrorLevel, "Sending a heartbeat or handling its answer panicked. The heartbeat counts as unanswered.", "Report the fault to the maintainers.")
 	eventWorkerReplaced  = event.Define(2530, "worker replaced", zerolog.WarnLevel, "Another process answers at the worker's address, so the machine has restarted under another ID and all that ran there is lost.", "")
 	eventPanic           = event.Define(2532, "panic caught", zerolog.ErrorLevel, "A part of the scheduler panicked. A job whose handling panicked gets no new starts for some time, and orders count as unanswered.", "Report the fault to the maintainers.")
+	eventLateEnd         = event.Define(2535, "late end applied", zerolog.InfoLevel, "A run that counted as lost had ended well before its worker's leases expired. The task is done; a later run of it is stopped.", "")
 	eventPostponed       = event.Define(2531, "job postponed", zerolog.WarnLevel, "The job's tasks would exceed what the instance can keep in memory. They wait until earlier jobs have ended.", "Give the instances more memory if this persists.")
 	eventPreempting      = event.Define(2522, "room reclaimed", zerolog.InfoLevel, "Less urgent work is preempted so that an urgent job can start.", "")
 )
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -239,13 +239,17 @@
 }
 
 // handleLateEnd completes a unit whose run ended well but counted as lost, since its worker was silent for longer than its
-// leases. A unit that was started again is left alone.
+// leases. A later run of the unit is stopped: its work is done, and the steps that depend on it may start.
 func (s *Scheduler) handleLateEnd(w *worker, e EndReport) {
 	u := s.unitOf(e.Task)
-	if e.Ending != EndDone || u == nil || u.state != waiting || u.run != e.Run || u.failedRun == e.Run || u.step.spec.Permanent || u.job().ended() {
+	if e.Ending != EndDone || u == nil || u.state == done || e.Run > u.run || u.failedRun == e.Run || u.step.spec.Permanent || u.job().ended() {
 		return
 	}
-	u.step.unitsWaiting--
+	s.config.Events.Emit(eventLateEnd, event.F("job", u.job().spec.ID), event.F("unit", u.name().Key()), event.F("run", e.Run), event.F("worker", w.info.ID), event.F("latest_run", u.run))
+	if u.state == waiting {
+		u.step.unitsWaiting--
+	}
+	s.stopUnit(u, causeSuperseded)
 	u.reservedWorkers, u.preemptedWorkers = nil, nil
 	u.runTimeUnknown = true // when the run ended during the silence is not known
 	s.completeUnit(u, &member{unit: u, run: e.Run, index: e.Task.Index, worker: w, state: ended})
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -20,6 +20,7 @@
 	causeStartUnsure   endCause = "start unsure"   // the start was not answered and is withdrawn
 	causeStartRefused  endCause = "start refused"  // the worker refused the start
 	causeStartNotSent  endCause = "start not sent" // the start became unwanted, or its ticket expired, before it was sent
+	causeSuperseded    endCause = "superseded"     // an earlier run, which counted as lost, had ended well
 	causeUnknownReason endCause = "unknown"
 )
 
--- a/internal/dispatch/recover_test.go
+++ b/internal/dispatch/recover_test.go
@@ -270,6 +270,34 @@
 	assert.Equal(t, h.nextTerm().state(j.ID), ledger.Completed, "the next term restores the outcome")
 }
 
+// Guards against a step that never starts beside idle workers: a run of the step before it counted as lost and had ended well, its task
+// was started again, and the end was ignored and forgotten by the worker.
+func TestEndOfAnEarlierRunCompletesATaskThatRunsAgain(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	w1 := h.addWorker("w1", "r1", 8)
+	j := singleStepJob(1, stepOf(1))
+	next := stepOf(1)
+	next.After = []int{0}
+	j.Steps = append(j.Steps, next)
+	h.submit(j)
+	h.pass()
+	h.awaitRunning(w1, 1)
+	h.scheduler.mu.Lock()
+	w1.responsive, w1.leasesOverAt = false, time.Now().Add(-time.Second)
+	h.scheduler.expireLeases(w1, time.Now())
+	h.scheduler.mu.Unlock()
+	w2 := h.addWorker("w2", "r1", 8)
+	h.pass()
+	h.awaitRunning(w2, 1)
+	h.report(w1, HeartbeatReport{Ended: []EndReport{{1, taskName(j, 0), 1, EndDone, ""}}})
+	awaitStops(t, h.fleet, 1)
+	h.pass()
+	awaitStarts(t, h.fleet, 3)
+	assert.Equal(t, h.fleet.starts[2].Task.Step, 1)
+	h.report(w2, HeartbeatReport{Ended: []EndReport{{1, taskName(j, 0), 2, EndStopped, ""}}})
+	assert.Equal(t, h.scheduler.jobs[j.ID].occurrences[0].steps[0].unitsLeft, 0, "the stopped run changes nothing")
+}
+
 // Guards against heartbeats of a term that go on after it has ended: discovery may show workers before the passes begin.
 func TestHeartbeatsThatBeginBeforeThePassesEndWithTheTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
