No task starts in a data centre that the operator evacuates

Cause: the operator's records evacuate/DATACENTRE were ignored, so tasks kept starting there.

Change: catalog.Evacuations holds the list, which the reader of the operator's topic keeps at every instance. The scheduler leaves workers there out of every pass, releases what is kept on them, and gives up a query to the advisor that names them. Before each start order and each repetition it checks all members of the run, and the age of its view of the records where bounds.evacuate_ms is set. Events 2540 to 2543, two gauges, the list and the age of the view in the state dump.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -241,7 +241,8 @@
 	answerTime := settings.AdviceDecision + time.Duration(len(q.workers))*settings.AdvicePerWorker
 	timeout := answerTime + backOffBy(adviceTimeout, st.advice.failures, maxAdviceTimeout)
 	name := StepName{o.job.spec.ID, o.index, st.index}
-	go s.protect("advice", func() { s.exchangeQuery(q, name, timeout) })
+	ctx := s.queryContext(st.advice.named)
+	go s.protect("advice", func() { s.exchangeQuery(ctx, q, name, timeout) })
 }
 
 // backOffBy doubles a time for each failure, up to a limit.
@@ -250,14 +251,14 @@
 }
 
 // exchangeQuery sends a query and stores the answer.
-func (s *Scheduler) exchangeQuery(q adviceQuery, name StepName, timeout time.Duration) {
+func (s *Scheduler) exchangeQuery(ctx context.Context, q adviceQuery, name StepName, timeout time.Duration) {
 	askedAt := time.Now()
-	ctx, cancel := context.WithTimeout(s.ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var texts map[string]string
 	var validity time.Duration
 	err := panicAsError(func() (err error) {
-		texts, validity, err = s.config.Advisor.Ask(ctx, name, q.workers)
+		texts, validity, err = s.config.Advisor.Ask(callCtx, name, q.workers)
 		return err
 	})
 	s.mu.Lock()
@@ -265,7 +266,12 @@
 	now := time.Now()
 	a := &q.step.advice
 	a.named = nil
-	s.queryInProgress = false
+	withdrawn := errors.Is(context.Cause(ctx), errQueryWithdrawn)
+	s.queryEnded()
+	if err != nil && withdrawn { // the advisor is not at fault, so the step may ask again at once
+		s.requestPass()
+		return
+	}
 	s.metrics.queryAnswered(now.Sub(askedAt), err)
 	if err != nil {
 		s.nextQueryAt = askedAt.Add(adviceRetryPause)
--- /dev/null
+++ b/internal/dispatch/datacentre.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+)
+
+// Limits of the age of the view of the operator's records.
+const (
+	// maxOperatorView is the age from which no task starts, if the platform limits the time until an evacuation is in force. Reads of the
+	// records that are answered at once keep the view younger than 1.3 s.
+	maxOperatorView = 3 * time.Second
+	// startOrderTime covers startAttempts orders of startTimeout each, which take 1.05 s, and an order's way to the worker.
+	startOrderTime = 1500 * time.Millisecond
+)
+
+// Evacuations says in which data centres no task may start. It must be safe for concurrent use.
+type Evacuations interface {
+	Evacuated(dataCentre string) bool
+}
+
+// errStartNotSent says that a start order was not sent, since the start is not wanted or not permitted any more.
+var errStartNotSent = errors.New("the start order was not sent")
+
+// errQueryWithdrawn says that a query was given up because it names workers in an evacuated data centre.
+var errQueryWithdrawn = errors.New("the query names workers in an evacuated data centre")
+
+// evacuated reports whether no task may start on the worker, since its data centre is evacuated.
+func (s *Scheduler) evacuated(w *worker) bool {
+	return s.config.Evacuations != nil && s.config.Evacuations.Evacuated(w.info.DataCentre)
+}
+
+// operatorViewValid reports whether the view of the operator's records is recent enough for a start. An evacuation that the operator
+// requested since then is not in force yet.
+func (s *Scheduler) operatorViewValid() bool {
+	limit := s.config.Bounds.Evacuation
+	if limit <= 0 || s.config.OperatorView == nil {
+		return true
+	}
+	return s.config.OperatorView() <= min(maxOperatorView, limit-startOrderTime)
+}
+
+// mayStartAt reports whether the operator's records permit a start of a whole unit on the workers of its run.
+func (s *Scheduler) mayStartAt(members []*member) bool {
+	return s.operatorViewValid() && !slices.ContainsFunc(members, func(m *member) bool { return s.evacuated(m.worker) })
+}
+
+// noteEvacuations logs the beginnings and ends of evacuations, and gives up a query to the advisor that names workers in an evacuated data
+// centre, so that its step is placed elsewhere.
+func (s *Scheduler) noteEvacuations() {
+	s.noteOperatorView()
+	if s.config.Evacuations == nil {
+		return
+	}
+	workers, tasks := map[string]int{}, map[string]int{}
+	total := 0
+	for _, w := range s.workers {
+		if !s.evacuated(w) {
+			continue
+		}
+		workers[w.info.DataCentre]++
+		tasks[w.info.DataCentre] += len(w.members)
+		total++
+		if s.queryNames[w.info.ID] {
+			s.withdrawQuery(errQueryWithdrawn)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(workers)) {
+		if !s.evacuationsNoted[name] {
+			s.config.Events.Emit(eventEvacuation, event.F("data_centre", name), event.F("workers", workers[name]), event.F("tasks", tasks[name]))
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.evacuationsNoted)) {
+		if !s.config.Evacuations.Evacuated(name) {
+			s.config.Events.Emit(eventEvacuationOver, event.F("data_centre", name))
+		}
+	}
+	maps.DeleteFunc(s.evacuationsNoted, func(name string, _ bool) bool { return !s.config.Evacuations.Evacuated(name) })
+	for name := range workers {
+		s.evacuationsNoted[name] = true
+	}
+	s.config.Metrics.Gauge("dispatch_evacuated_workers").Update(float64(total))
+}
+
+// noteOperatorView logs when the view of the operator's records becomes too old for starts, and when it is recent again.
+func (s *Scheduler) noteOperatorView() {
+	valid := s.operatorViewValid()
+	if valid != s.operatorViewLost {
+		return
+	}
+	s.operatorViewLost = !valid
+	if valid {
+		s.config.Events.Emit(eventViewRegained)
+	} else {
+		s.config.Events.Emit(eventViewLost, event.F("age_ms", s.config.OperatorView().Milliseconds()))
+	}
+}
+
+// placeNothing notes the wait of steps while the view of the operator's records is too old for starts.
+func placeNothing(ranks []rank, now time.Time) {
+	for _, r := range ranks {
+		r.step.noteWait(waitView, now)
+	}
+}
+
+// queryContext returns the context of a query to the advisor. withdrawQuery ends it.
+func (s *Scheduler) queryContext(workers map[string]bool) context.Context {
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	s.queryNames, s.withdrawQuery = workers, cancel
+	return ctx
+}
+
+// queryEnded releases what the query to the advisor held.
+func (s *Scheduler) queryEnded() {
+	s.withdrawQuery(nil)
+	s.queryInProgress, s.queryNames = false, nil
+}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -40,6 +40,10 @@
 	eventWorkerReplaced  = event.Define(2530, "worker replaced", zerolog.WarnLevel, "Another process answers at the worker's address, so the machine has restarted under another ID and all that ran there is lost.", "")
 	eventPanic           = event.Define(2532, "panic caught", zerolog.ErrorLevel, "A part of the scheduler panicked. A job whose handling panicked gets no new starts for some time, and orders count as unanswered.", "Report the fault to the maintainers.")
 	eventPostponed       = event.Define(2531, "job postponed", zerolog.WarnLevel, "The job's tasks would exceed what the instance can keep in memory. They wait until earlier jobs have ended.", "Give the instances more memory if this persists.")
+	eventEvacuation      = event.Define(2540, "evacuation in force", zerolog.InfoLevel, "The operator evacuates a data centre, so this scheduler starts no task there. Running tasks continue.", "")
+	eventEvacuationOver  = event.Define(2541, "evacuation over", zerolog.InfoLevel, "The operator's record of an evacuation was removed, so tasks start in the data centre again.", "")
+	eventViewLost        = event.Define(2542, "starts withheld", zerolog.WarnLevel, "The operator's records could not be read for so long that an evacuation may have been missed, so no task starts anywhere.", "Check the log service and the scheduler's connection to it.")
+	eventViewRegained    = event.Define(2543, "starts resumed", zerolog.InfoLevel, "The operator's records can be read again.", "")
 	eventPreempting      = event.Define(2522, "room reclaimed", zerolog.InfoLevel, "Less urgent work is preempted so that an urgent job can start.", "")
 )
 
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -19,7 +19,7 @@
 	causeLeaseExpired  endCause = "lease expired"  // the worker was out of reach for longer than its leases
 	causeStartUnsure   endCause = "start unsure"   // the start was not answered and is withdrawn
 	causeStartRefused  endCause = "start refused"  // the worker refused the start
-	causeStartNotSent  endCause = "start not sent" // the start became unwanted, or its ticket expired, before it was sent
+	causeStartNotSent  endCause = "start not sent" // the start became unwanted or forbidden, or its ticket expired, before it was sent
 	causeUnknownReason endCause = "unknown"
 )
 
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -58,19 +59,17 @@
 
 // startMember sends a start order and handles the answer.
 func (s *Scheduler) startMember(m *member, target Target, o StartOrder) {
-	if !s.config.Term.Authority() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		m.noteCause(causeStartNotSent)
-		s.endMember(m, EndLost, "")
-		return
-	}
 	err := s.sendStart(m, target, o)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m.state == ended {
 		return
 	}
+	if errors.Is(err, errStartNotSent) {
+		m.noteCause(causeStartNotSent)
+		s.endMember(m, EndLost, "")
+		return
+	}
 	if err == nil {
 		s.metrics.orderAnswered("start", "taken")
 		m.startAnsweredAt = time.Now()
@@ -105,13 +104,20 @@
 	s.endMember(m, EndLost, "")
 }
 
-// sendStart sends a start order until it is answered, at most startAttempts times. A worker runs a repeated order only
-// once, even if an earlier copy arrives later. If a repeated order is refused, an earlier copy may have been accepted, so
-// the outcome stays unknown.
+// sendStart sends a start order until it is answered, at most startAttempts times, and returns errStartNotSent if it sent none. A worker
+// runs a repeated order only once, even if an earlier copy arrives later. If a repeated order is refused, an earlier copy may have been
+// accepted, so the outcome stays unknown.
 func (s *Scheduler) sendStart(m *member, target Target, o StartOrder) error {
-	var unanswered error
-	for range startAttempts {
-		ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
+	unanswered := errStartNotSent
+	for attempt := range startAttempts {
+		ctx, cancel := context.WithTimeout(s.ctx, startTimeout) // begins before the check, so that a pause after it counts
+		if !s.startStillWanted(m) {
+			cancel()
+			return unanswered
+		}
+		if attempt > 0 {
+			s.metrics.orderAnswered("start", "repeated")
+		}
 		err := panicAsError(func() error {
 			_, err := s.config.Fleet.Start(ctx, target, o)
 			return err
@@ -119,25 +125,21 @@
 		cancel()
 		reason := refusalOf(err)
 		switch {
-		case err == nil, reason == RefusedFenced, reason != "" && unanswered == nil:
+		case err == nil, reason == RefusedFenced, reason != "" && attempt == 0:
 			return err
 		case reason != "":
 			return unanswered
 		}
 		unanswered = err
-		if !s.startStillWanted(m) {
-			return unanswered
-		}
-		s.metrics.orderAnswered("start", "repeated")
 	}
 	return unanswered
 }
 
-// startStillWanted reports whether a member's start is still unanswered and wanted.
+// startStillWanted reports whether a member's start is still unanswered, wanted and permitted.
 func (s *Scheduler) startStillWanted(m *member) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return m.state == starting && !m.stopWanted && s.ctx.Err() == nil && s.config.Term.Authority()
+	return m.state == starting && !m.stopWanted && s.ctx.Err() == nil && s.config.Term.Authority() && s.mayStartAt(m.unit.members)
 }
 
 // markRunning notes that a member is known to run.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -64,14 +64,19 @@
 // pass starts all waiting units that may start and fit.
 func (s *Scheduler) pass(now time.Time) {
 	begun := time.Now()
+	s.protect("evacuations", s.noteEvacuations)
 	ranks := s.waitingSteps(now)
 	if len(ranks) == 0 {
 		s.holdsNothingSince = nil
 		return
 	}
+	if s.operatorViewLost {
+		placeNothing(ranks, now)
+		return
+	}
 	p := newPlan(s, now)
 	for _, w := range s.workers {
-		if w.usable(now) {
+		if w.usable(now) && !s.evacuated(w) {
 			p.addWorker(w)
 		}
 	}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -22,6 +22,9 @@
 // preempt stops less urgent work so that an urgent unit can start, and keeps the resources for the unit. If that does not
 // make enough room, it reserves workers.
 func (p *plan) preempt(pl *pool, r rank, u *unit) {
+	if slices.ContainsFunc(u.preemptedWorkers, p.scheduler.evacuated) {
+		u.preemptedWorkers = nil
+	}
 	if len(u.preemptedWorkers) > 0 && p.now.Sub(u.preemptedAt) < preemptionTimeout {
 		p.claimWorkers(u)
 		return
--- a/internal/dispatch/reservations.go
+++ b/internal/dispatch/reservations.go
@@ -71,7 +71,7 @@
 		if len(u.reservedWorkers) == 0 || u.state != waiting {
 			continue
 		}
-		usable := func(w *worker) bool { return w.usable(p.now) && p.allowed(w, u) }
+		usable := func(w *worker) bool { return w.usable(p.now) && !p.scheduler.evacuated(w) && p.allowed(w, u) }
 		if pl == nil || p.now.Sub(u.reservedAt) > maxReservationAge || !allWorkers(u.reservedWorkers, usable) || !p.keepFree(pl, u, u.reservedWorkers) {
 			u.reservedWorkers = nil
 		}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -30,6 +30,7 @@
 	Stop            time.Duration // longest time that a worker takes to stop a run; 0 if not known
 	StatusRetention time.Duration // how long the status of an ended job must be available
 	Tasks           int           // number of tasks that are kept in memory; 0 for no limit
+	Evacuation      time.Duration // from the acknowledgement of an evacuation until no task may start; 0: no limit on the age of the view
 }
 
 // Term is the leadership term on whose behalf the scheduler acts. Authority reports whether it may still act; LeaseAuthority returns how
@@ -62,6 +63,10 @@
 	PreviousAuthority time.Duration    // how long leaders of earlier terms may still renew leases for their full length; negative if not any more
 	// LeasesLeft says how long leases may last on workers that the previous leader granted none any more; zero or negative if they are over.
 	LeasesLeft map[string]time.Duration
+	// Evacuations says in which data centres no task may start; nil if it may everywhere.
+	Evacuations Evacuations
+	// OperatorView returns the age of the view of the operator's records from which Evacuations follows; nil if it needs no limit.
+	OperatorView func() time.Duration
 }
 
 // Scheduler schedules the jobs of one leadership term on workers. It is safe for concurrent use.
@@ -84,6 +89,12 @@
 	resumedAt       time.Time                // when the process last went on after a pause
 	queryInProgress bool                     // a query to the advisor is not answered yet
 	nextQueryAt     time.Time                // earliest time of the next query to the advisor, after one without an answer
+	// queryNames holds the workers that the query in progress names, and withdrawQuery gives it up.
+	queryNames    map[string]bool
+	withdrawQuery context.CancelCauseFunc
+	// evacuationsNoted holds the evacuated data centres whose evacuation is logged.
+	evacuationsNoted map[string]bool
+	operatorViewLost bool // the view of the operator's records is too old for starts, which is logged
 	// holdsNothingSince says since when the kinds of work that wait and hold nothing do so.
 	holdsNothingSince map[kind]time.Time
 
@@ -99,7 +110,7 @@
 	return &Scheduler{
 		config: c, metrics: newSchedulerMetrics(c.Metrics), createdAt: time.Now(), wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, workers: map[string]*worker{}, runTimes: map[string]*runTimeModel{}, urgentDemand: map[string]int64{},
-		panicLoggedAt: map[string]time.Time{}, ctx: ctx, loading: true,
+		panicLoggedAt: map[string]time.Time{}, evacuationsNoted: map[string]bool{}, ctx: ctx, loading: true,
 	}
 }
 
@@ -110,6 +121,7 @@
 		s.startHeartbeats(w)
 	}
 	s.mu.Unlock()
+	defer func() { s.config.Metrics.Gauge("dispatch_evacuated_workers").Update(0) }() // the next scheduler reports them
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	for {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
+	"time"
 
 	"github.com/gorilla/mux"
 )
@@ -23,6 +25,9 @@
 	Term          int64  `json:"term"`
 	Scheduler     string `json:"scheduler"`
 	Ready         bool   `json:"ready"`
+	// Evacuated holds the data centres in which no task may start, as the instance knows them, and how old that view is; -1 without one.
+	Evacuated         []string `json:"evacuated_data_centres"`
+	OperatorViewAgeMS int64    `json:"operator_view_age_ms"`
 }
 
 func (n *Node) dump(w http.ResponseWriter, _ *http.Request) {
@@ -32,6 +37,10 @@
 	}
 	holder := n.elector.Current()
 	state.Term, state.Scheduler = holder.Term, holder.Holder
+	state.Evacuated, state.OperatorViewAgeMS = n.evacuations.List(), -1
+	if age := n.api.CatalogFreshness.Age(time.Now()); age < math.MaxInt64 {
+		state.OperatorViewAgeMS = age.Milliseconds()
+	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(state); err != nil {
 		n.scope.Counter("dumps_failed").Inc(1) // the client closed the connection
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,7 @@
 	store       *ledger.MonitoredLog
 	workers     *platform.Workers
 	current     catalog.Current
+	evacuations catalog.Evacuations
 	jobIndex    *ledger.JobIndex
 	jobsReader  *ledger.Reader
 	api         *platform.API
@@ -200,7 +201,7 @@
 	}
 }
 
-// configurationReader returns a reader that puts each newer configuration in force.
+// configurationReader returns a reader that puts each newer configuration in force and keeps the list of evacuated data centres.
 func (n *Node) configurationReader() *ledger.Reader {
 	apply := func(c *catalog.Catalog) {
 		if n.current.Advance(c) {
@@ -208,7 +209,11 @@
 			n.scope.Gauge("configuration_version").Update(float64(c.Version))
 		}
 	}
-	return platform.ConfigurationReader(n.store, apply, n.api.CatalogFreshness.MarkSynced, n.readFailed("configuration"))
+	synced := func(sent time.Time) {
+		n.scope.Gauge("evacuated_data_centres").Update(float64(len(n.evacuations.List())))
+		n.api.CatalogFreshness.MarkSynced(sent)
+	}
+	return platform.ConfigurationReader(n.store, apply, &n.evacuations, synced, n.readFailed("configuration"))
 }
 
 // newJobsReader returns a reader that keeps the job index up to date.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"fmt"
 	"os"
 	"time"
 
@@ -42,6 +43,7 @@
 	LeaseMS     int64   `yaml:"lease_ms"`      // longest lease of a task, in milliseconds
 	StopMS      int64   `yaml:"stop_ms"`       // longest time that a worker takes to stop a task, in milliseconds; 0 if not known
 	KeepStatusS float64 `yaml:"keep_status_s"` // how long the state of an ended job must be reported, in seconds
+	EvacuateMS  int64   `yaml:"evacuate_ms"`   // longest time from the acknowledgement of an evacuation until no task starts there, in milliseconds; 0 if there is none
 	RecordBytes int     `yaml:"record_bytes"`  // largest record that the log takes; 0 for ledger.DefaultRecordLimit
 }
 
@@ -73,6 +75,9 @@
 	if s.Bounds.StopMS < 0 {
 		return errkind.New(errkind.Invalid, "give 0 or a positive number of milliseconds", "the setting bounds.stop_ms is %d", s.Bounds.StopMS)
 	}
+	if ms := s.Bounds.EvacuateMS; ms != 0 && ms < minEvacuateMS {
+		return errkind.New(errkind.Invalid, fmt.Sprintf("give 0 for no evacuations, or at least %d milliseconds", minEvacuateMS), "the setting bounds.evacuate_ms is %d", ms)
+	}
 	if s.Bounds.RecordBytes < 0 {
 		return errkind.New(errkind.Invalid, "give 0 or a positive number of bytes", "the setting bounds.record_bytes is %d", s.Bounds.RecordBytes)
 	}
@@ -82,6 +87,10 @@
 	return nil
 }
 
+// minEvacuateMS leaves 1 s for the age of the view of the operator's records besides the 1.5 s that start orders take. With less, most of
+// the starts would be withheld, as reads of the records make a view up to 1.3 s old.
+const minEvacuateMS = 2500
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
@@ -93,7 +102,7 @@
 func (s *Settings) dispatchBounds() dispatch.Bounds {
 	b := s.Bounds
 	return dispatch.Bounds{
-		Lease: milliseconds(b.LeaseMS), Stop: milliseconds(b.StopMS), StatusRetention: seconds(b.KeepStatusS),
+		Lease: milliseconds(b.LeaseMS), Stop: milliseconds(b.StopMS), StatusRetention: seconds(b.KeepStatusS), Evacuation: milliseconds(b.EvacuateMS),
 		Tasks: int(memoryLimitShare / 2 * float64(s.Machine.MemoryMB) * (1 << 20) / taskBytes),
 	}
 }
