--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -41,6 +41,10 @@
 	eventPanic           = event.Define(2532, "panic caught", zerolog.ErrorLevel, "A part of the scheduler panicked. A job whose handling panicked gets no new starts for some time, and orders count as unanswered.", "Report the fault to the maintainers.")
 	eventLateEnd         = event.Define(2535, "late end applied", zerolog.InfoLevel, "A run that counted as lost had ended well before its worker's leases expired. The task is done; a later run of it is stopped.", "")
 	eventPostponed       = event.Define(2531, "job postponed", zerolog.WarnLevel, "The job's tasks would exceed what the instance can keep in memory. They wait until earlier jobs have ended.", "Give the instances more memory if this persists.")
+	eventEvacuation      = event.Define(2540, "evacuation in force", zerolog.InfoLevel, "The operator evacuates a data centre, so this scheduler starts no task there. Running tasks continue.", "")
+	eventEvacuationOver  = event.Define(2541, "evacuation over", zerolog.InfoLevel, "The operator's record of an evacuation was removed, so tasks start in the data centre again.", "")
+	eventViewLost        = event.Define(2542, "starts withheld", zerolog.WarnLevel, "The operator's records could not be read for so long that an evacuation may have been missed, so no task starts anywhere.", "Check the log service and the scheduler's connection to it.")
+	eventViewRegained    = event.Define(2543, "starts resumed", zerolog.InfoLevel, "The operator's records can be read again.", "")
 	eventPreempting      = event.Define(2522, "room reclaimed", zerolog.InfoLevel, "Less urgent work is preempted so that an urgent job can start.", "")
 )
 
