Placement by worker speed: observations, predictions, choice, headroom and waits of urgent work

Cause: on uneven workers the scheduler took the mean over whatever workers ran a step as its run time, so it believed objectives to be longer than they are, and placed urgent work on slow workers beside free fast ones.

Change: the model of run times is told ends and progress (observations.go). While it finds workers uneven, predictions are for a neutral worker, workers are chosen by the tolerance of a unit (speed.go), the headroom begins with fast workers, and urgent work beyond a guarantee may wait up to 1 s for suitable workers or preempt there within a bound. While it finds them even, speed is left out of all orders.

The model is still a stub that is never uneven; the gain is not measured yet.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -61,11 +61,11 @@
 }
 
 // packInOneGroup places a gang in the group of workers with the least room, in the scarcest resource, of those in which it fits. It
-// prefers groups in which the gang probes no quarantined worker.
+// prefers groups in which the gang probes no quarantined worker, then those whose speed is the best for it.
 func (p *plan) packInOneGroup(groups map[string][]*worker, u *unit, free func(*worker) workload.Resources) []*worker {
 	var best []*worker
-	bestKey := [2]int64{}
-	pl := p.pools[u.job().queueSettings.Service]
+	bestKey := [3]int64{}
+	pl, goal := p.pools[u.job().queueSettings.Service], p.goal(u.step)
 	for _, name := range sortedKeys(groups) {
 		group := groups[name]
 		chosen := p.pack(group, u, free)
@@ -76,7 +76,7 @@
 		for _, w := range group {
 			left += pl.scarceCapacity(free(w))
 		}
-		key := [2]int64{quarantinedAmong(chosen), left}
+		key := [3]int64{quarantinedAmong(chosen), int64(goal.worstOrder(chosen)), left}
 		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
 			best, bestKey = chosen, key
 		}
@@ -147,12 +147,13 @@
 	return max(limit, 0)
 }
 
-// bestFit returns the allowed worker with the fewest free accelerators of the most preferred ones on which a task of the unit
-// fits, or nil.
+// bestFit returns the allowed worker with the fewest free accelerators of the most preferred ones, with the best speed among these, on
+// which a task of the unit fits, or nil.
 func (p *plan) bestFit(workers []*worker, u *unit, free func(*worker) workload.Resources) *worker {
 	resources := u.step.resources()
 	var best *worker
-	bestKey := [3]int64{}
+	goal := p.goal(u.step)
+	bestKey := [4]int64{}
 	for _, w := range workers {
 		have := free(w)
 		if !resources.Fits(have) {
@@ -165,7 +166,7 @@
 		if u.spreadAllowance(w) == 0 {
 			continue
 		}
-		key := [3]int64{int64(p.preferenceFor(w, u)), have.Accelerators, have.CPU}
+		key := [4]int64{int64(p.preferenceFor(w, u)), int64(goal.order(w)), have.Accelerators, have.CPU}
 		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
 			best, bestKey = w, key
 		}
@@ -174,16 +175,11 @@
 }
 
 // pack places all tasks of a gang on the given workers, or returns nil. It fills preferred workers first, and those with the
-// least room first among them, in the scarcest resource.
+// least room first among them, in the scarcest resource. If workers differ in speed, the gang's members get ones that are alike.
 func (p *plan) pack(workers []*worker, u *unit, free func(*worker) workload.Resources) []*worker {
 	resources, need := u.step.resources(), u.size()
 	pl := p.pools[u.job().queueSettings.Service]
-	type candidate struct {
-		worker     *worker
-		tasks      int
-		preference preference
-	}
-	candidates := make([]candidate, 0, len(workers))
+	candidates := make([]gangCandidate, 0, len(workers))
 	fitting, keptFree := 0, 0
 	for _, w := range workers {
 		n := min(resources.Count(free(w)), u.spreadAllowance(w))
@@ -194,18 +190,18 @@
 			keptFree += n
 			continue
 		}
-		candidates = append(candidates, candidate{w, n, p.preferenceFor(w, u)})
+		candidates = append(candidates, gangCandidate{w, n, p.preferenceFor(w, u)})
 		fitting += n
 	}
 	if fitting < need {
 		p.roomKeptFree = p.roomKeptFree || fitting+keptFree >= need
 		return nil
 	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int {
+	slices.SortStableFunc(candidates, func(a, b gangCandidate) int {
 		return cmp.Or(cmp.Compare(a.preference, b.preference), cmp.Compare(pl.scarceCapacity(free(a.worker)), pl.scarceCapacity(free(b.worker))))
 	})
 	chosen := make([]*worker, 0, need)
-	for _, c := range candidates {
+	for _, c := range p.goal(u.step).alike(candidates, need) {
 		for range min(c.tasks, need-len(chosen)) {
 			chosen = append(chosen, c.worker)
 		}
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -37,11 +37,15 @@
 	if !u.step.spec.Checkpoints {
 		return true
 	}
-	stopTime := s.config.Bounds.Stop
-	if stopTime <= 0 {
-		stopTime = defaultStopTime
+	return left <= s.stopTime()+stopMargin
+}
+
+// stopTime returns the longest time that a worker takes to stop a run.
+func (s *Scheduler) stopTime() time.Duration {
+	if s.config.Bounds.Stop <= 0 {
+		return defaultStopTime
 	}
-	return left <= stopTime+stopMargin
+	return s.config.Bounds.Stop
 }
 
 // unitRemaining returns how much longer the run of a unit is expected to take.
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -37,17 +37,28 @@
 
 // markHeadroom keeps workers free for urgent work. It picks them rack by rack, beginning with the rack with the most free
 // room since urgent gangs often should run in one rack, and workers with the most room first, in the pool's scarcest resource. Workers that
-// are reserved do not count, since their room is used as soon as the reserving unit fits.
+// are reserved do not count, since their room is used as soon as the reserving unit fits. If workers differ in speed, those that urgent work
+// can use come first.
 func (p *plan) markHeadroom(pl *pool) {
 	if pl.mostlyIdle() {
 		return
 	}
 	missing := pl.headroomTarget
+	if p.scheduler.uneven {
+		missing = p.markHeadroomAmong(pl, missing, func(w *worker) bool { return w.relativeTime() <= headroomSlowdown })
+	}
+	p.markHeadroomAmong(pl, missing, func(w *worker) bool { return !p.scheduler.uneven || w.relativeTime() > headroomSlowdown })
+}
+
+// markHeadroomAmong marks workers that match until nothing is missing, and returns what still is.
+func (p *plan) markHeadroomAmong(pl *pool, missing int64, match func(*worker) bool) int64 {
 	names := sortedKeys(pl.racks)
 	freeByRack := map[string]int64{}
 	for _, name := range names {
 		for _, w := range pl.racks[name] {
-			freeByRack[name] += pl.scarceCapacity(w.free)
+			if match(w) {
+				freeByRack[name] += pl.scarceCapacity(w.free)
+			}
 		}
 	}
 	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(freeByRack[b], freeByRack[a]) })
@@ -59,12 +70,13 @@
 			if missing <= 0 || free <= 0 {
 				break
 			}
-			if p.keptFor[w] == nil {
+			if p.keptFor[w] == nil && match(w) {
 				p.headroomWorkers[w] = true
 				missing -= free
 			}
 		}
 	}
+	return missing
 }
 
 // chooseFromHeadroom places a gang that fits only on workers kept free for urgent work, if enough room stays free
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -165,9 +165,9 @@
 	case m.rises > 1: // the first rise may be that of a checkpoint
 		limit, reliable = observedStallMargin*m.slowestPercent, true
 	case st.meanRunTime > 0:
-		limit, reliable = observedStallMargin*st.meanRunTime/100, true
+		limit, reliable = observedStallMargin*s.longestRunTime(m)/100, true
 	case st.spec.Estimate > 0 || s.runTimes[st.occurrence.job.spec.Queue] != nil:
-		limit = s.expectedRunTime(st) / 100 * estimatedStallMargin
+		limit = s.longestRunTime(m) / 100 * estimatedStallMargin
 	default:
 		return 0, false
 	}
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -282,6 +282,7 @@
 		s.markRunning(m)
 		if r.Percent > m.percent || m.progressedAt.IsZero() {
 			m.noteProgress(r.Percent, now)
+			s.observeProgress(m, now)
 		}
 		m.latencyOrCPU = r.LatencyOrCPU
 		m.noteCheckpoint(r.Checkpoint, now)
@@ -312,6 +313,8 @@
 	s.config.Events.Emit(eventWorkerRestarted, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("born", processStart))
 	w.processStart, w.processSeenAt = processStart, now
 	w.lastHandledEnd, w.lastRecordedEnd = 0, 0
+	w.slowdown = 0
+	s.forecast.Forget(w.info.ID)
 }
 
 // loseMembers ends the members on a worker whose runs are certainly over. Members whose run is being recorded are only
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/forecast"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
@@ -49,8 +50,15 @@
 	advice       advice
 	meanRunTime  time.Duration // mean run time of the units counted by timedUnits
 	timedUnits   int           // number of units whose run time was observed, see observeRunTime
-	waited       waits         // how long units of the step have waited, by cause
-	consideredAt time.Time     // when the latest pass found units of the step waiting; zero if none waited then
+	heldRuns     []timedRun    // runs of single tasks that the model has not been told yet
+	// neutralRunTime is the run time of the step's tasks on a neutral worker, as its ended runs show; 0 if not known.
+	neutralRunTime time.Duration
+	prediction     forecast.Prediction // of predictedAt, see predict
+	predictedAt    time.Time
+	goal           *speedGoal // in the pass of goalOf; nil while speed does not matter
+	goalOf         time.Time
+	waited         waits     // how long units of the step have waited, by cause
+	consideredAt   time.Time // when the latest pass found units of the step waiting; zero if none waited then
 }
 
 // unit is what starts and ends as a whole: a single task, or all tasks of a gang.
@@ -70,6 +78,8 @@
 	startedAs        class                // its class when the current run started
 	answersSince     time.Time            // when a worker of the current run last answered after a silence
 	runTimeUnknown   bool                 // the current run began in an earlier term or ended while its worker was silent
+	resumed          bool                 // the current run started from a checkpoint
+	likelyRunTime    time.Duration        // run time that the current run exceeds with a probability of 0.1; 0 if not predicted
 	waitingAt        time.Time            // when it began to wait; zero until a pass has considered it
 	avoidedWorkers   map[string]time.Time // workers where a run failed, stalled or was refused, and when
 	reservedWorkers  []*worker            // workers kept free until the unit fits on them
@@ -102,6 +112,9 @@
 	stopAnsweredAt  time.Time // when the worker answered the stop order
 
 	runningSince   time.Time     // when the run was first known to run
+	startTimed     bool          // runningSince is when the worker answered the start
+	marksPassed    int           // number of progressMarks that the reported progress has passed
+	projected      time.Duration // total run time that follows from the progress; 0 if not known
 	percent        int           // progress that the worker reported
 	pace           int           // last ordered speed in percent of full speed, or paceUnknown; used for spare-CPU work only
 	latencyOrCPU   int64         // last reported tail latency or CPU use, see RunReport.LatencyOrCPU
@@ -142,6 +155,7 @@
 	heldBack        int       // number of latest heartbeats from which an acknowledgement was held back
 	responsive      bool      // it answered the last heartbeat, so the next one renews its leases
 	health          health
+	slowdown        float64       // of its runs relative to a neutral worker; 0 stands for 1, see refreshSpeeds
 	leavesAt        time.Time     // earliest time when it leaves; zero unless discovery shows it as draining
 	endsRecorded    chan struct{} // signals that lastRecordedEnd has risen
 	stopHeartbeats  func()        // ends the heartbeat loop; nil if there is none
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -74,6 +74,7 @@
 	if err == nil {
 		s.metrics.orderAnswered("start", "taken")
 		m.startAnsweredAt = time.Now()
+		m.startTimed = s.onTime(m.startAnsweredAt)
 		s.markRunning(m)
 		return
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -44,6 +44,8 @@
 	fitNowhere      map[taskRequirements]waitCause // requirements that no worker satisfied in this pass, and why
 	triedInVain     map[*step]bool                 // steps of which units could not be placed in this pass
 	held            map[kind]int64                 // what each kind of work holds, in its pool's scarcest resource
+	awaited         map[*worker]workload.Resources // room on suitable workers that urgent units wait for, see roomIsDue
+	dueRooms        map[*worker][]dueRoom          // room that members are expected to make, see freeWithin
 
 	earmarked      []earmark   // see earmarkWorkers
 	ticketsMissing []string    // workers chosen for units of the current step that wait for their tickets
@@ -58,6 +60,7 @@
 	return &plan{
 		scheduler: s, now: now, pools: map[string]*pool{}, keptFor: map[*worker]*step{}, claimed: map[*worker]workload.Resources{},
 		headroomWorkers: map[*worker]bool{}, fitNowhere: map[taskRequirements]waitCause{}, triedInVain: map[*step]bool{}, held: map[kind]int64{},
+		awaited: map[*worker]workload.Resources{}, dueRooms: map[*worker][]dueRoom{},
 	}
 }
 
@@ -69,6 +72,7 @@
 		s.holdsNothingSince = nil
 		return
 	}
+	s.refreshSpeeds()
 	p := newPlan(s, now)
 	for _, w := range s.workers {
 		if w.usable(now) {
@@ -301,6 +305,9 @@
 		if p.awaitTickets(u, chosen) {
 			return false, waitTicket
 		}
+		if p.awaitsSpeed(pl, r, u, chosen) {
+			return false, waitSpeed
+		}
 		p.start(pl, u, r, chosen)
 		return true, 0
 	}
@@ -322,5 +329,6 @@
 // start starts a run of a unit of rank r on the chosen workers.
 func (p *plan) start(pl *pool, u *unit, r rank, chosen []*worker) {
 	p.noteHeld(pl, u, r)
+	p.noteUnsuited(u, chosen)
 	p.scheduler.startRun(u, chosen, p.now)
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -20,6 +20,7 @@
 	permanent      workload.Resources   // held by permanent tasks, which do not make room by ending
 	reserved       int64                // scarcest resource of workers kept free by reservations, see scarceCapacity
 	headroomTarget int64                // scarcest resource to be left free for urgent work
+	fastest        float64              // least slowdown of all workers
 }
 
 // addWorker adds a usable worker to the pool of its service.
@@ -29,6 +30,9 @@
 		pl = &pool{racks: map[string][]*worker{}, dataCentres: map[string][]*worker{}}
 		p.pools[w.info.Service] = pl
 	}
+	if pl.fastest == 0 || w.relativeTime() < pl.fastest {
+		pl.fastest = w.relativeTime()
+	}
 	pl.workers = append(pl.workers, w)
 	pl.racks[w.info.Rack] = append(pl.racks[w.info.Rack], w)
 	pl.dataCentres[w.info.DataCentre] = append(pl.dataCentres[w.info.DataCentre], w)
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -26,24 +26,40 @@
 		p.claimWorkers(u)
 		return
 	}
-	var best []*worker
-	var bestVictims []*unit
-	bestCost := 0.0
-	for _, set := range p.candidateSets(pl, u) {
-		workers, victims, cost := p.cheapestPreemption(set, r, u)
-		if workers != nil && (best == nil || cost < bestCost) {
-			best, bestVictims, bestCost = workers, victims, cost
+	workers, victims, cost := p.bestPreemption(pl, r, u, func(*worker) bool { return true })
+	if g := p.goal(u.step); g != nil && g.fastestFirst && workers != nil {
+		delay := p.scheduler.stopTime() + startOverhead
+		suited, itsVictims, itsCost := p.bestPreemption(pl, r, u, func(w *worker) bool { return g.suits(w, delay) })
+		if suited != nil && itsCost-cost <= preemptionGain*p.ownWork(pl, u, g) {
+			workers, victims, cost = suited, itsVictims, itsCost
 		}
 	}
-	if best == nil {
+	if workers == nil {
 		p.reserve(pl, u)
 		return
 	}
-	for _, v := range bestVictims {
+	p.carryOutPreemption(u, workers, victims, cost)
+}
+
+// bestPreemption returns the workers of those that match on which the unit fits after the preemption that loses the least work, the units to
+// preempt, and the accelerator-seconds lost.
+func (p *plan) bestPreemption(pl *pool, r rank, u *unit, match func(*worker) bool) (best []*worker, bestVictims []*unit, bestCost float64) {
+	for _, set := range p.candidateSets(pl, u) {
+		workers, victims, cost := p.cheapestPreemption(set, r, u, match)
+		if workers != nil && (best == nil || cost < bestCost) {
+			best, bestVictims, bestCost = workers, victims, cost
+		}
+	}
+	return best, bestVictims, bestCost
+}
+
+// carryOutPreemption stops the victims and keeps the workers for the unit.
+func (p *plan) carryOutPreemption(u *unit, workers []*worker, victims []*unit, cost float64) {
+	for _, v := range victims {
 		p.scheduler.stopUnit(v, causePreempted)
 	}
-	p.scheduler.config.Events.Emit(eventPreempting, event.F("job", u.job().spec.ID), event.F("unit", u.name().Key()), event.F("stopped_units", len(bestVictims)), event.F("lost_accelerator_s", bestCost))
-	u.preemptedWorkers, u.preemptedAt = best, p.now
+	p.scheduler.config.Events.Emit(eventPreempting, event.F("job", u.job().spec.ID), event.F("unit", u.name().Key()), event.F("stopped_units", len(victims)), event.F("lost_accelerator_s", cost))
+	u.preemptedWorkers, u.preemptedAt = workers, p.now
 	p.claimWorkers(u)
 }
 
@@ -58,9 +74,9 @@
 	}
 }
 
-// cheapestPreemption returns the workers of a set on which the unit fits after the preemption that loses the least work,
+// cheapestPreemption returns the workers of a set that match on which the unit fits after the preemption that loses the least work,
 // the units to preempt, and the accelerator-seconds lost.
-func (p *plan) cheapestPreemption(set []*worker, r rank, u *unit) ([]*worker, []*unit, float64) {
+func (p *plan) cheapestPreemption(set []*worker, r rank, u *unit, match func(*worker) bool) ([]*worker, []*unit, float64) {
 	resources, need := u.step.resources(), u.size()
 	type candidate struct {
 		worker  *worker
@@ -70,7 +86,7 @@
 	}
 	var candidates []candidate
 	for _, w := range set {
-		if !p.allowed(w, u) {
+		if !match(w) || !p.allowed(w, u) {
 			continue
 		}
 		workerVictims, n, cost := p.victimsOn(w, r, u, resources, need)
--- a/internal/dispatch/runtimes.go
+++ b/internal/dispatch/runtimes.go
@@ -62,14 +62,30 @@
 }
 
 // expectedRunTime returns how long a task of the step is expected to run: the mean of the step's tasks that have
-// completed, or the prediction for its queue.
+// completed, or the prediction for its queue. If workers differ in speed, it is that on a neutral one.
 func (s *Scheduler) expectedRunTime(st *step) time.Duration {
+	if s.uneven {
+		return s.predict(st).Median
+	}
 	if st.meanRunTime > 0 {
 		return st.meanRunTime
 	}
 	return s.runTimes[st.occurrence.job.spec.Queue].predict(st.spec.Estimate)
 }
 
+// longestRunTime returns how long the member's run is expected to take, and not less than on a neutral worker: limits that follow from it are
+// to hold if the worker is slower than it seems.
+func (s *Scheduler) longestRunTime(m *member) time.Duration {
+	expected := s.expectedRunTime(m.unit.step)
+	if relative := m.unit.relativeTime(); s.uneven && relative > 1 {
+		return time.Duration(min(float64(expected)*relative, float64(maxRunTime)))
+	}
+	return expected
+}
+
+// maxRunTime keeps multiples of run times within the range of a duration.
+const maxRunTime = 365 * 24 * time.Hour
+
 // expectedCriticalPath returns the expected time along the longest path of an occurrence's steps, in total and for the
 // steps that are not done.
 func (s *Scheduler) expectedCriticalPath(o *occurrence) (total, remaining time.Duration) {
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -12,6 +12,7 @@
 
 	"dogwoodnotch.example/dogwoodnotch/internal/catalog"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/forecast"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
@@ -78,10 +79,14 @@
 	unfinished      []*job // jobs that have not ended, in order of arrival; ended ones are removed by the next pass
 	workers         map[string]*worker
 	runTimes        map[string]*runTimeModel // by queue
+	forecast        *forecast.Model          // of run times and of the speed of workers
 	backlogLoggedAt time.Time                // when the backlog was last logged
 	urgentDemand    map[string]int64         // accelerators that the unfinished jobs of priority 0 need, by customer
 	tickedAt        time.Time                // of the latest periodic checks
 	resumedAt       time.Time                // when the process last went on after a pause
+	laggedAt        time.Time                // when a check last came so late that the process may have been paused
+	speeds          speedSource              // where slowdowns come from; nil for the model
+	uneven          bool                     // the workers differed in speed in the latest pass, see refreshSpeeds
 	queryInProgress bool                     // a query to the advisor is not answered yet
 	nextQueryAt     time.Time                // earliest time of the next query to the advisor, after one without an answer
 	// holdsNothingSince says since when the kinds of work that wait and hold nothing do so.
@@ -99,7 +104,7 @@
 	return &Scheduler{
 		config: c, metrics: newSchedulerMetrics(c.Metrics), createdAt: time.Now(), wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, workers: map[string]*worker{}, runTimes: map[string]*runTimeModel{}, urgentDemand: map[string]int64{},
-		panicLoggedAt: map[string]time.Time{}, ctx: ctx, loading: true,
+		forecast: forecast.New(), panicLoggedAt: map[string]time.Time{}, ctx: ctx, loading: true,
 	}
 }
 
@@ -164,6 +169,9 @@
 	if now.Sub(s.tickedAt) > maxTickDelay {
 		s.resumedAt = now
 	}
+	if !s.tickedAt.IsZero() && now.Sub(s.tickedAt) > maxTickLag {
+		s.laggedAt = now
+	}
 	s.tickedAt = now
 	workers := s.sortedWorkers()
 	for _, w := range workers {
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -17,6 +17,7 @@
 func (s *Scheduler) startRun(u *unit, workers []*worker, now time.Time) {
 	u.run++
 	u.state, u.startedAt, u.runTimeUnknown, u.cause = active, now, false, ""
+	u.resumed = u.checkpoint != ""
 	u.step.unitsWaiting--
 	u.preemptedWorkers, u.reservedWorkers = nil, nil
 	u.members = make([]*member, len(workers))
@@ -31,9 +32,9 @@
 		w.free = w.free.Minus(resources)
 	}
 	s.metrics.unitWait.RecordDuration(now.Sub(u.waitingAt))
-	s.config.Events.Emit(eventPlaced, event.F("job", u.job().spec.ID), event.F("unit", u.name().Key()), event.F("run", u.run),
+	s.config.Events.Emit(eventPlaced, append([]event.Field{event.F("job", u.job().spec.ID), event.F("unit", u.name().Key()), event.F("run", u.run),
 		event.F("tasks", len(workers)), event.F("worker", workers[0].info.ID), event.F("rack", workers[0].info.Rack),
-		event.F("checkpoint", u.checkpoint), event.F("waited_ms", now.Sub(u.waitingAt).Milliseconds()))
+		event.F("checkpoint", u.checkpoint), event.F("waited_ms", now.Sub(u.waitingAt).Milliseconds())}, s.notePlacement(u)...)...)
 	members := u.members
 	s.config.Runs.Put(func(err error) {
 		s.protect("starts", func() { s.sendStarts(members, err) })
@@ -200,6 +201,7 @@
 	now := time.Now()
 	j := u.job()
 	s.observeRunTime(u, now)
+	s.observeRun(u, now)
 	s.metrics.unitRun.RecordDuration(now.Sub(u.startedAt))
 	s.config.Events.Emit(eventUnitEnded, event.F("job", j.spec.ID), event.F("unit", u.name().Key()), event.F("run", u.run), event.F("how", EndDone), event.F("worker", m.worker.info.ID), event.F("ran_ms", now.Sub(u.startedAt).Milliseconds()))
 	s.config.Runs.Put(nil, u.record())
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -18,10 +18,11 @@
 	waitAdvice                      // the advisor has not approved any worker yet
 	waitTicket                      // the ticket of an approved worker with room has expired and is being renewed
 	waitPause                       // pause after a failed run
+	waitSpeed                       // only workers too slow for it have room, and faster ones are about to
 	waitCauses     = iota           // number of causes
 )
 
-var waitNames = [waitCauses]string{"room", "rack", "kept free", "preemption", "advice", "ticket", "pause"}
+var waitNames = [waitCauses]string{"room", "rack", "kept free", "preemption", "advice", "ticket", "pause", "speed"}
 
 // waits is the time that a step, or a job, has waited by cause.
 type waits [waitCauses]time.Duration
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -65,6 +65,9 @@
 // expectedRemaining returns how much longer a run is expected to take.
 func (s *Scheduler) expectedRemaining(m *member, now time.Time) time.Duration {
 	left := s.expectedRunTime(m.unit.step) * time.Duration(100-min(m.percent, 100)) / 100
+	if s.uneven {
+		left = time.Duration(float64(left) * m.unit.relativeTime())
+	}
 	if m.percent > 0 && !m.runningSince.IsZero() && m.percent < 100 {
 		elapsed := m.progressedAt.Sub(m.runningSince)
 		if m.unit.checkpoint == "" && elapsed > 0 {
