--- a/internal/dispatch/simday_test.go
+++ b/internal/dispatch/simday_test.go
@@ -58,6 +58,9 @@
 	customers                            int
 	guaranteed                           int64          // accelerators of each customer
 	trouble                              func(*simPlay) // may be nil; runs beside the arrivals
+	slowdowns                            []float64      // of the workers, drawn with equal probability; nil if all are alike
+	speeds                               speedSource    // overrides what the scheduler learns about speeds; may be nil
+	prepared                             func(*simPlay) // may be nil; called before the scheduler exists
 }
 
 // simPlay is a day that is being played.
@@ -127,6 +130,9 @@
 		day: d, fleet: newSimFleet(seed), random: rand.New(rand.NewPCG(seed, 2)),
 		owed: map[string]*simOwed{}, outcomes: map[string]ledger.State{}, ended: map[string]time.Time{},
 	}
+	if d.prepared != nil {
+		d.prepared(r)
+	}
 	var current catalog.Current
 	configuration := &catalog.Catalog{Version: 1}
 	for c := range d.customers {
@@ -137,6 +143,7 @@
 		Fleet: r.fleet, Jobs: newSimLedger(ctx, r.noteOutcome), Runs: newSimLedger(ctx, nil), Term: &fakeTerm{}, Token: 1, Catalog: &current,
 		Events: event.Discard(), Metrics: tally.NoopScope, Now: time.Now, Bounds: Bounds{Lease: simLease, Stop: 200 * time.Millisecond, StatusRetention: 2 * time.Minute},
 	})
+	r.scheduler.speeds = d.speeds
 	r.scheduler.Recover(nil)
 	var group sync.WaitGroup
 	group.Go(func() { r.scheduler.Run(ctx) })
@@ -186,7 +193,10 @@
 		DataCentre: fmt.Sprintf("d%d", rack%d.dataCentres), Labels: []string{"a"},
 		Capacity: workload.Resources{CPU: 128_000, MemoryMB: d.memoryMB, Accelerators: 8},
 	}
-	r.fleet.add(info)
+	w := r.fleet.add(info)
+	if d.slowdowns != nil {
+		w.slowdown = d.slowdowns[r.fleet.randomOf("slowdown of "+info.ID).IntN(len(d.slowdowns))]
+	}
 	r.scheduler.Observe(info)
 }
 
--- a/internal/dispatch/simfleet_test.go
+++ b/internal/dispatch/simfleet_test.go
@@ -61,8 +61,9 @@
 // simWorker is a simulated worker.
 type simWorker struct {
 	info     WorkerInfo
-	cut      bool // calls do not reach it, and it works on
-	hung     bool // what starts there makes no progress
+	cut      bool    // calls do not reach it, and it works on
+	hung     bool    // what starts there makes no progress
+	slowdown float64 // factor on the run times of its tasks; 0 stands for 1
 	gone     bool
 	runs     map[runKey]*simRun
 	ended    []EndReport
@@ -196,6 +197,7 @@
 	if remote || step.DataRack != "" && step.DataRack != run.worker.info.Rack {
 		factor *= simRemote
 	}
+	factor *= run.slowdown()
 	total := time.Duration(float64(run.job.runTimes[run.key.task.Step]) * factor * (1 - run.begun))
 	run.startedAt = time.Now()
 	if run.worker.hung {
@@ -215,6 +217,17 @@
 	})
 }
 
+// slowdown returns the factor on the run time that follows from the workers: a gang is as slow as its slowest member.
+func (r *simRun) slowdown() float64 {
+	slowest := r.worker.slowdown
+	if r.gang != nil {
+		for _, m := range r.gang.members {
+			slowest = max(slowest, m.worker.slowdown)
+		}
+	}
+	return cmp.Or(slowest, 1)
+}
+
 // endRun ends a run and what its end means for its gang. The caller holds f.mu.
 func (f *simFleet) endRun(run *simRun, ending Ending) {
 	if run.gang == nil {
