--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -72,11 +72,13 @@
 type Model struct {
 	work    workModel
 	workers workerModel
+	steps   *lru[Work, *pendingStep]
+	changes uint64
 }
 
 // New returns a model without observations.
 func New() *Model {
-	return &Model{work: newWorkModel(), workers: newWorkerModel()}
+	return &Model{work: newWorkModel(), workers: newWorkerModel(), steps: newLRU[Work, *pendingStep](maxPendingSteps)}
 }
 
 // Predict returns how long a task of the work is expected to run on a neutral worker.
@@ -98,42 +100,77 @@
 }
 
 // ObserveRun adds a successfully finished run of a single task near its data. siblings is the median neutral run time of
-// the step's other tasks, 0 if there are none: with it the run is evidence of the worker's speed only, as the step's
-// first run has already been observed as evidence of the work.
+// the step's other tasks, 0 if there are none. Runs of a step that are passed one by one, the first of them without siblings, are compared
+// with each other when all have ended. Otherwise siblings is taken as the median of the whole step.
 func (m *Model) ObserveRun(w Work, worker string, ran time.Duration, siblings time.Duration, now time.Time) {
 	if ran <= 0 {
 		return
 	}
+	m.changes++
+	m.compareOld(now)
+	r := stepRun{worker: worker, log: logSeconds(ran), at: now}
 	if siblings <= 0 {
-		m.work.observe(w, ran, 0)
+		if mean, spread, basis := m.work.expect(w); basis != BasisNone && basis != BasisEstimate && w.Width <= 1 {
+			m.workers.observeRun(worker, clamp(r.log-mean, maxDifference), spread, now)
+		}
+		weight := firstRunWeight
+		if !m.collect(w, r, true) {
+			weight = 1
+		}
+		m.work.observe(w, m.neutralLog(r), 0, weight)
+		return
+	}
+	if !m.collect(w, r, false) {
+		m.work.observe(w, m.neutralLog(r), 0, 1/float64(max(w.Width, 1)))
+		m.workers.observeSibling(worker, clamp(r.log-logSeconds(siblings), maxDifference), 1, unknownSiblings, now)
 	}
 }
 
+// maxDifference limits by how much the log of a run time may differ from what was expected, as evidence of a worker's speed.
+const maxDifference = 3.0
+
 // ObserveGang adds a successfully finished run of a gang near its data, within one rack where that matters.
 func (m *Model) ObserveGang(w Work, workers []string, ran time.Duration, now time.Time) {
 	if ran <= 0 || len(workers) == 0 {
 		return
 	}
-	m.work.observe(w, ran, 0)
+	m.changes++
+	factor := 0.0
+	if m.workers.uneven {
+		factor = m.workers.slowest(workers)
+	}
+	if mean, spread, basis := m.work.expect(w); basis != BasisNone && basis != BasisEstimate {
+		m.workers.observeGang(workers, clamp(logSeconds(ran)-mean, maxDifference), spread, now)
+	}
+	m.work.observe(w, logSeconds(ran)-factor, 0, 1)
 }
 
 // ObserveProgress adds a progress report of a running single task. relative is the elapsed time over the time that a
 // neutral worker would take for the same progress.
 func (m *Model) ObserveProgress(worker string, relative float64, now time.Time) {
+	m.changes++
+	m.workers.observeProgress(worker, relative, now)
 }
 
 // Forget drops what is known about a worker, for example because it restarted.
 func (m *Model) Forget(worker string) {
+	m.changes++
+	m.workers.forget(worker)
 }
 
-// Summary returns the model's state in at most maxBytes bytes, the workers with the most information first. It is nil if
-// not even an empty state fits.
-func (m *Model) Summary(maxBytes int) []byte {
-	return nil
-}
+// Changes returns a number that rises with each observation, so that callers can tell whether the model has changed.
+func (m *Model) Changes() uint64 { return m.changes }
 
-// Restore replaces the model's state by that of a summary. If the summary is unreadable it returns an error and leaves
-// the model unchanged.
-func (m *Model) Restore(summary []byte) error {
-	return nil
+// WithSiblings returns the prediction of a task of which finished siblings have the given median neutral run time, by the spreads of the
+// prediction and of the tasks of a step.
+func (m *Model) WithSiblings(p Prediction, median time.Duration, finished int) Prediction {
+	if median <= 0 || finished <= 0 {
+		return p
+	}
+	noise := m.workers.siblingNoise()
+	medianVariance := noise * noise * math.Pi / 2 / float64(finished)
+	priorVariance := max(p.Spread*p.Spread-noise*noise, minSpread*minSpread)
+	trust := priorVariance / (priorVariance + medianVariance)
+	mean := (1-trust)*logSeconds(p.Median) + trust*logSeconds(median)
+	return Prediction{Median: seconds(mean), Spread: math.Sqrt(noise*noise + (1-trust)*priorVariance), Basis: BasisSiblings}
 }
--- /dev/null
+++ b/internal/forecast/steps.go
@@ -0,0 +1,148 @@
+package forecast
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Parameters of the comparison of the tasks of a step with each other.
+const (
+	maxPendingSteps = 256              // steps whose runs are being collected
+	maxPendingRuns  = 256              // runs of such a step, about 50 bytes each
+	pendingTime     = 20 * time.Second // a step is compared this long after its first run ended, also if it has not ended
+	firstRunWeight  = 0.3              // weight in the predictions of a step's first run to end, which is usually one of its shortest
+	medianExcess    = math.Pi / 2      // variance of the median of normal variables over that of their mean
+	unknownSiblings = 3                // number of siblings that a median from the caller is taken to come from
+)
+
+// stepRun is a finished run of a step that has not been compared with the others yet.
+type stepRun struct {
+	worker string
+	log    float64 // of the run time in seconds
+	at     time.Time
+}
+
+// pendingStep collects the finished runs of a step. The tasks that end first are short whatever their worker, and those that end later
+// exceed them, so runs are compared only when all have ended.
+type pendingStep struct {
+	since time.Time
+	runs  []stepRun
+}
+
+// collect adds a run to the pending step of the work. first begins a step. It reports whether the run will be compared with the others.
+func (m *Model) collect(w Work, r stepRun, first bool) bool {
+	p := m.steps.get(w)
+	if first {
+		if p != nil {
+			m.compare(w)
+		}
+		if w.Width <= 1 {
+			return false
+		}
+		for len(m.steps.entries) >= maxPendingSteps {
+			m.compare(m.steps.oldest())
+		}
+		p = m.steps.use(w, func() *pendingStep { return &pendingStep{since: r.at} })
+	}
+	if p == nil {
+		return false
+	}
+	p.runs = append(p.runs, r)
+	if len(p.runs) >= min(w.Width, maxPendingRuns) {
+		m.compare(w)
+	}
+	return true
+}
+
+// compareOld compares the runs of the steps that began to end too long ago.
+func (m *Model) compareOld(now time.Time) {
+	for len(m.steps.entries) > 0 {
+		w := m.steps.oldest()
+		if now.Sub(m.steps.get(w).since) < pendingTime {
+			return
+		}
+		m.compare(w)
+	}
+}
+
+// compare ends a pending step: each worker's runs are evidence of its speed relative to the other workers' runs, and all of them show how
+// long the work runs on a neutral worker.
+func (m *Model) compare(w Work) {
+	runs := m.steps.get(w).runs
+	m.steps.remove(w)
+	if len(runs) < 2 {
+		if len(runs) == 1 {
+			m.work.observe(w, m.neutralLog(runs[0]), 0, 1-firstRunWeight)
+		}
+		return
+	}
+	neutral := make([]stepRun, len(runs)) // in the order of their neutral run times
+	sum, squares := 0.0, 0.0
+	for i, r := range runs {
+		r.log = m.neutralLog(r)
+		neutral[i] = r
+		sum += r.log
+	}
+	mean := sum / float64(len(runs))
+	for _, r := range neutral {
+		squares += (r.log - mean) * (r.log - mean)
+	}
+	slices.SortStableFunc(neutral, func(a, b stepRun) int { return cmp.Compare(a.log, b.log) })
+	slices.SortStableFunc(runs, func(a, b stepRun) int { return cmp.Compare(a.worker, b.worker) })
+	for len(runs) > 0 {
+		n, total := 0, 0.0
+		worker, at := runs[0].worker, runs[0].at
+		for n < len(runs) && runs[n].worker == worker {
+			total += runs[n].log
+			at = later(at, runs[n].at)
+			n++
+		}
+		runs = runs[n:]
+		if median, others := medianOfOthers(neutral, worker, n); others > 0 {
+			m.workers.observeSibling(worker, clamp(total/float64(n)-median, maxDifference), n, others, at)
+		}
+	}
+	m.work.observe(w, mean, squares/float64(len(neutral)), 1-firstRunWeight)
+}
+
+// neutralLog returns the log of the time that a run would have taken on a neutral worker.
+func (m *Model) neutralLog(r stepRun) float64 {
+	if !m.workers.uneven {
+		return r.log
+	}
+	return r.log - m.workers.relative(r.worker)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// medianOfOthers returns the median of the runs of other workers, which are in order, and their number. own is the number of the worker's runs.
+func medianOfOthers(sorted []stepRun, worker string, own int) (median float64, others int) {
+	others = len(sorted) - own
+	position := 0
+	for _, r := range sorted {
+		if r.worker == worker {
+			continue
+		}
+		if position == (others-1)/2 {
+			median += r.log / 2
+		}
+		if position == others/2 {
+			return median + r.log/2, others
+		}
+		position++
+	}
+	return 0, 0
+}
+
+// comparisonScale returns the spread of the difference of a worker's mean from the median of the others' runs, in units of the spread of
+// a run.
+func comparisonScale(own, others int) float64 {
+	return math.Sqrt(1/float64(own) + medianExcess/float64(others))
+}
--- /dev/null
+++ b/internal/forecast/uneven_test.go
@@ -0,0 +1,80 @@
+package forecast
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against placement that changes on a fleet whose workers are alike, because noise, wrong estimates and brief slow periods look like
+// differences between workers.
+func TestAlikeWorkersAreNeverUneven(t *testing.T) {
+	highest := 0.0
+	for _, workers := range []int{4, 12, 40, 350} {
+		for seed := range uint64(100) {
+			g := newGenerator(seed, workers, 1)
+			for g.runs < 3000 {
+				if g.random.IntN(30) == 0 {
+					g.slowUntil[g.random.IntN(workers)] = g.now.Add(2 * time.Second)
+				}
+				g.step([]int{5, 5, 5, 39}[g.random.IntN(4)])
+				assert.Assert(t, !g.model.Uneven(), "workers %d, seed %d, after %d runs", workers, seed, g.runs)
+			}
+			z, _, n, _ := g.model.workers.statistic()
+			highest = max(highest, z/(testSigmas+testSmall/math.Sqrt(n)))
+		}
+	}
+	t.Logf("highest share of the threshold at the end: %.2f", highest)
+}
+
+// Guards against uneven fleets that are detected late or never, and against detection that flaps.
+func TestUnevenFleetsAreDetected(t *testing.T) {
+	for _, speeds := range [][]float64{{0.6, 1, 1.6}, {0.8, 1, 1.25}} {
+		for _, noise := range []float64{0.15, 0.3} {
+			t.Run(fmt.Sprint(speeds, noise), func(t *testing.T) {
+				latest, sum := 0, 0
+				for seed := range uint64(40) {
+					g := newGenerator(seed, 350, speeds...)
+					g.noise = noise
+					assert.Assert(t, g.until(1500), "seed %d", seed)
+					latest, sum = max(latest, g.runs), sum+g.runs
+					for end := g.runs + 2000; g.runs < end; {
+						g.step(5)
+						assert.Assert(t, g.model.Uneven(), "seed %d, after %d runs", seed, g.runs)
+					}
+				}
+				t.Logf("detected after %d runs on average, %d at the latest", sum/40, latest)
+			})
+		}
+	}
+}
+
+// Guards against a small fleet whose differences are never detected.
+func TestUnevennessOfASmallFleet(t *testing.T) {
+	detected := 0
+	for seed := range uint64(20) {
+		if g := newGenerator(seed, 12, 0.6, 1, 1.6); g.until(1000) {
+			detected++
+		}
+	}
+	t.Logf("%d of 20 fleets of 12", detected)
+	assert.Assert(t, detected >= 16)
+}
+
+// Guards against a fleet that stays uneven for ever after its differences have ended.
+func TestUnevennessEnds(t *testing.T) {
+	g := newGenerator(1, 100, 0.6, 1, 1.6)
+	assert.Assert(t, g.until(1500))
+	for i := range g.speeds {
+		g.speeds[i] = 1
+	}
+	for end := g.runs + 10000; g.runs < end && g.model.Uneven(); {
+		g.step(5)
+	}
+	assert.Assert(t, !g.model.Uneven())
+	assert.Equal(t, g.model.Slowdown(workerName(1)).Factor, 1.0)
+	t.Logf("even after %d runs", g.runs)
+}
