Forecast: single tasks of a step are told with the median run first, and predictions take ended siblings in

Cause: the model collects the runs of a step that begin with one without siblings, and the held runs were passed in another order; predictions used the median of siblings only after the whole step had ended. Change: the run with the median neutral time goes first, and predictions use Model.WithSiblings with the runs that have ended so far.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -51,8 +51,9 @@
 	meanRunTime  time.Duration // mean run time of the units counted by timedUnits
 	timedUnits   int           // number of units whose run time was observed, see observeRunTime
 	heldRuns     []timedRun    // runs of single tasks that the model has not been told yet
-	// neutralRunTime is the run time of the step's tasks on a neutral worker, as its ended runs show; 0 if not known.
+	// neutralRunTime is the median run time on a neutral worker of neutralRuns ended tasks of the step; 0 if none has ended.
 	neutralRunTime time.Duration
+	neutralRuns    int
 	prediction     forecast.Prediction // of predictedAt, see predict
 	predictedAt    time.Time
 	goal           *speedGoal // in the pass of goalOf; nil while speed does not matter
--- a/internal/dispatch/observations.go
+++ b/internal/dispatch/observations.go
@@ -96,27 +96,38 @@
 	s.forecast.ObserveGang(workOf(st), workers, ran, now)
 }
 
-// observeHeldRuns tells the model about the single tasks of a step. The run with the median neutral time tells about the work, the others
-// about their workers: the runs that end first are those on fast workers, so the first ones alone would mislead.
+// observeHeldRuns tells the model about the single tasks of a step, the one with the median neutral time first: the model takes the first
+// as evidence of the work.
 func (s *Scheduler) observeHeldRuns(st *step) {
 	runs := st.heldRuns
 	if len(runs) == 0 {
 		return
 	}
+	st.noteNeutralRunTime()
 	st.heldRuns = nil
 	slices.SortStableFunc(runs, func(a, b timedRun) int { return cmp.Compare(a.neutral(), b.neutral()) })
 	middle, work := (len(runs)-1)/2, workOf(st)
-	median := runs[middle].neutral()
-	st.neutralRunTime = median
-	for i, r := range runs {
-		siblings := median
-		if i == middle {
-			siblings = 0
-		}
-		s.forecast.ObserveRun(work, r.worker.info.ID, r.ran, siblings, r.at)
+	runs[0], runs[middle] = runs[middle], runs[0]
+	median := time.Duration(0)
+	for _, r := range runs {
+		s.forecast.ObserveRun(work, r.worker.info.ID, r.ran, median, r.at)
+		median = runs[0].neutral()
 	}
 }
 
+// noteNeutralRunTime updates the median neutral run time of the step's ended tasks from those that are held.
+func (st *step) noteNeutralRunTime() {
+	if len(st.heldRuns) == 0 {
+		return
+	}
+	times := make([]time.Duration, len(st.heldRuns))
+	for i, r := range st.heldRuns {
+		times[i] = r.neutral()
+	}
+	slices.Sort(times)
+	st.neutralRunTime, st.neutralRuns = times[len(times)/2], len(times)
+}
+
 // observeProgress tells the model about the progress of a single task that runs, at the first report beyond each of progressMarks.
 func (s *Scheduler) observeProgress(m *member, now time.Time) {
 	u := m.unit
@@ -167,11 +178,9 @@
 // predict returns how long a task of the step is expected to run on a neutral worker.
 func (s *Scheduler) predict(st *step) forecast.Prediction {
 	if now := time.Now(); st.predictedAt.IsZero() || now.Sub(st.predictedAt) >= predictionsLast {
-		st.prediction, st.predictedAt = s.forecast.Predict(workOf(st)), now
-	}
-	p := st.prediction
-	if st.neutralRunTime > 0 {
-		p.Median, p.Basis = st.neutralRunTime, forecast.BasisSiblings
+		st.noteNeutralRunTime()
+		st.prediction = s.forecast.WithSiblings(s.forecast.Predict(workOf(st)), st.neutralRunTime, st.neutralRuns)
+		st.predictedAt = now
 	}
-	return p
+	return st.prediction
 }
--- a/internal/dispatch/unevenday_test.go
+++ b/internal/dispatch/unevenday_test.go
@@ -81,7 +81,24 @@
 					case "known":
 						d.speeds = simSpeeds{func() *simFleet { return fleet }}
 					}
-					d.prepared = func(r *simPlay) { fleet = r.fleet }
+					d.prepared = func(r *simPlay) {
+						fleet = r.fleet
+						if source != "learned" {
+							return
+						}
+						go func() {
+							for i := range 80 {
+								time.Sleep(time.Second)
+								r.scheduler.mu.Lock()
+								u := r.scheduler.uneven
+								r.scheduler.mu.Unlock()
+								if u {
+									t.Logf("uneven from %d s on", i+1-8)
+									return
+								}
+							}
+						}()
+					}
 					r := d.play(t, seed)
 					for k, s := range r.kinds {
 						x := total[k]
