--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -153,12 +153,18 @@
 	resources := u.step.resources()
 	var best *worker
 	goal := p.goal(u.step)
-	bestKey := [4]int64{}
+	var bestPreference preference
+	bestRoom := [3]int64{}
 	for _, w := range workers {
 		have := free(w)
 		if !resources.Fits(have) {
 			continue
 		}
+		room := [3]int64{int64(goal.order(w)), have.Accelerators, have.CPU}
+		better := best == nil || slices.Compare(room[:], bestRoom[:]) < 0
+		if !better && bestPreference == preferred {
+			continue // most workers, without the checks that follow
+		}
 		if !p.allowed(w, u) {
 			p.roomKeptFree = true
 			continue
@@ -166,9 +172,8 @@
 		if u.spreadAllowance(w) == 0 {
 			continue
 		}
-		key := [4]int64{int64(p.preferenceFor(w, u)), int64(goal.order(w)), have.Accelerators, have.CPU}
-		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
-			best, bestKey = w, key
+		if preference := p.preferenceFor(w, u); best == nil || preference < bestPreference || preference == bestPreference && better {
+			best, bestPreference, bestRoom = w, preference, room
 		}
 	}
 	return best
@@ -179,6 +184,7 @@
 func (p *plan) pack(workers []*worker, u *unit, free func(*worker) workload.Resources) []*worker {
 	resources, need := u.step.resources(), u.size()
 	pl := p.pools[u.job().queueSettings.Service]
+	goal := p.goal(u.step)
 	candidates := make([]gangCandidate, 0, len(workers))
 	fitting, keptFree := 0, 0
 	for _, w := range workers {
@@ -190,7 +196,7 @@
 			keptFree += n
 			continue
 		}
-		candidates = append(candidates, gangCandidate{w, n, p.preferenceFor(w, u)})
+		candidates = append(candidates, gangCandidate{w, n, p.preferenceFor(w, u), goal.order(w)})
 		fitting += n
 	}
 	if fitting < need {
@@ -201,7 +207,7 @@
 		return cmp.Or(cmp.Compare(a.preference, b.preference), cmp.Compare(pl.scarceCapacity(free(a.worker)), pl.scarceCapacity(free(b.worker))))
 	})
 	chosen := make([]*worker, 0, need)
-	for _, c := range p.goal(u.step).alike(candidates, need) {
+	for _, c := range goal.alike(candidates, need) {
 		for range min(c.tasks, need-len(chosen)) {
 			chosen = append(chosen, c.worker)
 		}
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -313,7 +313,7 @@
 	s.config.Events.Emit(eventWorkerRestarted, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("born", processStart))
 	w.processStart, w.processSeenAt = processStart, now
 	w.lastHandledEnd, w.lastRecordedEnd = 0, 0
-	w.slowdown = 0
+	w.slowdown, w.speedLevel = 0, 0
 	s.forecast.Forget(w.info.ID)
 }
 
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -157,6 +157,7 @@
 	responsive      bool      // it answered the last heartbeat, so the next one renews its leases
 	health          health
 	slowdown        float64       // of its runs relative to a neutral worker; 0 stands for 1, see refreshSpeeds
+	speedLevel      int           // slowdown in steps of speedStep; 0 for a neutral worker, higher for a slower one
 	leavesAt        time.Time     // earliest time when it leaves; zero unless discovery shows it as draining
 	endsRecorded    chan struct{} // signals that lastRecordedEnd has risen
 	stopHeartbeats  func()        // ends the heartbeat loop; nil if there is none
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -41,10 +41,21 @@
 	}
 	s.uneven = uneven
 	for _, w := range s.workers {
-		w.slowdown = 0
+		factor := 0.0
 		if uneven {
-			w.slowdown = source.Slowdown(w.info.ID).Factor
+			factor = source.Slowdown(w.info.ID).Factor
 		}
+		if factor != w.slowdown {
+			w.setSlowdown(factor)
+		}
+	}
+}
+
+// setSlowdown sets a worker's slowdown; 0 stands for 1.
+func (w *worker) setSlowdown(factor float64) {
+	w.slowdown, w.speedLevel = factor, 0
+	if factor > 0 {
+		w.speedLevel = int(math.Round(math.Log(factor) / math.Log(speedStep)))
 	}
 }
 
@@ -76,21 +87,20 @@
 	return slowest
 }
 
-// speedLevel returns the worker's slowdown in steps of speedStep; neutral workers have level 0, slower ones a higher one.
-func (w *worker) speedLevel() int {
-	if w.slowdown <= 0 {
-		return 0
-	}
-	return int(math.Round(math.Log(w.slowdown) / math.Log(speedStep)))
-}
-
 // speedGoal is what a step needs of its workers' speed. Nil means that speed does not matter.
 type speedGoal struct {
 	runTime      time.Duration // expected on a neutral worker
 	slack        time.Duration // time that a run started now may take
+	limit        float64       // tolerance without a delay
 	fastestFirst bool
 }
 
+// setSlack sets the time that a run started now may take.
+func (g *speedGoal) setSlack(slack time.Duration) {
+	g.slack = slack
+	g.limit = g.tolerance(0)
+}
+
 // tolerance returns the largest slowdown with which a run ends in time if it starts after the given delay.
 func (g *speedGoal) tolerance(delay time.Duration) float64 {
 	return float64(g.slack-delay) / float64(g.runTime)
@@ -110,12 +120,12 @@
 	switch {
 	case g == nil:
 		return 0
-	case !g.suits(w, 0):
-		return unsuited + w.speedLevel()
+	case w.relativeTime() > g.limit:
+		return unsuited + w.speedLevel
 	case g.fastestFirst:
-		return w.speedLevel()
+		return w.speedLevel
 	}
-	return -w.speedLevel()
+	return -w.speedLevel
 }
 
 // worstOrder returns the position of the worker that comes last.
@@ -154,17 +164,19 @@
 	criticalPath, _ := s.expectedCriticalPath(o)
 	objective := latencyObjective(o, criticalPath)
 	taken := s.config.Now().Sub(earliestStart) + s.expectedAfter(st) + startOverhead
-	g := &speedGoal{runTime: max(s.expectedRunTime(st), minRunTime), slack: objective - taken, fastestFirst: o.job.queueSettings.Priority == 0}
+	g := &speedGoal{runTime: max(s.expectedRunTime(st), minRunTime), fastestFirst: o.job.queueSettings.Priority == 0}
+	g.setSlack(objective - taken)
 	margin := 1.0
 	if g.fastestFirst {
 		margin = hopelessMargin
 	}
-	if margin*g.tolerance(0) >= fastest {
+	if margin*g.limit >= fastest {
 		return g
 	}
-	g.slack, g.fastestFirst = time.Duration(lateFactor*float64(objective))-taken, false
-	if g.tolerance(0) < fastest {
-		g.slack = maxRunTime
+	g.fastestFirst = false
+	g.setSlack(time.Duration(lateFactor*float64(objective)) - taken)
+	if g.limit < fastest {
+		g.setSlack(maxRunTime)
 	}
 	return g
 }
@@ -203,6 +215,7 @@
 	worker     *worker
 	tasks      int
 	preference preference
+	order      int // see speedGoal.order
 }
 
 // alike reorders candidates that are sorted by preference and then by room, so that the first of them that hold need tasks are the best for
@@ -218,21 +231,28 @@
 		}
 		held += candidates[i].tasks
 	}
-	last := candidates[from].preference
-	group := slices.Clone(candidates[from:])
-	group = slices.DeleteFunc(group, func(c gangCandidate) bool { return c.preference != last })
-	byOrder := slices.Clone(group)
-	slices.SortStableFunc(byOrder, func(a, b gangCandidate) int { return cmp.Compare(g.order(a.worker), g.order(b.worker)) })
-	worst := 0
-	for _, c := range byOrder {
-		worst = g.order(c.worker)
-		if need -= c.tasks; need <= 0 {
-			break
-		}
+	end := from // behind the last candidate of that preference
+	differ := false
+	for end < len(candidates) && candidates[end].preference == candidates[from].preference {
+		differ = differ || candidates[end].order != candidates[from].order
+		end++
+	}
+	candidates = candidates[:end]
+	if !differ {
+		return candidates
+	}
+	group := candidates[from:]
+	slices.SortStableFunc(group, func(a, b gangCandidate) int { return cmp.Compare(a.order, b.order) })
+	last := 0 // position of the slowest member
+	for held := group[0].tasks; held < need; held += group[last].tasks {
+		last++
+	}
+	for last+1 < len(group) && group[last+1].order == group[last].order {
+		last++
 	}
-	group = slices.DeleteFunc(group, func(c gangCandidate) bool { return g.order(c.worker) > worst })
-	slices.SortStableFunc(group, func(a, b gangCandidate) int { return cmp.Compare(b.worker.speedLevel(), a.worker.speedLevel()) })
-	return append(candidates[:from:from], group...)
+	group = group[:last+1]
+	slices.SortStableFunc(group, func(a, b gangCandidate) int { return cmp.Compare(b.worker.speedLevel, a.worker.speedLevel) })
+	return candidates[:from+len(group)]
 }
 
 // awaitsSpeed reports whether an urgent unit for which only unsuitable workers have room is to wait: for suitable ones that are about to
