--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -1,5 +1,5 @@
 // Package forecast learns from finished and running tasks how long work takes and how fast workers are. A Model has no
-// locks and no clock: its caller serializes calls and passes times in. Its results depend only on the calls made.
+// locks and no clock: its caller serialises calls and passes times in. Its results depend only on the calls made.
 package forecast
 
 import (
@@ -109,18 +109,15 @@
 	m.changes++
 	m.compareOld(now)
 	r := stepRun{worker: worker, log: logSeconds(ran), at: now}
-	if siblings <= 0 {
-		if mean, spread, basis := m.work.expect(w); basis != BasisNone && basis != BasisEstimate && w.Width <= 1 {
+	switch {
+	case siblings <= 0 && w.Width > 1:
+		m.begin(w, r)
+	case siblings <= 0:
+		if mean, spread, basis := m.work.expect(w); basis != BasisNone && basis != BasisEstimate {
 			m.workers.observeRun(worker, clamp(r.log-mean, maxDifference), spread, now)
 		}
-		weight := firstRunWeight
-		if !m.collect(w, r, true) {
-			weight = 1
-		}
-		m.work.observe(w, m.neutralLog(r), 0, weight)
-		return
-	}
-	if !m.collect(w, r, false) {
+		m.work.observe(w, m.neutralLog(r), 0, 1)
+	case !m.collect(w, r):
 		m.work.observe(w, m.neutralLog(r), 0, 1/float64(max(w.Width, 1)))
 		m.workers.observeSibling(worker, clamp(r.log-logSeconds(siblings), maxDifference), 1, unknownSiblings, now)
 	}
--- a/internal/forecast/generate_test.go
+++ b/internal/forecast/generate_test.go
@@ -19,6 +19,9 @@
 	runs   int
 	// slowUntil has the end of the slow period of workers that are four times slower for a while.
 	slowUntil map[int]time.Time
+	// workOf, if set, replaces work, and firstRun gets the time of each step's first run to end.
+	workOf   func(width int) (Work, time.Duration)
+	firstRun func(ran time.Duration)
 	// outcome, if set, gets each prediction and the neutral run time.
 	outcome func(p Prediction, neutral time.Duration)
 }
@@ -57,7 +60,11 @@
 
 // step runs the tasks of a step on random workers at the same time. Their ends are observed in their order.
 func (g *generator) step(width int) {
-	w, median := g.work(width)
+	workOf := g.workOf
+	if workOf == nil {
+		workOf = g.work
+	}
+	w, median := workOf(width)
 	type run struct {
 		worker int
 		ran    time.Duration
@@ -69,6 +76,9 @@
 		runs[i] = run{worker, scale(median, g.slowdown(worker))}
 	}
 	slices.SortFunc(runs, func(a, b run) int { return cmp.Compare(a.ran, b.ran) })
+	if g.firstRun != nil {
+		g.firstRun(runs[0].ran)
+	}
 	g.observe(w, p, median, runs[0].worker, runs[0].ran, 0)
 	neutral := []time.Duration{g.neutral(runs[0].worker, runs[0].ran)}
 	for _, r := range runs[1:] {
--- a/internal/forecast/steps.go
+++ b/internal/forecast/steps.go
@@ -13,6 +13,7 @@
 	maxPendingRuns  = 256              // runs of such a step, about 50 bytes each
 	pendingTime     = 20 * time.Second // a step is compared this long after its first run ended, also if it has not ended
 	firstRunWeight  = 0.3              // weight in the predictions of a step's first run to end, which is usually one of its shortest
+	firstRunsUntil  = 2.0              // weight of a queue's observations from which on predictions wait for whole steps
 	medianExcess    = math.Pi / 2      // variance of the median of normal variables over that of their mean
 	unknownSiblings = 3                // number of siblings that a median from the caller is taken to come from
 )
@@ -27,25 +28,30 @@
 // pendingStep collects the finished runs of a step. The tasks that end first are short whatever their worker, and those that end later
 // exceed them, so runs are compared only when all have ended.
 type pendingStep struct {
-	since time.Time
-	runs  []stepRun
+	since  time.Time
+	weight float64 // of the step in the predictions, apart from that of its first run
+	runs   []stepRun
 }
 
-// collect adds a run to the pending step of the work. first begins a step. It reports whether the run will be compared with the others.
-func (m *Model) collect(w Work, r stepRun, first bool) bool {
-	p := m.steps.get(w)
-	if first {
-		if p != nil {
-			m.compare(w)
-		}
-		if w.Width <= 1 {
-			return false
-		}
-		for len(m.steps.entries) >= maxPendingSteps {
-			m.compare(m.steps.oldest())
-		}
-		p = m.steps.use(w, func() *pendingStep { return &pendingStep{since: r.at} })
+// begin begins a pending step with the run that ends first.
+func (m *Model) begin(w Work, r stepRun) {
+	if m.steps.get(w) != nil {
+		m.compare(w) // another step of the same work
+	}
+	if len(m.steps.entries) >= maxPendingSteps {
+		m.compare(m.steps.oldest())
+	}
+	weight := 1.0
+	if m.work.observations(w.Queue) < firstRunsUntil {
+		m.work.observe(w, m.neutralLog(r), 0, firstRunWeight)
+		weight -= firstRunWeight
 	}
+	m.steps.use(w, func() *pendingStep { return &pendingStep{since: r.at, weight: weight, runs: []stepRun{r}} })
+}
+
+// collect adds a run to the pending step of the work, and reports whether there is one.
+func (m *Model) collect(w Work, r stepRun) bool {
+	p := m.steps.get(w)
 	if p == nil {
 		return false
 	}
@@ -70,14 +76,9 @@
 // compare ends a pending step: each worker's runs are evidence of its speed relative to the other workers' runs, and all of them show how
 // long the work runs on a neutral worker.
 func (m *Model) compare(w Work) {
-	runs := m.steps.get(w).runs
+	p := m.steps.get(w)
 	m.steps.remove(w)
-	if len(runs) < 2 {
-		if len(runs) == 1 {
-			m.work.observe(w, m.neutralLog(runs[0]), 0, 1-firstRunWeight)
-		}
-		return
-	}
+	runs := p.runs
 	neutral := make([]stepRun, len(runs)) // in the order of their neutral run times
 	sum, squares := 0.0, 0.0
 	for i, r := range runs {
@@ -104,7 +105,7 @@
 			m.workers.observeSibling(worker, clamp(total/float64(n)-median, maxDifference), n, others, at)
 		}
 	}
-	m.work.observe(w, mean, squares/float64(len(neutral)), 1-firstRunWeight)
+	m.work.observe(w, mean, squares/float64(len(neutral)), p.weight)
 }
 
 // neutralLog returns the log of the time that a run would have taken on a neutral worker.
--- a/internal/forecast/summary.go
+++ b/internal/forecast/summary.go
@@ -57,7 +57,7 @@
 	Queue, Customer, Series string
 	Step, Width             int
 	Gang                    bool
-	Numbers                 [4]float32 // weight, sum, with and without
+	Numbers                 [5]float32 // weight, sum, with, without and compared
 }
 
 const (
@@ -92,13 +92,13 @@
 	slices.SortFunc(workers, func(a, b *workerState) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
 	})
-	left = appendFitting(&s.Workers, workers, left, summarizeWorker)
+	left = appendFitting(&s.Workers, workers, left, summariseWorker)
 	refinements := make([]refinementSummary, 0, len(m.work.refinements.entries))
 	m.work.refinements.each(func(k refinementKey, r *refinement) {
 		if r.weight >= 1 {
 			refinements = append(refinements, refinementSummary{
 				Level: int(k.level), Queue: k.queue, Customer: k.customer, Series: k.series, Step: int(k.step), Width: int(k.width), Gang: k.gang,
-				Numbers: [4]float32{float32(r.weight), float32(r.sum), float32(r.with), float32(r.without)},
+				Numbers: [5]float32{float32(r.weight), float32(r.sum), float32(r.with), float32(r.without), float32(r.compared)},
 			})
 		}
 	})
@@ -108,9 +108,9 @@
 }
 
 // appendFitting appends the summaries of items, in their order, that fit into the given number of bytes, and returns what is left of it.
-func appendFitting[I, S any](list *[]S, items []I, left int, summarize func(I) S) int {
+func appendFitting[I, S any](list *[]S, items []I, left int, summarise func(I) S) int {
 	for _, item := range items {
-		s := summarize(item)
+		s := summarise(item)
 		if size := len(encode(s)); size <= left {
 			*list = append(*list, s)
 			left -= size
@@ -121,8 +121,8 @@
 	return left
 }
 
-// summarizeWorker returns the normal distribution that has the moments of a worker's evidence.
-func summarizeWorker(w *workerState) workerSummary {
+// summariseWorker returns the normal distribution that has the moments of a worker's evidence.
+func summariseWorker(w *workerState) workerSummary {
 	var likelihood [gridSize]float64
 	highest, total := slices.Max(w.evidence[:]), 0.0
 	for k := range likelihood {
@@ -251,14 +251,14 @@
 
 // refinement returns the refinement of a summary.
 func (q *refinementSummary) refinement() (refinementKey, *refinement, error) {
-	r := &refinement{weight: float64(q.Numbers[0]), sum: float64(q.Numbers[1]), with: float64(q.Numbers[2]), without: float64(q.Numbers[3])}
+	r := &refinement{weight: float64(q.Numbers[0]), sum: float64(q.Numbers[1]), with: float64(q.Numbers[2]), without: float64(q.Numbers[3]), compared: float64(q.Numbers[4])}
 	const (
 		maxWeight  = 100
 		maxSquares = maxWeight * 4 * spreadCut * spreadCut
 	)
 	valid := q.Level >= 0 && q.Level < int(levels) && q.Step >= 0 && q.Step <= 15 && q.Width >= 0 && q.Width <= 64 &&
 		within(r.weight, 0, maxWeight) && within(r.sum/max(r.weight, 1e-3), -2*spreadCut, 2*spreadCut) &&
-		within(r.with, 0, maxSquares) && within(r.without, 0, maxSquares)
+		within(r.compared, 0, maxWeight) && within(r.with, 0, maxSquares) && within(r.without, 0, maxSquares)
 	if !valid {
 		return refinementKey{}, nil, ErrSummaryValue
 	}
--- a/internal/forecast/work.go
+++ b/internal/forecast/work.go
@@ -15,14 +15,14 @@
 	minRunTime       = 10 * time.Millisecond // shorter estimates and run times count as this one
 	defaultRunTime   = 2 * time.Second       // prediction for a task without an estimate, if the queue has no observations
 
-	estimateSpread  = 0.9  // spread of a prediction that rests on the customer's estimate alone
-	unknownSpread   = 1.2  // spread of a prediction that rests on nothing
-	minSpread       = 0.08 // lower bound of a spread: even the same work varies from run to run
-	spreadPrior     = 3.0  // number of observations that the spread of the next less specific level counts as
-	spreadCut       = 2.3  // a deviation counts at most as this one (a factor of 10) in a spread
-	maxQueues       = 256  // queues that are kept
-	maxRefinements  = 4096 // refinements that are kept, about 150 bytes each
-	minRefinementOf = 2.5  // weight of observations from which on a refinement is used
+	estimateSpread = 0.9  // spread of a prediction that rests on the customer's estimate alone
+	unknownSpread  = 1.2  // spread of a prediction that rests on nothing
+	minSpread      = 0.08 // lower bound of a spread: even the same work varies from run to run
+	spreadPrior    = 3.0  // number of observations that the spread without observations counts as
+	spreadCut      = 2.3  // a deviation counts at most as this one (a factor of 10) in a spread
+	maxQueues      = 256  // queues that are kept
+	maxRefinements = 4096 // refinements that are kept, about 150 bytes each
+	usefulFrom     = 0.97 // a refinement is used if its squared errors are below this share of those without it
 )
 
 // regression predicts the log of run times from that of estimates. Estimates may be far off: where they say little,
@@ -63,12 +63,12 @@
 	if r == nil {
 		return prior
 	}
-	return blendSpread(r.squares, r.squaresWeight, prior)
+	return blendSpread(r.squares, r.squaresWeight, prior, spreadPrior)
 }
 
-// blendSpread returns a spread from a sum of squared deviations with a weight, and a spread that counts as spreadPrior observations.
-func blendSpread(squares, weight, prior float64) float64 {
-	return max(math.Sqrt((squares+spreadPrior*prior*prior)/(weight+spreadPrior)), minSpread)
+// blendSpread returns a spread from a sum of squared deviations with a weight, and a spread that counts as some observations.
+func blendSpread(squares, weight, prior, priorWeight float64) float64 {
+	return max(math.Sqrt((squares+priorWeight*prior*prior)/(weight+priorWeight)), minSpread)
 }
 
 // observe adds a mean log of run times, with the variance of the runs around it. A weight below 1 makes it count, and older ones decay, less.
@@ -106,12 +106,15 @@
 var levelParameters = [levels]struct {
 	shrink float64 // number of observations without a difference that a refinement starts with
 	decay  float64 // weight that earlier observations keep when a new one comes
-	basis  Basis
+	weight float64 // weight of observations from which on a refinement is used
+	// Number of observations that the spread of the next less specific level counts as.
+	spreadPrior float64
+	basis       Basis
 }{
-	levelShape:    {shrink: 4, decay: 0.97, basis: BasisQueue},
-	levelCustomer: {shrink: 3, decay: 0.95, basis: BasisCustomer},
+	levelShape:    {shrink: 4, decay: 0.97, weight: 4, spreadPrior: 3, basis: BasisQueue},
+	levelCustomer: {shrink: 3, decay: 0.95, weight: 3, spreadPrior: 3, basis: BasisCustomer},
 	// The occurrences of a repeated job differ less from each other than the job does from others, so few of them say much.
-	levelSeries: {shrink: 0.3, decay: 0.9, basis: BasisSeries},
+	levelSeries: {shrink: 0.3, decay: 0.9, weight: 1.5, spreadPrior: 1, basis: BasisSeries},
 }
 
 // refinementKey identifies the work that a refinement is about.
@@ -130,6 +133,7 @@
 	weight, sum float64 // decaying number of observations, and sum of their deviations from the level below
 	with        float64 // decaying sum of squared errors of predictions that use the refinement
 	without     float64 // and of those that do not
+	compared    float64 // weight of the predictions in these two sums, which are all but the first
 }
 
 // offset returns the correction.
@@ -138,8 +142,8 @@
 }
 
 // useful reports whether predictions with the refinement have been better so far than without.
-func (r *refinement) useful() bool {
-	return r.weight >= minRefinementOf && r.with < r.without
+func (r *refinement) useful(of level) bool {
+	return r.weight >= levelParameters[of].weight && r.with < usefulFrom*r.without
 }
 
 // workModel predicts run times on a neutral worker.
@@ -197,16 +201,24 @@
 			continue
 		}
 		f := m.refinements.get(key)
-		if f == nil || !f.useful() {
+		if f == nil || !f.useful(of) {
 			continue
 		}
 		mean += f.offset(of)
-		spread = blendSpread(f.with, f.weight, spread)
+		spread = blendSpread(f.with, f.compared, spread, levelParameters[of].spreadPrior)
 		basis = levelParameters[of].basis
 	}
 	return mean, spread, basis
 }
 
+// observations returns the weight of the observations of a queue.
+func (m *workModel) observations(queue string) float64 {
+	if r := m.queues.get(queue); r != nil {
+		return r.weight
+	}
+	return 0
+}
+
 // predict returns how long the work runs on a neutral worker.
 func (m *workModel) predict(w Work) Prediction {
 	mean, spread, basis := m.expect(w)
@@ -236,12 +248,15 @@
 			continue
 		}
 		f := m.refinements.use(key, func() *refinement { return &refinement{} })
-		useful, offset := f.useful(), f.offset(of)
+		useful, offset := f.useful(of), f.offset(of)
 		deviation := clamp(y-below, spreadCut)
 		decay := math.Pow(levelParameters[of].decay, weight)
 		refined := deviation - offset
-		f.with = decay*f.with + weight*(refined*refined+variance)
-		f.without = decay*f.without + weight*(deviation*deviation+variance)
+		if f.weight > 0 {
+			f.with = decay*f.with + weight*(refined*refined+variance)
+			f.without = decay*f.without + weight*(deviation*deviation+variance)
+			f.compared = decay*f.compared + weight
+		}
 		if f.weight >= outlierMinWeight {
 			deviation = offset + clamp(refined, math.Log(outlierFactor))
 		}
--- a/internal/forecast/worker.go
+++ b/internal/forecast/worker.go
@@ -165,7 +165,7 @@
 		m.logs[k] = math.Log(m.prior[k])
 	}
 	m.unknown.posterior = m.prior
-	m.unknown.summarize()
+	m.unknown.summarise()
 }
 
 // update sets a worker's posterior from the prior and its evidence.
@@ -184,12 +184,12 @@
 	for k := range w.posterior {
 		w.posterior[k] /= total
 	}
-	w.summarize()
+	w.summarise()
 	m.add(w, 1)
 }
 
-// summarize sets mean and spread from the posterior.
-func (w *workerState) summarize() {
+// summarise sets mean and spread from the posterior.
+func (w *workerState) summarise() {
 	w.mean, w.spread = moments(&w.posterior)
 }
 
