Forecast: steps with a run that does not count, ObserveStep

A step whose tasks do not all count (another run than the first, too far from its data) was compared only 20 s after its first run had ended. It is now compared 3 s after the latest one, and ObserveStep takes all runs of a step at once, so that a caller that holds them until the step is done need not wait.

--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -73,6 +73,7 @@
 	work    workModel
 	workers workerModel
 	steps   *lru[Work, *pendingStep]
+	now     time.Time // latest time that was passed
 	changes uint64
 }
 
@@ -107,22 +108,42 @@
 		return
 	}
 	m.changes++
-	m.compareOld(now)
+	m.advance(now)
 	r := stepRun{worker: worker, log: logSeconds(ran), at: now}
 	switch {
 	case siblings <= 0 && w.Width > 1:
 		m.begin(w, r)
 	case siblings <= 0:
-		if mean, spread, basis := m.work.expect(w); basis != BasisNone && basis != BasisEstimate {
-			m.workers.observeRun(worker, clamp(r.log-mean, maxDifference), spread, now)
-		}
-		m.work.observe(w, m.neutralLog(r), 0, 1)
+		m.compareRuns(w, []stepRun{r}, 1)
 	case !m.collect(w, r):
 		m.work.observe(w, m.neutralLog(r), 0, 1/float64(max(w.Width, 1)))
 		m.workers.observeSibling(worker, clamp(r.log-logSeconds(siblings), maxDifference), 1, unknownSiblings, now)
 	}
 }
 
+// Run is a finished run of a single task.
+type Run struct {
+	Worker string
+	Ran    time.Duration
+	At     time.Time // when it ended
+}
+
+// ObserveStep adds the runs of a step's single tasks near their data that have finished successfully. It is the same as ObserveRun for each of
+// them, and needs not wait for tasks whose run does not count.
+func (m *Model) ObserveStep(w Work, runs []Run) {
+	m.changes++
+	valid := make([]stepRun, 0, len(runs))
+	for _, r := range runs {
+		if r.Ran > 0 {
+			valid = append(valid, stepRun{worker: r.Worker, log: logSeconds(r.Ran), at: r.At})
+			m.advance(r.At)
+		}
+	}
+	if len(valid) > 0 {
+		m.compareRuns(w, valid, 1)
+	}
+}
+
 // maxDifference limits by how much the log of a run time may differ from what was expected, as evidence of a worker's speed.
 const maxDifference = 3.0
 
@@ -132,6 +153,7 @@
 		return
 	}
 	m.changes++
+	m.advance(now)
 	factor := 0.0
 	if m.workers.uneven {
 		factor = m.workers.slowest(workers)
@@ -146,6 +168,7 @@
 // neutral worker would take for the same progress.
 func (m *Model) ObserveProgress(worker string, relative float64, now time.Time) {
 	m.changes++
+	m.advance(now)
 	m.workers.observeProgress(worker, relative, now)
 }
 
--- a/internal/forecast/steps.go
+++ b/internal/forecast/steps.go
@@ -9,13 +9,13 @@
 
 // Parameters of the comparison of the tasks of a step with each other.
 const (
-	maxPendingSteps = 256              // steps whose runs are being collected
-	maxPendingRuns  = 256              // runs of such a step, about 50 bytes each
-	pendingTime     = 20 * time.Second // a step is compared this long after its first run ended, also if it has not ended
-	firstRunWeight  = 0.3              // weight in the predictions of a step's first run to end, which is usually one of its shortest
-	firstRunsUntil  = 2.0              // weight of a queue's observations from which on predictions wait for whole steps
-	medianExcess    = math.Pi / 2      // variance of the median of normal variables over that of their mean
-	unknownSiblings = 3                // number of siblings that a median from the caller is taken to come from
+	maxPendingSteps = 256             // steps whose runs are being collected
+	maxPendingRuns  = 256             // runs of such a step, about 50 bytes each
+	pendingTime     = 3 * time.Second // a step is compared this long after its latest run, also if some have not ended or do not count
+	firstRunWeight  = 0.3             // weight in the predictions of a step's first run to end, which is usually one of its shortest
+	firstRunsUntil  = 2.0             // weight of a queue's observations from which on predictions wait for whole steps
+	medianExcess    = math.Pi / 2     // variance of the median of normal variables over that of their mean
+	unknownSiblings = 3               // number of siblings that a median from the caller is taken to come from
 )
 
 // stepRun is a finished run of a step that has not been compared with the others yet.
@@ -28,8 +28,8 @@
 // pendingStep collects the finished runs of a step. The tasks that end first are short whatever their worker, and those that end later
 // exceed them, so runs are compared only when all have ended.
 type pendingStep struct {
-	since  time.Time
-	weight float64 // of the step in the predictions, apart from that of its first run
+	latest time.Time // when a run was last added
+	weight float64   // of the step in the predictions, apart from that of its first run
 	runs   []stepRun
 }
 
@@ -46,15 +46,16 @@
 		m.work.observe(w, m.neutralLog(r), 0, firstRunWeight)
 		weight -= firstRunWeight
 	}
-	m.steps.use(w, func() *pendingStep { return &pendingStep{since: r.at, weight: weight, runs: []stepRun{r}} })
+	m.steps.use(w, func() *pendingStep { return &pendingStep{latest: m.now, weight: weight, runs: []stepRun{r}} })
 }
 
 // collect adds a run to the pending step of the work, and reports whether there is one.
 func (m *Model) collect(w Work, r stepRun) bool {
-	p := m.steps.get(w)
-	if p == nil {
+	if m.steps.get(w) == nil {
 		return false
 	}
+	p := m.steps.use(w, nil)
+	p.latest = m.now
 	p.runs = append(p.runs, r)
 	if len(p.runs) >= min(w.Width, maxPendingRuns) {
 		m.compare(w)
@@ -62,23 +63,36 @@
 	return true
 }
 
-// compareOld compares the runs of the steps that began to end too long ago.
-func (m *Model) compareOld(now time.Time) {
+// advance sets the latest time that was passed, and compares the runs of the steps that got none for too long.
+func (m *Model) advance(now time.Time) {
+	m.now = later(m.now, now)
 	for len(m.steps.entries) > 0 {
 		w := m.steps.oldest()
-		if now.Sub(m.steps.get(w).since) < pendingTime {
+		if m.now.Sub(m.steps.get(w).latest) < pendingTime {
 			return
 		}
 		m.compare(w)
 	}
 }
 
-// compare ends a pending step: each worker's runs are evidence of its speed relative to the other workers' runs, and all of them show how
-// long the work runs on a neutral worker.
+// compare ends a pending step.
 func (m *Model) compare(w Work) {
 	p := m.steps.get(w)
 	m.steps.remove(w)
-	runs := p.runs
+	m.compareRuns(w, p.runs, p.weight)
+}
+
+// compareRuns adds the runs of a step. Each worker's runs are evidence of its speed relative to the other workers' runs, and all of them
+// show how long the work runs on a neutral worker. A single run is compared with its prediction. weight is that in the predictions.
+func (m *Model) compareRuns(w Work, runs []stepRun, weight float64) {
+	if len(runs) == 1 {
+		r := runs[0]
+		if mean, spread, basis := m.work.expect(w); basis != BasisNone && basis != BasisEstimate {
+			m.workers.observeRun(r.worker, clamp(r.log-mean, maxDifference), spread, r.at)
+		}
+		m.work.observe(w, m.neutralLog(r), 0, weight)
+		return
+	}
 	neutral := make([]stepRun, len(runs)) // in the order of their neutral run times
 	sum, squares := 0.0, 0.0
 	for i, r := range runs {
@@ -105,7 +119,7 @@
 			m.workers.observeSibling(worker, clamp(total/float64(n)-median, maxDifference), n, others, at)
 		}
 	}
-	m.work.observe(w, mean, squares/float64(len(neutral)), p.weight)
+	m.work.observe(w, mean, squares/float64(len(neutral)), weight)
 }
 
 // neutralLog returns the log of the time that a run would have taken on a neutral worker.
--- a/internal/forecast/worker_test.go
+++ b/internal/forecast/worker_test.go
@@ -161,3 +161,24 @@
 	assert.Assert(t, len(m.steps.entries) <= maxPendingSteps)
 	assert.Equal(t, len(m.workers.order), len(m.workers.workers.entries))
 }
+
+// Guards against the runs of a step that are never used because the run of one of its tasks does not count, and against ObserveStep, which
+// needs not wait for it, with another result.
+func TestStepsWithARunThatDoesNotCount(t *testing.T) {
+	one, whole := New(), New()
+	now := time.Unix(1000, 0)
+	w := Work{Queue: "q", Width: 6, Estimate: time.Second}
+	var runs []Run
+	for i := range 5 {
+		r := Run{Worker: fmt.Sprint(i % 3), Ran: time.Duration(i+1) * time.Second, At: now.Add(time.Duration(i) * time.Millisecond)}
+		runs = append(runs, r)
+		one.ObserveRun(w, r.Worker, r.Ran, time.Duration(i)*time.Second, r.At)
+	}
+	whole.ObserveStep(w, runs)
+	assert.Equal(t, one.workers.known("0").weight, 0.0)
+	one.ObserveGang(Work{Queue: "other"}, []string{"x"}, time.Second, now.Add(10*time.Second))
+	for i := range 3 {
+		assert.DeepEqual(t, one.workers.known(fmt.Sprint(i)).evidence, whole.workers.known(fmt.Sprint(i)).evidence)
+	}
+	assert.Equal(t, whole.workers.known("0").weight, 1.0)
+}
