Passes: whether a gang could fit in one rack is decided without choosing workers; steps are told to the model as a whole

Change: fitsInOneRack counts room and stops at the first rack that has enough; a preemption is not searched again if its workers suit. Held runs go to Model.ObserveStep.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -250,5 +250,29 @@
 // fitsInOneRack reports whether the whole gang would fit in one rack with the given free resources, if no worker was kept free.
 func (p *plan) fitsInOneRack(pl *pool, u *unit, free func(*worker) workload.Resources) bool {
 	empty := &plan{scheduler: p.scheduler, now: p.now}
-	return empty.packInOneRack(pl, u, free) != nil
+	if rack := u.step.spec.DataRack; rack != "" {
+		return empty.hasRoom(pl.racks[rack], u, free)
+	}
+	if !u.step.spec.SameRack {
+		return false
+	}
+	for _, rack := range pl.racks {
+		if empty.hasRoom(rack, u, free) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRoom reports whether all tasks of a gang fit on the workers that are allowed for it.
+func (p *plan) hasRoom(workers []*worker, u *unit, free func(*worker) workload.Resources) bool {
+	resources, need := u.step.resources(), u.size()
+	for _, w := range workers {
+		if n := min(resources.Count(free(w)), u.spreadAllowance(w), need); n > 0 && p.allowed(w, u) {
+			if need -= n; need == 0 {
+				return true
+			}
+		}
+	}
+	return false
 }
--- a/internal/dispatch/observations.go
+++ b/internal/dispatch/observations.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -96,23 +95,19 @@
 	s.forecast.ObserveGang(workOf(st), workers, ran, now)
 }
 
-// observeHeldRuns tells the model about the single tasks of a step, the one with the median neutral time first: the model takes the first
-// as evidence of the work.
+// observeHeldRuns tells the model about the single tasks of a step. They are told together, since those that end first are usually those on
+// fast workers.
 func (s *Scheduler) observeHeldRuns(st *step) {
-	runs := st.heldRuns
-	if len(runs) == 0 {
+	if len(st.heldRuns) == 0 {
 		return
 	}
 	st.noteNeutralRunTime()
-	st.heldRuns = nil
-	slices.SortStableFunc(runs, func(a, b timedRun) int { return cmp.Compare(a.neutral(), b.neutral()) })
-	middle, work := (len(runs)-1)/2, workOf(st)
-	runs[0], runs[middle] = runs[middle], runs[0]
-	median := time.Duration(0)
-	for _, r := range runs {
-		s.forecast.ObserveRun(work, r.worker.info.ID, r.ran, median, r.at)
-		median = runs[0].neutral()
+	runs := make([]forecast.Run, len(st.heldRuns))
+	for i, r := range st.heldRuns {
+		runs[i] = forecast.Run{Worker: r.worker.info.ID, Ran: r.ran, At: r.at}
 	}
+	st.heldRuns = nil
+	s.forecast.ObserveStep(workOf(st), runs)
 }
 
 // noteNeutralRunTime updates the median neutral run time of the step's ended tasks from those that are held.
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -27,8 +27,8 @@
 		return
 	}
 	workers, victims, cost := p.bestPreemption(pl, r, u, func(*worker) bool { return true })
-	if g := p.goal(u.step); g != nil && g.fastestFirst && workers != nil {
-		delay := p.scheduler.stopTime() + startOverhead
+	delay := p.scheduler.stopTime() + startOverhead
+	if g := p.goal(u.step); g != nil && g.fastestFirst && !allWorkers(workers, func(w *worker) bool { return g.suits(w, delay) }) {
 		suited, itsVictims, itsCost := p.bestPreemption(pl, r, u, func(w *worker) bool { return g.suits(w, delay) })
 		if suited != nil && itsCost-cost <= preemptionGain*p.ownWork(pl, u, g) {
 			workers, victims, cost = suited, itsVictims, itsCost
