--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -13,7 +13,7 @@
 var (
 	eventAdmitted        = event.Define(2500, "job admitted", zerolog.InfoLevel, "The scheduler read a submitted job from the log.", "")
 	eventConcluded       = event.Define(2501, "job concluded", zerolog.InfoLevel, "The job reached a final state.", "")
-	eventPlaced          = event.Define(2502, "unit placed", zerolog.InfoLevel, "Workers were chosen for a task or gang. The run is recorded before the start orders are sent.", "")
+	eventPlaced          = event.Define(2502, "unit placed", zerolog.InfoLevel, "Workers were chosen for a task or gang. The run is recorded before the start orders are sent. predicted_ms is the expected run time on the slowest of these workers, basis what the prediction rests on, and slowdown that worker's run times relative to a neutral one.", "")
 	eventUnitEnded       = event.Define(2503, "unit ended", zerolog.InfoLevel, "A run of a task or gang has ended.", "")
 	eventStopping        = event.Define(2504, "unit stopping", zerolog.InfoLevel, "A running task or gang is being stopped.", "")
 	eventStartUnanswered = event.Define(2505, "start unanswered", zerolog.WarnLevel, "The worker did not answer the order to start a task. The order is withdrawn before the task starts elsewhere.", "")
@@ -40,6 +40,7 @@
 	eventWorkerReplaced  = event.Define(2530, "worker replaced", zerolog.WarnLevel, "Another process answers at the worker's address, so the machine has restarted under another ID and all that ran there is lost.", "")
 	eventPanic           = event.Define(2532, "panic caught", zerolog.ErrorLevel, "A part of the scheduler panicked. A job whose handling panicked gets no new starts for some time, and orders count as unanswered.", "Report the fault to the maintainers.")
 	eventPostponed       = event.Define(2531, "job postponed", zerolog.WarnLevel, "The job's tasks would exceed what the instance can keep in memory. They wait until earlier jobs have ended.", "Give the instances more memory if this persists.")
+	eventSpeeds          = event.Define(2533, "worker speeds judged", zerolog.InfoLevel, "The model finds the workers uneven in speed, or alike again. While they are uneven, work is placed by their slowdown; the fields count workers by it.", "")
 	eventPreempting      = event.Define(2522, "room reclaimed", zerolog.InfoLevel, "Less urgent work is preempted so that an urgent job can start.", "")
 )
 
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -39,7 +39,9 @@
 	if !uneven && !s.uneven {
 		return
 	}
+	changed := uneven != s.uneven
 	s.uneven = uneven
+	slow, fast := 0, 0
 	for _, w := range s.workers {
 		factor := 0.0
 		if uneven {
@@ -48,6 +50,16 @@
 		if factor != w.slowdown {
 			w.setSlowdown(factor)
 		}
+		switch {
+		case w.speedLevel > 0:
+			slow++
+		case w.speedLevel < 0:
+			fast++
+		}
+	}
+	if changed {
+		s.config.Events.Emit(eventSpeeds, event.F("uneven", uneven), event.F("workers", len(s.workers)), event.F("slow", slow), event.F("fast", fast))
+		s.config.Metrics.Gauge("dispatch_uneven").Update(map[bool]float64{true: 1}[uneven])
 	}
 }
 
