Forecast: one time for all comparisons of a step; design note

Observations shortly after another weigh less. Each comparison had the time of its run's end, so that in a step long runs weighed more, and the statistic for unevenness had a mean of 3 on 40 equal workers with steps of 39 tasks. All comparisons of a step now have one time; the mean is 0 and the variance about 1.

--- a/internal/forecast/steps.go
+++ b/internal/forecast/steps.go
@@ -95,7 +95,9 @@
 	}
 	neutral := make([]stepRun, len(runs)) // in the order of their neutral run times
 	sum, squares := 0.0, 0.0
+	at := runs[0].at // one time for all: the runs that end late are long ones, and must not weigh more because of it
 	for i, r := range runs {
+		at = later(at, r.at)
 		r.log = m.neutralLog(r)
 		neutral[i] = r
 		sum += r.log
@@ -108,10 +110,9 @@
 	slices.SortStableFunc(runs, func(a, b stepRun) int { return cmp.Compare(a.worker, b.worker) })
 	for len(runs) > 0 {
 		n, total := 0, 0.0
-		worker, at := runs[0].worker, runs[0].at
+		worker := runs[0].worker
 		for n < len(runs) && runs[n].worker == worker {
 			total += runs[n].log
-			at = later(at, runs[n].at)
 			n++
 		}
 		runs = runs[n:]
