Dispatch: the forecast is kept in the log over a change of the scheduler

A new scheduler would have to learn run times and worker speeds anew. The record with key forecast in keyed.runs now has a summary of the model. It is put with the record of the end of a run, at most every 5 s and only if changed, within 16 KiB and the log's limit (8 KiB if the settings state none: the stand-in store takes no more, and a refused record delays others by seconds). Recover restores it; an unreadable one is logged once (2801), ignored and replaced. The log fences an older scheduler's record (TestOlderTermDoesNotOverwriteTheForecast).

--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -20,6 +20,10 @@
 		if len(r.Value) == 0 {
 			continue
 		}
+		if r.Key == forecastKey {
+			s.restoreForecast(r.Value)
+			continue
+		}
 		name, state, err := ledger.DecodeUnit(r)
 		if err != nil {
 			s.config.Events.Emit(eventBadRecord, event.F("key", r.Key), event.F("cause", err))
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -12,6 +12,7 @@
 
 	"dogwoodnotch.example/dogwoodnotch/internal/catalog"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/forecast"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
@@ -30,6 +31,7 @@
 	Stop            time.Duration // longest time that a worker takes to stop a run; 0 if not known
 	StatusRetention time.Duration // how long the status of an ended job must be available
 	Tasks           int           // number of tasks that are kept in memory; 0 for no limit
+	RecordBytes     int           // largest record that the log takes; 0 if not known
 }
 
 // Term is the leadership term on whose behalf the scheduler acts. Authority reports whether it may still act; LeaseAuthority returns how
@@ -78,6 +80,7 @@
 	unfinished      []*job // jobs that have not ended, in order of arrival; ended ones are removed by the next pass
 	workers         map[string]*worker
 	runTimes        map[string]*runTimeModel // by queue
+	forecast        *forecast.Model          // of run times and of the speed of workers
 	backlogLoggedAt time.Time                // when the backlog was last logged
 	urgentDemand    map[string]int64         // accelerators that the unfinished jobs of priority 0 need, by customer
 	tickedAt        time.Time                // of the latest periodic checks
@@ -87,7 +90,8 @@
 	// holdsNothingSince says since when the kinds of work that wait and hold nothing do so.
 	holdsNothingSince map[kind]time.Time
 
-	withheld withheldList
+	withheld       withheldList
+	forecastRecord forecastRecord
 
 	panicMu       sync.Mutex
 	panics        int                  // number of panics that were caught
@@ -99,7 +103,7 @@
 	return &Scheduler{
 		config: c, metrics: newSchedulerMetrics(c.Metrics), createdAt: time.Now(), wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, workers: map[string]*worker{}, runTimes: map[string]*runTimeModel{}, urgentDemand: map[string]int64{},
-		panicLoggedAt: map[string]time.Time{}, ctx: ctx, loading: true,
+		forecast: forecast.New(), panicLoggedAt: map[string]time.Time{}, ctx: ctx, loading: true,
 	}
 }
 
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -202,7 +202,7 @@
 	s.observeRunTime(u, now)
 	s.metrics.unitRun.RecordDuration(now.Sub(u.startedAt))
 	s.config.Events.Emit(eventUnitEnded, event.F("job", j.spec.ID), event.F("unit", u.name().Key()), event.F("run", u.run), event.F("how", EndDone), event.F("worker", m.worker.info.ID), event.F("ran_ms", now.Sub(u.startedAt).Milliseconds()))
-	s.config.Runs.Put(nil, u.record())
+	s.putWithForecast(u.record(), now)
 	if u.step.unitsLeft > 0 {
 		return
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -94,6 +94,7 @@
 	b := s.Bounds
 	return dispatch.Bounds{
 		Lease: milliseconds(b.LeaseMS), Stop: milliseconds(b.StopMS), StatusRetention: seconds(b.KeepStatusS),
-		Tasks: int(memoryLimitShare / 2 * float64(s.Machine.MemoryMB) * (1 << 20) / taskBytes),
+		Tasks:       int(memoryLimitShare / 2 * float64(s.Machine.MemoryMB) * (1 << 20) / taskBytes),
+		RecordBytes: b.RecordBytes,
 	}
 }
