--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -31,6 +31,7 @@
 	Stop            time.Duration // longest time that a worker takes to stop a run; 0 if not known
 	StatusRetention time.Duration // how long the status of an ended job must be available
 	Tasks           int           // number of tasks that are kept in memory; 0 for no limit
+	RecordBytes     int           // largest record that the log takes; 0 if not known
 }
 
 // Term is the leadership term on whose behalf the scheduler acts. Authority reports whether it may still act; LeaseAuthority returns how
@@ -92,7 +93,8 @@
 	// holdsNothingSince says since when the kinds of work that wait and hold nothing do so.
 	holdsNothingSince map[kind]time.Time
 
-	withheld withheldList
+	withheld       withheldList
+	forecastRecord forecastRecord
 
 	panicMu       sync.Mutex
 	panics        int                  // number of panics that were caught
