--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -13,7 +13,7 @@
 var (
 	eventAdmitted        = event.Define(2500, "job admitted", zerolog.InfoLevel, "The scheduler read a submitted job from the log.", "")
 	eventConcluded       = event.Define(2501, "job concluded", zerolog.InfoLevel, "The job reached a final state.", "")
-	eventPlaced          = event.Define(2502, "unit placed", zerolog.InfoLevel, "Workers were chosen for a task or gang. The run is recorded before the start orders are sent.", "")
+	eventPlaced          = event.Define(2502, "unit placed", zerolog.InfoLevel, "Workers were chosen for a task or gang. The run is recorded before the start orders are sent. predicted_ms is the expected run time on the slowest of these workers, basis what the prediction rests on, and slowdown that worker's run times relative to a neutral one.", "")
 	eventUnitEnded       = event.Define(2503, "unit ended", zerolog.InfoLevel, "A run of a task or gang has ended.", "")
 	eventStopping        = event.Define(2504, "unit stopping", zerolog.InfoLevel, "A running task or gang is being stopped.", "")
 	eventStartUnanswered = event.Define(2505, "start unanswered", zerolog.WarnLevel, "The worker did not answer the order to start a task. The order is withdrawn before the task starts elsewhere.", "")
@@ -45,6 +45,7 @@
 	eventEvacuationOver  = event.Define(2541, "evacuation over", zerolog.InfoLevel, "The operator's record of an evacuation was removed, so tasks start in the data centre again.", "")
 	eventViewLost        = event.Define(2542, "starts withheld", zerolog.WarnLevel, "The operator's records could not be read for so long that an evacuation may have been missed, so no task starts anywhere.", "Check the log service and the scheduler's connection to it.")
 	eventViewRegained    = event.Define(2543, "starts resumed", zerolog.InfoLevel, "The operator's records can be read again.", "")
+	eventSpeeds          = event.Define(2533, "worker speeds judged", zerolog.InfoLevel, "The model finds the workers uneven in speed, or alike again. While they are uneven, work is placed by their slowdown; the fields count workers by it.", "")
 	eventPreempting      = event.Define(2522, "room reclaimed", zerolog.InfoLevel, "Less urgent work is preempted so that an urgent job can start.", "")
 )
 
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -12,6 +12,7 @@
 
 	"dogwoodnotch.example/dogwoodnotch/internal/catalog"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/forecast"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
@@ -31,6 +32,7 @@
 	StatusRetention time.Duration // how long the status of an ended job must be available
 	Tasks           int           // number of tasks that are kept in memory; 0 for no limit
 	Evacuation      time.Duration // from the acknowledgement of an evacuation until no task may start; 0: no limit on the age of the view
+	RecordBytes     int           // largest record that the log takes; 0 if not known
 }
 
 // Term is the leadership term on whose behalf the scheduler acts. Authority reports whether it may still act; LeaseAuthority returns how
@@ -83,11 +85,15 @@
 	unfinished      []*job // jobs that have not ended, in order of arrival; ended ones are removed by the next pass
 	workers         map[string]*worker
 	runTimes        map[string]*runTimeModel // by queue
+	forecast        *forecast.Model          // of run times and of the speed of workers
 	backlogLoggedAt time.Time                // when the backlog was last logged
 	urgentDemand    map[string]int64         // accelerators that the unfinished jobs of priority 0 need, by customer
 	tickedAt        time.Time                // of the latest periodic checks
 	resumedAt       time.Time                // when the process last went on after a pause
 	urgentArrivedAt time.Time                // when urgent work last came, or this term began
+	laggedAt        time.Time                // when a check last came so late that the process may have been paused
+	speeds          speedSource              // where slowdowns come from; nil for the model
+	uneven          bool                     // the workers differed in speed in the latest pass, see refreshSpeeds
 	queryInProgress bool                     // a query to the advisor is not answered yet
 	nextQueryAt     time.Time                // earliest time of the next query to the advisor, after one without an answer
 	// queryNames holds the workers that the query in progress names, and withdrawQuery gives it up.
@@ -99,7 +105,8 @@
 	// holdsNothingSince says since when the kinds of work that wait and hold nothing do so.
 	holdsNothingSince map[kind]time.Time
 
-	withheld withheldList
+	withheld       withheldList
+	forecastRecord forecastRecord
 
 	panicMu       sync.Mutex
 	panics        int                  // number of panics that were caught
@@ -112,7 +119,7 @@
 	return &Scheduler{
 		config: c, metrics: newSchedulerMetrics(c.Metrics), createdAt: now, urgentArrivedAt: now, wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, workers: map[string]*worker{}, runTimes: map[string]*runTimeModel{}, urgentDemand: map[string]int64{},
-		panicLoggedAt: map[string]time.Time{}, evacuationsNoted: map[string]bool{}, ctx: ctx, loading: true,
+		forecast: forecast.New(), panicLoggedAt: map[string]time.Time{}, evacuationsNoted: map[string]bool{}, ctx: ctx, loading: true,
 	}
 }
 
@@ -178,6 +185,9 @@
 	if now.Sub(s.tickedAt) > maxTickDelay {
 		s.resumedAt = now
 	}
+	if !s.tickedAt.IsZero() && now.Sub(s.tickedAt) > maxTickLag {
+		s.laggedAt = now
+	}
 	s.tickedAt = now
 	workers := s.sortedWorkers()
 	for _, w := range workers {
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -19,10 +19,11 @@
 	waitTicket                      // the ticket of an approved worker with room has expired and is being renewed
 	waitPause                       // pause after a failed run
 	waitView                        // the operator's records could not be read for too long
+	waitSpeed                       // only workers too slow for it have room, and faster ones are about to
 	waitCauses     = iota           // number of causes
 )
 
-var waitNames = [waitCauses]string{"room", "rack", "kept free", "preemption", "advice", "ticket", "pause", "operator view"}
+var waitNames = [waitCauses]string{"room", "rack", "kept free", "preemption", "advice", "ticket", "pause", "operator view", "speed"}
 
 // waits is the time that a step, or a job, has waited by cause.
 type waits [waitCauses]time.Duration
