Test of repetitions: the order is awaited before its run's end is reported

Cause: TestRepetitionsThatAreDoneMakeRoom failed in 1 of 6 runs beside load (2 of 3 starts in 10 s). Since the evacuation of data centres, a start order is checked directly before it is sent, so one whose run was reported as done meanwhile is not sent; the test reported the end of the third run without waiting for its order. Change: the test waits for each order before it reports the end, and asks for exactly three starts as before.

--- a/internal/dispatch/budget_test.go
+++ b/internal/dispatch/budget_test.go
@@ -94,6 +94,7 @@
 	awaitStarts(t, h.fleet, 2)
 	assert.Equal(t, h.scheduler.jobs[j.ID].occurrencesCreated, 2)
 	for k := range 3 {
+		awaitStarts(t, h.fleet, min(2+k, 3)) // an end that is reported before the order is sent makes the order needless
 		task := workload.TaskName{Job: j.ID, Occurrence: k}
 		h.report(w, HeartbeatReport{Partial: true, Ended: []EndReport{{int64(k + 1), task, 1, EndDone, ""}}})
 		h.pass()
@@ -106,7 +107,7 @@
 		h.tickAt(time.Now())
 		h.pass()
 	}
-	awaitStarts(t, h.fleet, 3)
+	assert.Equal(t, h.fleet.started(), 3)
 	for _, r := range h.runs.records() {
 		assert.Equal(t, len(r.Value), 0, "the record %s is left", r.Key)
 	}
