Idle instances read the log less often

Change: long polls last 1,200 ms with a time limit of 1,650 ms and no pause after it; the jobs are read every 1,250 ms without a wait for records; instances that claim the role later than larger ones pause between reads of the term, and count the silence from when the heartbeats were written, which their numbers tell. The record of a resignation says how long after the last heartbeat it was written. The advice to retry elsewhere allows for rarer answers.

--- a/internal/entry/jobservice.go
+++ b/internal/entry/jobservice.go
@@ -21,11 +21,12 @@
 const (
 	recordTimeout    = 1500 * time.Millisecond // for writing a record; short enough for the caller to retry if the outcome is unknown
 	staleAfter       = 2500 * time.Millisecond // age of the job index above which a job that it does not contain may exist
-	maxReadyAge      = 1700 * time.Millisecond // largest age of the job index of a ready instance; allows for two long polls and a pause
+	maxReadyAge      = 1700 * time.Millisecond // largest age of the job index of a ready instance; allows for the time between two reads and a slow answer
 	refreshTimeout   = 80 * time.Millisecond   // for reading new records before a job's state is reported
 	readBackTimeout  = 700 * time.Millisecond  // for reading a cancellation back, so that the answer can say whether the job exists
 	readBackInterval = 20 * time.Millisecond   // between checks whether it was read
 	localOutageLimit = time.Second             // duration of an outage up to which it may affect this instance only, so callers retry elsewhere at once
+	quietGap         = 800 * time.Millisecond  // by how much the time since the last answer of the log may exceed an outage's duration, since calls are rare
 	outageRetryAfter = time.Second             // retry delay for callers in a longer outage; short, since they give up after a few seconds
 )
 
@@ -149,7 +150,7 @@
 // RetryAfter returns how long a refused caller should wait before it retries. It returns 0, which leads the caller to another
 // instance, while an outage of the log may affect this instance only.
 func (s *JobService) RetryAfter() time.Duration {
-	if max(s.writer.FailingFor(), s.log.Silence()) < localOutageLimit {
+	if max(s.writer.FailingFor(), s.log.Silence()-quietGap) < localOutageLimit {
 		return 0
 	}
 	return outageRetryAfter
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -22,7 +22,7 @@
 
 // Timings of the election.
 const (
-	heartbeatInterval = 350 * time.Millisecond // time between heartbeats; each costs one write, and one read per instance
+	heartbeatInterval = 350 * time.Millisecond // time between heartbeats; each costs one write, and one read per large instance
 	// claimAfter is the time without a heartbeat, while the log answers, after which the role is claimed. It leaves room for
 	// several heartbeats and a slow answer.
 	claimAfter        = 1300 * time.Millisecond
@@ -60,6 +60,8 @@
 	Incarnation string `msgpack:"i"` // identifies the holder's process
 	Resigned    bool   `msgpack:"r,omitempty"`
 	Heartbeats  int64  `msgpack:"b,omitempty"` // number of heartbeats in this term
+	// SinceHeartbeat is how long after the last heartbeat or the claim the holder resigned.
+	SinceHeartbeat time.Duration `msgpack:"p,omitempty"`
 
 	ProcessorShare float64 `msgpack:"s,omitempty"` // share of a core that the holder may use, 0 to 1
 	LargestShare   float64 `msgpack:"l,omitempty"` // largest processor share of any holder so far
@@ -174,6 +176,7 @@
 func (e *Elector) awaitVacancy(ctx context.Context) bool {
 	loaded := false
 	silentSince := time.Now()
+	var rhythm rhythm
 	jitter := time.Duration(rand.Int64N(int64(claimJitter)))
 	for ctx.Err() == nil {
 		if !loaded {
@@ -183,26 +186,40 @@
 			}
 			loaded = true
 			silentSince = time.Now()
+			rhythm.reset()
 		}
 		state := e.Current()
 		if e.vacant(state) {
-			wait.For(ctx, e.vacancyDelay(state))
+			wait.For(ctx, e.vacancyDelay(state)-time.Since(silentSince))
 			return ctx.Err() == nil
 		}
 		e.requestTerm(ctx, state)
-		left := claimAfter + e.sizeDelay(state) + jitter - time.Since(silentSince)
-		if left <= 0 {
+		deadline := silentSince.Add(claimAfter + e.sizeDelay(state) + jitter)
+		answered := time.Now()
+		pause := rhythm.pause(e.largestPause(state))
+		wait.For(ctx, pause)
+		left := time.Until(deadline)
+		if left <= 0 && pause == 0 {
 			return true
 		}
-		heard, err := e.follow(ctx, min(left, pollWait))
+		heard, err := e.follow(ctx, max(min(left, pollWait), 0))
 		switch {
 		case err != nil:
 			var trimmed *ledger.TrimmedError
 			loaded = !errors.As(err, &trimmed)
 			e.noteFailure(ctx, err)
 			silentSince = time.Now() // silence counts against the holder only while the log answers
+			rhythm.reset()
 		case heard:
-			silentSince = time.Now()
+			now := time.Now()
+			earliest := now
+			if pause > 0 {
+				// Silence of at least claimAfter precedes a claim even if the rhythm misleads.
+				earliest = later(answered, now.Add(-e.sizeDelay(state)))
+			}
+			silentSince = rhythm.observe(e.Current(), earliest, now)
+		default:
+			rhythm.silent()
 		}
 	}
 	return false
@@ -480,11 +497,12 @@
 	e.mu.Lock()
 	last, at := e.current, e.topicEnd
 	last.EarlierAuthority = e.earlierAuthority()
+	sinceHeartbeat := e.clock() - e.confirmedAt
 	e.mu.Unlock()
 	if !e.holds(term, last) {
 		return
 	}
-	last.Resigned, last.Successor = true, successor
+	last.Resigned, last.Successor, last.SinceHeartbeat = true, successor, sinceHeartbeat
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
 	if err := e.write(ctx, last, at); err != nil {
--- /dev/null
+++ b/internal/leadership/rhythm_test.go
@@ -0,0 +1,206 @@
+package leadership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
+)
+
+// quietLog is the topic of terms in virtual time: each call takes a while, and reads wait for records.
+type quietLog struct {
+	termLog
+
+	mu      sync.Mutex
+	latency time.Duration
+	written time.Time     // when the last record was written
+	changed chan struct{} // closed at the next append
+}
+
+// quietClient is one instance's access to the log.
+type quietClient struct {
+	*quietLog
+	calls int  // number of reads
+	cut   bool // whether calls are refused
+	skip  int  // every skip-th append is refused, 0 for none
+	tries int
+}
+
+func (c *quietClient) Append(ctx context.Context, topic string, records []ledger.Record, o ledger.AppendOptions) (int64, error) {
+	time.Sleep(c.latency / 2)
+	defer time.Sleep(c.latency / 2)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.tries++; c.cut || c.skip > 0 && c.tries%c.skip == 0 {
+		return 0, &ledger.RefusedError{}
+	}
+	end, err := c.termLog.Append(ctx, topic, records, o)
+	if err == nil {
+		c.written = time.Now()
+		close(c.changed)
+		c.changed = make(chan struct{})
+	}
+	return end, err
+}
+
+func (c *quietClient) Read(ctx context.Context, topic string, from int64, wait time.Duration) (ledger.Batch, error) {
+	time.Sleep(c.latency / 2)
+	defer time.Sleep(c.latency / 2)
+	deadline := time.After(wait)
+	c.mu.Lock()
+	c.calls++
+	c.mu.Unlock()
+	for {
+		c.mu.Lock()
+		batch, err := c.termLog.Read(ctx, topic, from, wait)
+		changed, cut := c.changed, c.cut
+		c.mu.Unlock()
+		if cut {
+			return ledger.Batch{}, &ledger.RefusedError{}
+		}
+		if err != nil || len(batch.Records) > 0 {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return batch, nil
+		case <-ctx.Done():
+			return ledger.Batch{}, &ledger.UnknownError{Cause: ctx.Err()}
+		}
+	}
+}
+
+// contest runs electors in virtual time.
+type contest struct {
+	log     *quietLog
+	clients map[string]*quietClient
+	cancels map[string]context.CancelFunc
+	claims  chan string
+}
+
+// runContest runs a contest among instances of the given shares, of which the first holds the role before the others join.
+func runContest(t *testing.T, latency time.Duration, names []string, shares []float64, test func(*testing.T, *contest)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		log := &quietLog{latency: latency, changed: make(chan struct{})}
+		c := &contest{log: log, clients: map[string]*quietClient{}, cancels: map[string]context.CancelFunc{}, claims: make(chan string, 100)}
+		for i, name := range names {
+			ctx, cancel := context.WithCancel(t.Context())
+			c.clients[name], c.cancels[name] = &quietClient{quietLog: log}, cancel
+			elector := New(Config{
+				Log: c.clients[name], Instance: name, Incarnation: name, ProcessorShare: shares[i], Events: event.Discard(),
+				Clock: func() time.Duration { return time.Since(start) }, Eligible: func() bool { return true },
+			})
+			go elector.Run(ctx, func(term *Term) {
+				c.claims <- name
+				<-term.Context.Done()
+			})
+			time.Sleep(100*time.Millisecond + rand.N(heartbeatInterval)) // the instances are out of step
+		}
+		defer func() {
+			for _, cancel := range c.cancels {
+				cancel()
+			}
+			time.Sleep(time.Minute) // lets the goroutines end
+		}()
+		assert.Equal(t, <-c.claims, names[0])
+		test(t, c)
+	})
+}
+
+// lose cuts an instance off and returns how long after the last record the next one claimed the role.
+func (c *contest) lose(name string) (next string, silence time.Duration) {
+	c.log.mu.Lock()
+	c.clients[name].cut = true
+	last := c.log.written
+	c.log.mu.Unlock()
+	next = <-c.claims
+	c.cancels[name]()
+	return next, time.Since(last)
+}
+
+// reads returns how often an instance has read.
+func (c *contest) reads(name string) int {
+	c.log.mu.Lock()
+	defer c.log.mu.Unlock()
+	return c.clients[name].calls
+}
+
+// Guards against a lost holder that is replaced later because instances that claim after larger ones pause between reads, and against a
+// claim while the holder may still write: the bounds are those of an instance that reads each heartbeat as it is written.
+func TestPausesDelayNoClaim(t *testing.T) {
+	const latency = 10 * time.Millisecond
+	for _, share := range []float64{0.8, 0.6, 0.5, 0.4, 0.2, 0.15} {
+		for range 40 {
+			runContest(t, latency, []string{"holder", "next"}, []float64{0.8, share}, func(t *testing.T, c *contest) {
+				time.Sleep(5*time.Second + rand.N(5*time.Second))
+				assert.Equal(t, len(c.claims), 0, "the role moved although its holder was alive")
+				_, silence := c.lose("holder")
+				earliest := claimAfter + time.Duration((1-share/0.8)*float64(maxSizeDelay))
+				assert.Assert(t, silence >= earliest-50*time.Millisecond, "share %v: claimed after %v", share, silence)
+				assert.Assert(t, silence <= earliest+claimJitter+6*latency, "share %v: claimed after %v", share, silence)
+			})
+		}
+	}
+}
+
+// Guards against a small instance that claims before a larger one because it takes the holder to be silent for longer than it was, and
+// against one that claims while the holder merely skips heartbeats, so that the rhythm misleads.
+func TestRhythmOfAHolderThatSkipsHeartbeats(t *testing.T) {
+	for range 20 {
+		runContest(t, 10*time.Millisecond, []string{"holder", "small", "large"}, []float64{0.8, 0.2, 0.8}, func(t *testing.T, c *contest) {
+			c.log.mu.Lock()
+			c.clients["holder"].skip = 2 + rand.IntN(3)
+			c.log.mu.Unlock()
+			time.Sleep(20*time.Second + rand.N(time.Second))
+			assert.Equal(t, len(c.claims), 0, "the role moved although its holder was alive")
+			next, silence := c.lose("holder")
+			assert.Equal(t, next, "large")
+			assert.Assert(t, silence >= claimAfter, "claimed after %v", silence)
+		})
+	}
+}
+
+// Guards against a planned handover that takes longer because the others pause between reads.
+func TestPausesDelayNoHandover(t *testing.T) {
+	const latency = 10 * time.Millisecond
+	for _, share := range []float64{0.8, 0.4, 0.2} {
+		for range 20 {
+			runContest(t, latency, []string{"holder", "next"}, []float64{0.8, share}, func(t *testing.T, c *contest) {
+				time.Sleep(5*time.Second + rand.N(time.Second))
+				start := time.Now()
+				c.cancels["holder"]()
+				<-c.claims
+				bound := time.Duration((1-share/0.8)*float64(maxSizeDelay)) + claimJitter + 6*latency
+				assert.Assert(t, time.Since(start) <= bound, "share %v: claimed after %v", share, time.Since(start))
+			})
+		}
+	}
+}
+
+// Guards against instances that read each heartbeat although larger ones claim before them, and against large ones that do not. The count
+// is that of an idle minute.
+func TestSmallInstancesReadSeveralHeartbeatsAtOnce(t *testing.T) {
+	runContest(t, 5*time.Millisecond, []string{"holder", "large", "middle", "small"}, []float64{0.8, 0.8, 0.4, 0.2}, func(t *testing.T, c *contest) {
+		time.Sleep(10 * time.Second)
+		before := map[string]int{}
+		for name := range c.clients {
+			before[name] = c.reads(name)
+		}
+		time.Sleep(time.Minute)
+		perSecond := func(name string) float64 { return float64(c.reads(name)-before[name]) / 60 }
+		t.Logf("reads of the term a second: large %.2f, middle %.2f, small %.2f", perSecond("large"), perSecond("middle"), perSecond("small"))
+		assert.Assert(t, perSecond("large") > 2.5)
+		assert.Assert(t, perSecond("middle") < 2.3)
+		assert.Assert(t, perSecond("small") < 1.6)
+	})
+}
--- a/internal/ledger/follow.go
+++ b/internal/ledger/follow.go
@@ -13,10 +13,25 @@
 
 // Timings of a reader.
 const (
-	readWait    = 600 * time.Millisecond // duration of a long poll; short, so that a silent connection is noticed soon
-	readTimeout = readWait + 900*time.Millisecond
-	loadTimeout = 5 * time.Second        // for reading the newest record of every key
-	readBackoff = 150 * time.Millisecond // pause after a failed read
+	// readWait is the duration of a long poll. It is limited because a silent connection is noticed only after readTimeout, and a view
+	// is up to readWait + readTimeout old then, which must stay below the 3 s after which a configuration decides no request.
+	readWait     = 1200 * time.Millisecond
+	slowReadWait = 600 * time.Millisecond  // duration of a long poll of a slow log, which leaves more time for the answer
+	slowLatency  = 250 * time.Millisecond  // latency above which the log counts as slow
+	readGrace    = 900 * time.Millisecond  // time for an answer beyond the duration of the long poll
+	readTimeout  = 1650 * time.Millisecond // time limit of a read, even if that leaves less than readGrace
+	loadTimeout  = 5 * time.Second         // for reading the newest record of every key
+	readBackoff  = 150 * time.Millisecond  // least time from sending a read that fails to the next one
+)
+
+// phase is what a reader does at present.
+type phase int
+
+const (
+	idle      phase = iota // loading, or pausing after a failure
+	pausing                // waiting before a read
+	shortRead              // reading without waiting for records
+	longPoll               // reading with a wait for records, each of which is returned as soon as it is appended
 )
 
 // Reader follows one topic: first the newest record of each key, then each record as it is appended.
@@ -25,6 +40,9 @@
 	Topic string
 	// MinInterval is the pause before each read, so that one read returns many records; 0 reads without a pause.
 	MinInterval time.Duration
+	// Interval, if not 0, is the time from sending a read to sending the next, if that leaves a pause of MinInterval or more. These reads
+	// do not wait for records, so the view is never older than Interval and the time of two answers. Refresh makes a long poll instead.
+	Interval time.Duration
 	// Reset, which may be nil, is called before Record is called for the newest record of each key. This happens at the start
 	// and again when the log has dropped records that were not read yet.
 	Reset func()
@@ -39,21 +57,29 @@
 	next   int64 // offset of the next record to read
 	loaded bool  // whether Load has succeeded since the start or since records were missed
 
-	mu         sync.Mutex
-	waiting    bool          // whether the reader pauses between two reads
-	readNow    chan struct{} // ends the pause
-	nextAnswer chan struct{} // closed after the next read
+	sent     time.Time     // when the last read was sent
+	latency  time.Duration // time that the log needed for a recent answer, without the wait for records
+	failures int           // number of reads in a row that failed
+	behind   bool          // whether the last answer did not reach the end of the topic
+
+	mu      sync.Mutex
+	phase   phase
+	readNow chan struct{} // ends the pause
+	fresh   chan struct{} // closed after the first read that is sent from now on; nil if nobody waits
 }
 
-// Refresh makes the reader read at once if it is pausing, and waits for that read, at most until ctx ends. If the reader is not
-// pausing, a long poll is in progress that returns each record as soon as it is appended.
+// Refresh makes the reader read at once if it is pausing, and waits for that read, at most until ctx ends. It returns at once during a long
+// poll, which returns each record as soon as it is appended, and after a failure.
 func (r *Reader) Refresh(ctx context.Context) {
 	r.mu.Lock()
-	if !r.waiting {
+	if r.phase == idle || r.phase == longPoll {
 		r.mu.Unlock()
 		return
 	}
-	fresh := r.nextAnswer
+	if r.fresh == nil {
+		r.fresh = make(chan struct{})
+	}
+	fresh := r.fresh
 	select {
 	case r.readNow <- struct{}{}:
 	default:
@@ -65,32 +91,77 @@
 	}
 }
 
-// waitInterval pauses for MinInterval or until Refresh is called.
-func (r *Reader) waitInterval(ctx context.Context) {
+// enter notes what the reader does from now on.
+func (r *Reader) enter(p phase) {
 	r.mu.Lock()
-	r.waiting = true
+	defer r.mu.Unlock()
+	r.phase = p
 	if r.readNow == nil {
 		r.readNow = make(chan struct{}, 1)
 	}
-	if r.nextAnswer == nil {
-		r.nextAnswer = make(chan struct{})
+}
+
+// pauseBeforeRead pauses before the next read and returns how long that read may wait for records.
+func (r *Reader) pauseBeforeRead(ctx context.Context) time.Duration {
+	wait := readWait
+	switch {
+	case r.failures > 0:
+		wait = 0 // so that the view is up to date again as soon as possible
+	case r.Interval > 0:
+		wait = slowReadWait
+	case r.latency > slowLatency:
+		wait = slowReadWait
+	}
+	if r.MinInterval == 0 || r.failures == 1 || r.behind {
+		return wait
 	}
-	r.mu.Unlock()
+	r.enter(pausing)
+	pause := r.MinInterval
+	if r.failures == 0 {
+		pause = max(pause, r.Interval-time.Since(r.sent)-r.latency)
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-time.After(r.MinInterval):
 	case <-r.readNow:
+		return wait
+	case <-timer.C:
 	}
+	if r.Interval > 0 {
+		return 0
+	}
+	return wait
 }
 
-// answered wakes the callers of Refresh after a read.
-func (r *Reader) answered() {
+// beginRead notes that a read is sent, and returns a function that wakes the callers of Refresh who wait for it.
+func (r *Reader) beginRead(wait time.Duration) (end func(err error)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.waiting = false
-	if r.nextAnswer != nil {
-		close(r.nextAnswer)
-		r.nextAnswer = nil
+	r.phase = longPoll
+	if wait == 0 {
+		r.phase = shortRead
+	}
+	fresh := r.fresh
+	r.fresh = nil
+	select {
+	case <-r.readNow: // this read serves those who asked before it
+	default:
+	}
+	return func(err error) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if fresh != nil {
+			close(fresh)
+		}
+		if err == nil {
+			return
+		}
+		r.phase = idle
+		if r.fresh != nil {
+			close(r.fresh)
+			r.fresh = nil
+		}
 	}
 }
 
@@ -98,6 +169,7 @@
 func (r *Reader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !r.loaded {
+			r.enter(idle)
 			if err := r.Load(ctx); err != nil {
 				r.backOff(ctx, err)
 				continue
@@ -109,7 +181,8 @@
 
 // Load reads the newest record of each key and passes it to Record.
 func (r *Reader) Load(ctx context.Context) error {
-	sent := time.Now()
+	r.sent = time.Now()
+	sent := r.sent
 	batch, err := LoadNewest(ctx, r.Log, r.Topic)
 	if err != nil {
 		return err
@@ -119,7 +192,7 @@
 	}
 	r.deliver(batch)
 	r.synced(sent)
-	r.next, r.loaded = batch.End, true
+	r.next, r.loaded, r.failures, r.behind = batch.End, true, 0, false
 	return nil
 }
 
@@ -133,11 +206,10 @@
 // tail reads new records after Load, until the topic must be loaded again or ctx ends.
 func (r *Reader) tail(ctx context.Context) {
 	for ctx.Err() == nil {
-		if r.MinInterval > 0 {
-			r.waitInterval(ctx)
-		}
-		err := r.ReadOnce(ctx)
-		r.answered()
+		wait := r.pauseBeforeRead(ctx)
+		end := r.beginRead(wait)
+		err := r.read(ctx, wait)
+		end(err)
 		var trimmed *TrimmedError
 		if errors.As(err, &trimmed) {
 			r.loaded = false
@@ -145,25 +217,34 @@
 			return
 		}
 		if err != nil {
+			r.failures++
 			r.backOff(ctx, err)
+			continue
 		}
+		r.failures = 0
 	}
 }
 
-// ReadOnce makes one read and passes the records to Record.
-func (r *Reader) ReadOnce(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+// read makes one read, which waits at most the given time for records, and passes them to Record.
+func (r *Reader) read(ctx context.Context, wait time.Duration) error {
+	callCtx, cancel := context.WithTimeout(ctx, min(wait+readGrace, readTimeout))
 	defer cancel()
-	sent := time.Now()
-	batch, err := r.Log.Read(callCtx, r.Topic, r.next, readWait)
+	r.sent = time.Now()
+	sent := r.sent
+	batch, err := r.Log.Read(callCtx, r.Topic, r.next, wait)
 	if err != nil {
 		return err
 	}
+	took := time.Since(sent)
+	if len(batch.Records) == 0 || took > wait { // otherwise, it is not known how long the log waited
+		r.latency = max(took-wait, 0)
+	}
 	r.deliver(batch)
 	if n := len(batch.Records); n > 0 {
 		r.next = batch.Records[n-1].Offset + 1
 	}
-	if len(batch.Records) == 0 || r.next >= batch.End {
+	r.behind = len(batch.Records) > 0 && r.next < batch.End
+	if !r.behind {
 		r.synced(sent)
 	}
 	return nil
@@ -194,6 +275,6 @@
 func (r *Reader) backOff(ctx context.Context, err error) {
 	if ctx.Err() == nil {
 		r.Failed(err)
-		wait.For(ctx, readBackoff)
+		wait.For(ctx, readBackoff-time.Since(r.sent))
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,7 +28,8 @@
 
 // Timings of an instance.
 const (
-	jobsReadInterval = 400 * time.Millisecond  // pause between reads of the jobs topic; a query for a job's state reads at once
+	jobsReadInterval = 1250 * time.Millisecond // time between reads of the jobs topic; readiness fails at an age of 1.7 s, and a query for a job's state reads at once
+	jobsReadPause    = 400 * time.Millisecond  // least pause between reads of the jobs topic, for example if the log is slow
 	headerTimeout    = 3 * time.Second         // time limit for reading the headers of a request
 	idleTimeout      = 30 * time.Second        // for callers' connections; longer than the platform's own limit
 	drainDelay       = 2600 * time.Millisecond // from failing readiness to closing the listeners; the balancer needs two failed checks
@@ -216,7 +217,7 @@
 	failed := n.readFailed("jobs")
 	failing := false
 	return &ledger.Reader{
-		Log: n.store, Topic: ledger.JobsTopic, MinInterval: jobsReadInterval,
+		Log: n.store, Topic: ledger.JobsTopic, MinInterval: jobsReadPause, Interval: jobsReadInterval,
 		Record: func(r ledger.Record) {
 			e, err := ledger.DecodeEntry(r)
 			if err != nil {
