Check of a configuration against another version

Cause: `check` found errors only in the text of `serve`. An operator learnt of a hidden queue, a service that does not exist, a guarantee above the fleet or an unintended change only after sending the configuration.

Change: package configcheck examines both forms of configuration, the text and the operator's record of a platform, and returns typed findings (error, never matches, contradicts, differs) with line, column and remedy. Keys and tokens are not printed.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 # Runs each fuzz target for FUZZTIME. Minimisation is bounded, since the default spends most of the time on it.
 fuzz:
 	go test ./internal/spec -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
+	go test ./internal/configcheck -run xxx -fuzz FuzzCheck -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 	go test ./internal/settings -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 	go test ./internal/peer -run xxx -fuzz FuzzFrame -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
 	go test ./internal/api -run xxx -fuzz FuzzCalls -fuzztime $(FUZZTIME) -fuzzminimizetime 10x
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -43,7 +43,7 @@
 
 	Serve   serveCommand   `cmd:"" help:"Run an entry instance until SIGTERM, then drain it."`
 	Node    nodeCommand    `cmd:"" help:"Run an entry instance until SIGTERM, on a platform where no machine is reserved for control and none has a disk. One instance at a time is the scheduler."`
-	Check   checkCommand   `cmd:"" help:"Check a specification or settings file without contacting a server."`
+	Check   checkCommand   `cmd:"" help:"Check a specification, operator's record or settings file. A server is contacted only for a version to compare with."`
 	Publish publishCommand `cmd:"" help:"Publish a specification. Retries with the same publish id until the outcome is known."`
 	Show    showCommand    `cmd:"" help:"Show the specification in force, or an older version."`
 	History historyCommand `cmd:"" help:"List the latest publishes, including those that lost a race."`
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -113,6 +113,9 @@
 	f := newFixture(t)
 	broken := filepath.Join(t.TempDir(), "broken.yaml")
 	assert.NilError(t, os.WriteFile(broken, []byte("deployment: 5\n"), 0o600))
+	record := filepath.Join(t.TempDir(), "record.json")
+	assert.NilError(t, os.WriteFile(record, []byte(`{"version": 1, "routes": [{"name": "a", "host": "h", "path_prefix": "/a/", "service": "s"}],
+		"tenants": [{"name": "t", "api_keys": ["k"], "guaranteed": {"gpu": 9}}]}`), 0o600))
 	rows := []struct {
 		args []string
 		code int
@@ -121,6 +124,15 @@
 		{[]string{"check", textFile}, 0, "valid"},
 		{[]string{"check", "--settings", "../../examples/alokpath/settings.yaml"}, 0, "valid"},
 		{[]string{"check", broken}, 2, "broken.yaml:1:13: deployment: wrong type"},
+		{[]string{"check", textFile, "--against", textFile}, 0, "text.yaml: valid"},
+		{[]string{"check", textFile, "--against", "../../examples/alokpath/text.yaml"}, 0, `differs: deployment: "swan-coast", was "alokpath"`},
+		{[]string{"check", textFile, "--against", "2"}, 0, "differs"},
+		{[]string{"check", textFile, "--against", "9"}, 4, "version 9 is not known"},
+		{[]string{"check", textFile, "--against", "missing.yaml"}, 4, "remedy: give the path"},
+		{[]string{"check", broken, "--against", textFile}, 2, "broken.yaml:1:13: error: deployment: wrong type"},
+		{[]string{"check", record, "--accelerators", "8"}, 2, "record.json:2:70: contradicts: tenants[0].guaranteed.gpu"},
+		{[]string{"check", record, "--against", textFile}, 2, "one form"},
+		{[]string{"check", "--settings", textFile, "--against", "1"}, 2, "settings are not compared"},
 		{[]string{"check", "missing.yaml"}, 4, "remedy: give the path"},
 		{[]string{"no-such-command"}, 2, "cannot understand the command"},
 		{[]string{"serve", "--settings", broken}, 2, `unknown key "deployment"`},
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"text/tabwriter"
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/api"
+	"dogwoodnotch.example/dogwoodnotch/internal/configcheck"
 	"dogwoodnotch.example/dogwoodnotch/internal/configuration"
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/settings"
@@ -18,10 +20,12 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/spec/strict"
 )
 
-// checkCommand checks a file without a server.
+// checkCommand checks a file. It needs a server only to fetch a version to compare with.
 type checkCommand struct {
-	File     string `arg:"" type:"path" help:"Specification, or settings file with --settings."`
-	Settings bool   `help:"The file is the settings file of an instance."`
+	File         string `arg:"" type:"path" help:"Specification, operator's record (JSON) of a platform, or settings file with --settings."`
+	Settings     bool   `help:"The file is the settings file of an instance."`
+	Against      string `placeholder:"VERSION-OR-FILE" help:"Also report entries that can never match, limits that contradict each other, and differences from a version (0: the one in force) or a file (./7 for a file named 7)."`
+	Accelerators int64  `help:"Accelerators of the fleet, with which the guarantees of an operator's record are compared. 0: unknown."`
 }
 
 // checkResult is the JSON output of check.
@@ -36,6 +40,12 @@
 	if err != nil {
 		return err
 	}
+	if c.Against != "" && c.Settings {
+		return errkind.New(errkind.Invalid, "leave out --against or --settings", "settings are not compared")
+	}
+	if c.Against != "" || !c.Settings && configcheck.FormatOf(data) == configcheck.Record {
+		return c.examine(a, data)
+	}
 	var problems []strict.Problem
 	if c.Settings {
 		_, problems = settings.Check(data)
@@ -58,6 +68,59 @@
 	return err
 }
 
+// examineResult is the JSON output of check with --against, and of a check of an operator's record.
+type examineResult struct {
+	Valid    bool                  `json:"valid"`
+	Format   configcheck.Format    `json:"format"`
+	Against  string                `json:"against"` // empty if the file was not compared
+	Findings []configcheck.Finding `json:"findings"`
+}
+
+// examine prints the findings of package configcheck. Differences alone are no error.
+func (c *checkCommand) examine(a *app, data []byte) error {
+	findings := configcheck.Check(data, configcheck.Options{Accelerators: c.Accelerators})
+	result := examineResult{Format: configcheck.FormatOf(data)}
+	if c.Against != "" {
+		older, name, err := c.older(a)
+		if err != nil {
+			return err
+		}
+		result.Against = name
+		differences, err := configcheck.Compare(older, data)
+		if err != nil && !configcheck.IsFault(findings) { // a file that cannot be decoded has findings that say why
+			return err
+		}
+		findings = append(findings, differences...)
+		configcheck.Sort(findings)
+	}
+	result.Valid, result.Findings = !configcheck.IsFault(findings), append([]configcheck.Finding{}, findings...)
+	err := a.print(result, func(w io.Writer) error {
+		for _, f := range findings {
+			fmt.Fprintf(w, "%s:%s\n", c.File, f)
+		}
+		if result.Valid {
+			fmt.Fprintf(w, "%s: valid\n", c.File)
+		}
+		return nil
+	})
+	if err == nil && !result.Valid {
+		faults := slices.DeleteFunc(slices.Clone(findings), func(f configcheck.Finding) bool { return f.Kind == configcheck.Differs })
+		err = errkind.New(errkind.Invalid, "correct each listed line that is no difference", "%s has %d problem(s)", c.File, len(faults))
+	}
+	return err
+}
+
+// older returns the configuration to compare with and its name.
+func (c *checkCommand) older(a *app) (data []byte, name string, err error) {
+	number, err := strconv.ParseUint(c.Against, 10, 64)
+	if err != nil {
+		data, err = readFile(c.Against)
+		return data, c.Against, err
+	}
+	body, err := a.version(number)
+	return []byte(body.Text), fmt.Sprintf("version %d", body.Version), err
+}
+
 // publishCommand publishes a specification.
 type publishCommand struct {
 	File      string `arg:"" type:"path" help:"Specification to publish."`
