Names of the operator's record stay in package platform

Change: package platform exports the names, and configcheck uses them.

Result: the tests of platform, configcheck and cli pass with the race detector.

--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -5,10 +5,12 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/platform"
 )
 
 // secretKeys are the keys whose values are not printed.
-var secretKeys = []string{"api_keys", "token_sha256"}
+var secretKeys = []string{platform.FieldKeys, "token_sha256"}
 
 // compare adds the differences of to from from. path names entries of lists by what identifies them.
 func (r *report) compare(path string, from, to *value) {
@@ -19,7 +21,7 @@
 		r.compareMappings(path, from, to)
 	case to.kind == list:
 		r.compareLists(path, from, to)
-	case path != "version" && !sameScalar(from.scalar, to.scalar):
+	case path != platform.FieldVersion && !sameScalar(from.scalar, to.scalar):
 		r.differ(to.position, path, "%s, was %s", shown(path, to), shown(path, from))
 	}
 }
@@ -91,7 +93,7 @@
 	if item.kind == scalar {
 		return item.scalar
 	}
-	if name := item.member("name"); name != nil {
+	if name := item.member(platform.FieldName); name != nil {
 		return name.scalar
 	}
 	if centre, size := item.member("data_centre"), item.member("size"); centre != nil && size != nil {
--- a/internal/configcheck/record.go
+++ b/internal/configcheck/record.go
@@ -40,7 +40,7 @@
 	r.root = root
 	r.checkDuplicateKeys("", root)
 	if c.Version <= 0 {
-		r.add(Error, "version", "give a number above that of the version in force", "the version %d is not positive", c.Version)
+		r.add(Error, platform.FieldVersion, "give a number above that of the version in force", "the version %d is not positive", c.Version)
 	}
 	r.checkQueues(c)
 	r.checkCustomers(c, options.Accelerators)
@@ -67,24 +67,24 @@
 func (r *report) checkQueues(c *catalog.Catalog) {
 	services := r.services()
 	if len(c.Queues) == 0 {
-		r.add(Error, "routes", "add a route", "there are no routes, so no request is accepted")
+		r.add(Error, platform.FieldQueues, "add a route", "there are no routes, so no request is accepted")
 	}
 	names, firstAt := map[string]bool{}, map[string]string{}
 	for i := range c.Queues {
 		q := &c.Queues[i]
-		path := fmt.Sprintf("routes[%d]", i)
+		path := fmt.Sprintf("%s[%d]", platform.FieldQueues, i)
 		r.checkQueue(path, q)
 		if q.Name != "" && names[q.Name] {
-			r.add(Error, path+".name", "rename or remove one of the two", "the name %q occurs twice", q.Name)
+			r.add(Error, joinPath(path, platform.FieldName), "rename or remove one of the two", "the name %q occurs twice", q.Name)
 		}
 		names[q.Name] = true
 		if services != nil && !services[q.Settings.Service] {
-			r.add(NeverMatches, path+".service", "use one of: "+strings.Join(slices.Sorted(maps.Keys(services)), ", "),
+			r.add(NeverMatches, joinPath(path, platform.FieldService), "use one of: "+strings.Join(slices.Sorted(maps.Keys(services)), ", "),
 				"there is no service %q, so jobs of queue %q never run", q.Settings.Service, q.Name)
 		}
 		address := q.Host + " " + q.PathPrefix
 		if first, hidden := firstAt[address]; hidden {
-			r.add(NeverMatches, path+".path_prefix", "choose another prefix or remove one of the two",
+			r.add(NeverMatches, joinPath(path, platform.FieldPathPrefix), "choose another prefix or remove one of the two",
 				"queue %q is hidden by queue %q, which has the same host and prefix", q.Name, first)
 		} else {
 			firstAt[address] = q.Name
@@ -96,30 +96,30 @@
 // checkQueue checks the values of one route.
 func (r *report) checkQueue(path string, q *catalog.Queue) {
 	if q.Name == "" {
-		r.add(Error, path+".name", "add a name", "the queue has no name")
+		r.add(Error, joinPath(path, platform.FieldName), "add a name", "the queue has no name")
 	}
 	if i := strings.LastIndexByte(q.Host, ':'); i >= 0 && !strings.HasSuffix(q.Host, "]") {
-		r.add(NeverMatches, path+".host", "remove the port", "the port of a request's host is ignored, so %q never matches", q.Host)
+		r.add(NeverMatches, joinPath(path, platform.FieldHost), "remove the port", "the port of a request's host is ignored, so %q never matches", q.Host)
 	}
 	if q.Host == "" {
-		r.add(NeverMatches, path+".host", "add the host of the requests", "requests name a host, so a queue without one never matches")
+		r.add(NeverMatches, joinPath(path, platform.FieldHost), "add the host of the requests", "requests name a host, so a queue without one never matches")
 	}
 	if q.PathPrefix != "" && !strings.HasPrefix(q.PathPrefix, "/") {
-		r.add(NeverMatches, path+".path_prefix", "begin the prefix with a slash", "paths begin with a slash, so %q never matches", q.PathPrefix)
+		r.add(NeverMatches, joinPath(path, platform.FieldPathPrefix), "begin the prefix with a slash", "paths begin with a slash, so %q never matches", q.PathPrefix)
 	}
 	for name, negative := range map[string]bool{
-		"priority": q.Settings.Priority < 0, "timeout_ms": q.Timeout < 0, "target_latency_ms": q.Settings.Target < 0, "max_attempts": q.Settings.MaxAttempts < 0, "stretch": q.Settings.Stretch < 0,
+		platform.FieldPriority: q.Settings.Priority < 0, platform.FieldTimeout: q.Timeout < 0, platform.FieldTargetLatency: q.Settings.Target < 0, platform.FieldMaxAttempts: q.Settings.MaxAttempts < 0, platform.FieldStretch: q.Settings.Stretch < 0,
 	} {
 		if negative {
-			r.add(Error, path+"."+name, "give 0 or more", "the value is negative")
+			r.add(Error, joinPath(path, name), "give 0 or more", "the value is negative")
 		}
 	}
 	if q.Timeout > 0 && q.Timeout < q.Settings.Target {
-		r.add(Contradicts, path+".timeout_ms", "raise the timeout or lower the target latency",
+		r.add(Contradicts, joinPath(path, platform.FieldTimeout), "raise the timeout or lower the target latency",
 			"the timeout of %v is shorter than the target latency of %v", q.Timeout, q.Settings.Target)
 	}
 	if s := q.Settings.Stretch; s > 0 && s < 1 {
-		r.add(Contradicts, path+".stretch", "give 1 or more", "a stretch of %v asks for work to end sooner than it takes", s)
+		r.add(Contradicts, joinPath(path, platform.FieldStretch), "give 1 or more", "a stretch of %v asks for work to end sooner than it takes", s)
 	}
 }
 
@@ -129,7 +129,7 @@
 		shorter := &all[i]
 		rest, longer := strings.CutPrefix(q.PathPrefix, shorter.PathPrefix)
 		if longer && q.Host == shorter.Host && idPart.MatchString(rest) {
-			r.add(Contradicts, path+".path_prefix", "end prefixes with a slash",
+			r.add(Contradicts, joinPath(path, platform.FieldPathPrefix), "end prefixes with a slash",
 				"jobs of queue %q whose ids begin with %q would go to queue %q", shorter.Name, rest, q.Name)
 		}
 	}
@@ -137,13 +137,13 @@
 
 // services returns the names of the services, or nil if the record has no list of them.
 func (r *report) services() map[string]bool {
-	list := r.root.member("services")
+	list := r.root.member(platform.FieldServices)
 	if list == nil {
 		return nil
 	}
 	names := map[string]bool{}
 	for _, s := range list.items {
-		if name := s.member("name"); name != nil {
+		if name := s.member(platform.FieldName); name != nil {
 			names[name.scalar] = true
 		}
 	}
@@ -156,30 +156,30 @@
 	guaranteed, left := int64(0), accelerators
 	for i := range c.Customers {
 		customer := &c.Customers[i]
-		path := fmt.Sprintf("tenants[%d]", i)
+		path := fmt.Sprintf("%s[%d]", platform.FieldCustomers, i)
 		switch {
 		case customer.Name == "":
-			r.add(Error, path+".name", "add a name", "the tenant has no name")
+			r.add(Error, joinPath(path, platform.FieldName), "add a name", "the tenant has no name")
 		case names[customer.Name]:
-			r.add(Error, path+".name", "rename or remove one of the two", "the name %q occurs twice", customer.Name)
+			r.add(Error, joinPath(path, platform.FieldName), "rename or remove one of the two", "the name %q occurs twice", customer.Name)
 		}
 		names[customer.Name] = true
 		if len(customer.Keys) == 0 {
-			r.add(NeverMatches, path+".api_keys", "add a key, or remove the tenant", "nobody can act for tenant %q, which has no key", customer.Name)
+			r.add(NeverMatches, joinPath(path, platform.FieldKeys), "add a key, or remove the tenant", "nobody can act for tenant %q, which has no key", customer.Name)
 		}
 		for j, key := range customer.Keys {
 			if other, taken := owner[key]; taken {
-				r.add(Error, fmt.Sprintf("%s.api_keys[%d]", path, j), "give each tenant its own key", "the key is also that of tenant %q", other)
+				r.add(Error, fmt.Sprintf("%s.%s[%d]", path, platform.FieldKeys, j), "give each tenant its own key", "the key is also that of tenant %q", other)
 			}
 			owner[key] = customer.Name
 		}
 		g := customer.GuaranteedAccelerators
 		if g < 0 {
-			r.add(Error, path+".guaranteed.gpu", "give 0 or more", "the value is negative")
+			r.add(Error, joinPath(path, platform.FieldGuaranteed), "give 0 or more", "the value is negative")
 			continue
 		}
 		if accelerators > 0 && g > left {
-			r.add(Contradicts, path+".guaranteed.gpu", "lower the guarantees",
+			r.add(Contradicts, joinPath(path, platform.FieldGuaranteed), "lower the guarantees",
 				"the fleet has %d accelerators, of which %d are guaranteed to tenants above and %d to tenant %q", accelerators, guaranteed, g, customer.Name)
 		}
 		left -= min(g, left)
@@ -189,25 +189,25 @@
 
 // checkLimits checks that the limits are numbers of 0 or more. Those that a version does not know are left alone.
 func (r *report) checkLimits() {
-	limits := r.root.member("limits")
+	limits := r.root.member(platform.FieldLimits)
 	if limits == nil {
 		return
 	}
 	for _, m := range limits.members {
 		if strings.HasPrefix(m.value.scalar, "-") {
-			r.add(Error, "limits."+m.key, "give 0 or more", "the value is negative")
+			r.add(Error, joinPath(platform.FieldLimits, m.key), "give 0 or more", "the value is negative")
 		}
 	}
 }
 
 // checkVersion reports a record that instances ignore because it is no newer than the other one.
 func (r *report) checkVersion(older, newer *value) {
-	from, to := older.member("version"), newer.member("version")
+	from, to := older.member(platform.FieldVersion), newer.member(platform.FieldVersion)
 	if from == nil || to == nil || len(r.findings) == 0 {
 		return
 	}
 	var before, now int64
 	if json.Unmarshal([]byte(from.scalar), &before) == nil && json.Unmarshal([]byte(to.scalar), &now) == nil && now <= before {
-		r.add(Error, "version", fmt.Sprintf("give at least %d", before+1), "version %d is not newer than version %d, so instances ignore it", now, before)
+		r.add(Error, platform.FieldVersion, fmt.Sprintf("give at least %d", before+1), "version %d is not newer than version %d, so instances ignore it", now, before)
 	}
 }
