Followers of the term read several heartbeats at once

Cause: with numbered heartbeats only instances that claim later than larger ones could pause between reads; the largest read each of them, and the smallest still made 13 of their 32 reads for it.

Change: a record of the holder says how long after the claim it was made. Followers derive when it was made at the latest, count silence and authority from there, and pause between reads except in the 0.6 s before a claim. A holder that is told to stop announces that 0.75 s before it resigns, so that nobody pauses when the role becomes vacant; if the announcement fails, it resigns at once. follow has a new argument, which the tests of authority pass.

The tests of leadership (6 runs), node, entry and ledger pass with the race detector.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -22,7 +22,7 @@
 
 // Timings of the election.
 const (
-	heartbeatInterval = 350 * time.Millisecond // time between heartbeats; each costs one write, and one read per large instance
+	heartbeatInterval = 350 * time.Millisecond // time between heartbeats; each costs one write, and up to one read per instance
 	// claimAfter is the time without a heartbeat, while the log answers, after which the role is claimed. It leaves room for
 	// several heartbeats and a slow answer.
 	claimAfter        = 1300 * time.Millisecond
@@ -33,6 +33,7 @@
 	pollWait          = 500 * time.Millisecond  // duration of a long poll of the topic
 	retryPause        = 100 * time.Millisecond  // pause after a failed call
 	resignTimeout     = 500 * time.Millisecond  // time limit of writing the resignation
+	leaveNotice       = 750 * time.Millisecond  // time from announcing a resignation to resigning, in which the largest instances end a pause and read the announcement
 	takeoverRatio     = 1.5                     // least ratio of an instance's processor share to the holder's for requesting the term
 	candidacyInterval = 3 * time.Second         // least time between two requests for the same term
 	minTermAge        = time.Second             // a younger term is not requested
@@ -60,8 +61,10 @@
 	Incarnation string `msgpack:"i"` // identifies the holder's process
 	Resigned    bool   `msgpack:"r,omitempty"`
 	Heartbeats  int64  `msgpack:"b,omitempty"` // number of heartbeats in this term
-	// SinceHeartbeat is how long after the last heartbeat or the claim the holder resigned.
-	SinceHeartbeat time.Duration `msgpack:"p,omitempty"`
+	// SinceClaim is how long after its claim the holder made this record, by its own clock; 0 in the record of the claim.
+	SinceClaim time.Duration `msgpack:"p,omitempty"`
+	// Leaving says that the holder resigns after leaveNotice.
+	Leaving bool `msgpack:"g,omitempty"`
 
 	ProcessorShare float64 `msgpack:"s,omitempty"` // share of a core that the holder may use, 0 to 1
 	LargestShare   float64 `msgpack:"l,omitempty"` // largest processor share of any holder so far
@@ -100,6 +103,7 @@
 	elector *Elector
 	cancel  context.CancelCauseFunc
 	claimed time.Duration // when the role was claimed, by the elector's clock
+	leaving bool          // whether the holder announces its resignation; used by the goroutine that sends heartbeats
 
 	mu       sync.Mutex
 	withhold Withholder // nil until the holder has one
@@ -123,7 +127,10 @@
 	candidateSeenAt time.Time     // when that request was observed or made
 	topicEnd        int64         // offset after the last known record of the topic
 	confirmedAt     time.Duration // when the last confirmed heartbeat was sent, by clock
-	heardAt         time.Duration // when the last record of a holder was read, by clock
+	heardAt         time.Duration // latest time at which the last record that was read can have been made, by clock
+	silentSince     time.Duration // when the holder probably made its last record, by clock
+	rhythm          rhythm        // tells when the records of the holder were made
+	readSentAt      time.Duration // when the last answered read was sent, by clock
 	earlierUntil    time.Duration // until when holders of earlier terms than the one held may grant leases of full length, by clock
 	failures        int           // number of calls in a row without a usable answer
 }
@@ -175,8 +182,7 @@
 // awaitVacancy follows the topic until this instance should claim the role. It returns false if ctx ended.
 func (e *Elector) awaitVacancy(ctx context.Context) bool {
 	loaded := false
-	silentSince := time.Now()
-	var rhythm rhythm
+	silentSince := time.Now() // does not include a suspension of the machine, during which the log answered nothing
 	jitter := time.Duration(rand.Int64N(int64(claimJitter)))
 	for ctx.Err() == nil {
 		if !loaded {
@@ -186,7 +192,6 @@
 			}
 			loaded = true
 			silentSince = time.Now()
-			rhythm.reset()
 		}
 		state := e.Current()
 		if e.vacant(state) {
@@ -195,31 +200,21 @@
 		}
 		e.requestTerm(ctx, state)
 		deadline := silentSince.Add(claimAfter + e.sizeDelay(state) + jitter)
-		answered := time.Now()
-		pause := rhythm.pause(e.largestPause(state))
+		pause := max(min(e.pauseBeforeRead(state), time.Until(deadline)-watchTime), 0)
 		wait.For(ctx, pause)
 		left := time.Until(deadline)
 		if left <= 0 && pause == 0 {
 			return true
 		}
-		heard, err := e.follow(ctx, max(min(left, pollWait), 0))
+		heard, err := e.follow(ctx, max(min(left, pollWait), 0), pause > 0)
 		switch {
 		case err != nil:
 			var trimmed *ledger.TrimmedError
 			loaded = !errors.As(err, &trimmed)
 			e.noteFailure(ctx, err)
 			silentSince = time.Now() // silence counts against the holder only while the log answers
-			rhythm.reset()
 		case heard:
-			now := time.Now()
-			earliest := now
-			if pause > 0 {
-				// Silence of at least claimAfter precedes a claim even if the rhythm misleads.
-				earliest = later(answered, now.Add(-e.sizeDelay(state)))
-			}
-			silentSince = rhythm.observe(e.Current(), earliest, now)
-		default:
-			rhythm.silent()
+			silentSince = time.Now().Add(-e.sinceLastRecord())
 		}
 	}
 	return false
@@ -297,34 +292,50 @@
 func (e *Elector) load(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sent := e.clock()
 	batch, err := e.log.Newest(callCtx, ledger.TermTopic)
 	if err != nil {
 		return err
 	}
 	e.noteAnswer()
-	e.observe(batch)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rhythm = rhythm{}
+	e.readSentAt = sent
+	e.observe(batch, e.clock())
 	return nil
 }
 
-// follow waits for new records, at most for maxWait, and reports whether the holder wrote any of them.
-func (e *Elector) follow(ctx context.Context, maxWait time.Duration) (heard bool, err error) {
+// follow waits for new records, at most for maxWait, and reports whether the holder wrote any of them. paused says whether there was a pause
+// before the read.
+func (e *Elector) follow(ctx context.Context, maxWait time.Duration, paused bool) (heard bool, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout+pollWait)
 	defer cancel()
 	e.mu.Lock()
 	from := e.topicEnd
 	e.mu.Unlock()
+	sent := e.clock()
 	batch, err := e.log.Read(callCtx, ledger.TermTopic, from, maxWait)
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if err != nil {
+		e.rhythm = rhythm{}
 		return false, err
 	}
-	e.noteAnswer()
-	return e.observe(batch), nil
+	e.noteAnswerLocked()
+	earliest := e.clock() // a record that was awaited counts from when it was read
+	if paused {
+		earliest = e.readSentAt // a new record was appended after the read before was sent
+	}
+	e.readSentAt = sent
+	heard = e.observe(batch, earliest)
+	e.rhythm.noteRead(heard, paused, sent, e.clock())
+	return heard, nil
 }
 
-// observe updates the elector's state from records and reports whether the holder wrote any of them.
-func (e *Elector) observe(batch ledger.Batch) (heard bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+// observe updates the elector's state from records that were appended at earliest, by clock, and reports whether the holder wrote any of
+// them. The caller holds mu.
+func (e *Elector) observe(batch ledger.Batch, earliest time.Duration) (heard bool) {
 	e.topicEnd = max(e.topicEnd, batch.End)
 	for _, record := range batch.Records {
 		if record.Key == candidateKey {
@@ -337,6 +348,7 @@
 			continue
 		}
 		heard = true
+		e.heardAt, e.silentSince = e.rhythm.made(state, earliest, e.heardAt)
 		if state.Term != e.current.Term || state.Resigned != e.current.Resigned {
 			e.termSeenAt = time.Now()
 			e.events.Emit(eventObserved, event.F("term", state.Term), event.F("holder", state.Holder), event.F("size", state.ProcessorShare), event.F("resigned", state.Resigned), event.F("successor", state.Successor))
@@ -346,6 +358,13 @@
 	return heard
 }
 
+// sinceLastRecord returns how long ago the holder probably made its last record.
+func (e *Elector) sinceLastRecord() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.clock() - e.silentSince
+}
+
 // observeCandidate keeps the request for a term that a record holds.
 func (e *Elector) observeCandidate(record ledger.Record) {
 	var c candidate
@@ -421,27 +440,38 @@
 	<-leadReturned
 }
 
-// sendHeartbeats sends heartbeats until the term ends. It resigns if ctx ends or a larger instance requests the term.
+// sendHeartbeats sends heartbeats until the term ends. It resigns if a larger instance requests the term. If ctx ends, it announces that and
+// resigns after leaveNotice, or at once if the announcement fails.
 func (e *Elector) sendHeartbeats(ctx context.Context, term *Term) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
+	callCtx := context.WithoutCancel(ctx)
+	ending := ctx.Done()
+	var resign <-chan time.Time
 	for {
 		select {
-		case <-ctx.Done():
+		case <-ending:
+			ending, resign = nil, time.After(leaveNotice)
+			term.leaving = true
+		case <-resign:
 			e.resign(term, "")
 			return
 		case <-term.Context.Done():
 			e.events.Emit(eventLost, event.F("term", term.Number), event.F("cause", context.Cause(term.Context)))
 			return
 		case <-ticker.C:
-			if err := e.renew(ctx, term); err != nil && ctx.Err() == nil {
-				term.Lose(err)
-				continue
-			}
-			if larger := e.successor(term.Number); larger != "" {
-				e.resign(term, larger)
-				return
-			}
+		}
+		if err := e.renew(callCtx, term); err != nil {
+			term.Lose(err)
+			continue
+		}
+		if larger := e.successor(term.Number); larger != "" {
+			e.resign(term, larger)
+			return
+		}
+		if term.leaving && !e.Current().Leaving { // the log did not take the announcement, so there is nothing to wait for
+			e.resign(term, "")
+			return
 		}
 	}
 }
@@ -461,7 +491,9 @@
 	next.Heartbeats++
 	var number int64
 	number, next.LeasesLeft = term.withheld()
+	next.Leaving = term.leaving
 	sent := e.clock()
+	next.SinceClaim = sent - term.claimed // after the durations that count from the record
 	err := e.write(ctx, next, at)
 	var moved *ledger.MovedError
 	if errors.As(err, &moved) {
@@ -497,12 +529,11 @@
 	e.mu.Lock()
 	last, at := e.current, e.topicEnd
 	last.EarlierAuthority = e.earlierAuthority()
-	sinceHeartbeat := e.clock() - e.confirmedAt
 	e.mu.Unlock()
 	if !e.holds(term, last) {
 		return
 	}
-	last.Resigned, last.Successor, last.SinceHeartbeat = true, successor, sinceHeartbeat
+	last.Resigned, last.Successor, last.SinceClaim = true, successor, e.clock()-term.claimed
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
 	if err := e.write(ctx, last, at); err != nil {
@@ -533,9 +564,14 @@
 // noteAnswer resets the count of failures after an answered call.
 func (e *Elector) noteAnswer() {
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.noteAnswerLocked()
+}
+
+// noteAnswerLocked is noteAnswer for a caller that holds mu.
+func (e *Elector) noteAnswerLocked() {
 	failures := e.failures
 	e.failures = 0
-	e.mu.Unlock()
 	if failures > 0 {
 		e.events.Emit(eventAnswered, event.F("failed_calls", failures))
 	}
--- a/internal/leadership/rhythm.go
+++ b/internal/leadership/rhythm.go
@@ -5,77 +5,75 @@
 	"time"
 )
 
+// Limits of pauses between reads of the topic.
 const (
-	pauseJitter = 100 * time.Millisecond // largest random part of a pause between reads
-	// unsteadyTime is how long each heartbeat is read as it is written after the holder has skipped one. Otherwise an instance might take
-	// the holder to be silent for up to one pause longer than it is, and claim the role before a larger one.
-	unsteadyTime = 5 * time.Second
+	// watchTime is the least time before a claim in which there are no pauses, so that a claim follows an answering log to which the holder,
+	// which writes every 350 ms, has not written.
+	watchTime   = 600 * time.Millisecond
+	pauseJitter = 100 * time.Millisecond // largest random part of a pause
+	// slowAnswer is the time for an answer after a pause from which on there are no pauses for slowTime. Either the holder skips heartbeats,
+	// or the log is slow, and heartbeats take effect long after they were made.
+	slowAnswer = 100 * time.Millisecond
+	slowTime   = 5 * time.Second
+	clockDrift = 1e-3            // largest relative difference in speed of two machines' clocks
+	oddStep    = 2 * time.Second // a heartbeat takes effect sooner after it was made, since calls are limited to callTimeout
 )
 
-// rhythm estimates when the holder's last record was written, for an instance that pauses between reads and so reads several records at
-// once. Heartbeats are numbered and are written every heartbeatInterval, so one that is read as it is written tells when the others are.
-// A holder that skips heartbeats makes the estimate too early, and an answer that was late makes it too late; each read corrects it, since
-// the record was written between the read before and its own.
+// rhythm tells when records of the holder were made, for an instance that pauses between reads. A record says how long after the claim it
+// was made, by the holder's clock. It was made before it was read, so each read limits when the claim can have been, and with it when later
+// records can have been made. The limit is as exact as the read that was the soonest after its record.
 type rhythm struct {
 	term    int64
-	origin  time.Time // when the claim was written, if each heartbeat since was written in time
-	exact   bool      // whether a heartbeat of the term was read as it was written
-	waiting bool      // whether the last read found no record, so that the next record is read as it is written
+	known   bool          // whether origin is known
+	origin  time.Duration // latest time from which SinceClaim can count
+	setAt   time.Duration // when origin was determined
+	exact   bool          // whether a record of the term was read as it was written
+	waiting bool          // whether the last read found no record of the holder
 
-	unsteadyUntil time.Time // until when the holder may skip heartbeats again
+	slowUntil time.Duration // until when answers may be slow
 }
 
-// reset discards the estimate, for example because the log has not answered.
-func (r *rhythm) reset() { *r = rhythm{} }
-
-// silent notes that a read found no record.
-func (r *rhythm) silent() { r.waiting = true }
-
-// pause returns how long to pause before the next read, at most longest. It is 0 while the holder may be lost. It is random, so that it
-// does not stay in step with the heartbeats: the estimate is most exact after a read just after a heartbeat.
-func (r *rhythm) pause(longest time.Duration) time.Duration {
-	if !r.exact || r.waiting || longest <= heartbeatInterval || time.Now().Before(r.unsteadyUntil) {
-		return 0
+// made returns the latest time at which a record that was read now can have been made, and the likely time, which assumes that the clocks do
+// not drift. Both are no earlier than earliest, so that a record with an odd SinceClaim misleads by the time between two reads at most.
+func (r *rhythm) made(s State, earliest, now time.Duration) (latest, likely time.Duration) {
+	if s.Term != r.term {
+		*r = rhythm{term: s.Term, slowUntil: r.slowUntil}
 	}
-	return longest - time.Duration(rand.Int64N(int64(min(longest-heartbeatInterval, pauseJitter))))
-}
-
-// observe returns the estimated time at which the state was written, between earliest and now. earliest equals now if there was no pause
-// before the read.
-func (r *rhythm) observe(s State, earliest, now time.Time) time.Time {
-	sinceClaim := time.Duration(s.Heartbeats)*heartbeatInterval + s.SinceHeartbeat
-	at := now
-	if s.Term == r.term {
-		inTime := r.origin.Add(sinceClaim)
-		if earliest.Sub(inTime) > heartbeatInterval/2 {
-			r.unsteadyUntil = now.Add(unsteadyTime)
-		}
-		at = earlier(later(inTime, earliest), now)
+	if s.SinceClaim <= 0 { // the record of a claim, or of an earlier version
+		return now, now
 	}
-	r.exact = !earliest.Before(now) || r.exact && s.Term == r.term
-	r.term, r.origin, r.waiting = s.Term, at.Add(-sinceClaim), false
-	return at
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+	likely = r.origin + s.SinceClaim
+	limit := likely + time.Duration(clockDrift*float64(now-r.setAt))
+	if !r.known || limit >= now || limit < earliest-oddStep {
+		r.known, r.origin, r.setAt = true, now-s.SinceClaim, now
+		return now, now
 	}
-	return b
+	return max(limit, earliest), max(likely, earliest)
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// noteRead notes whether a read that was answered now found a record of the holder.
+func (r *rhythm) noteRead(heard, paused bool, sent, now time.Duration) {
+	r.waiting = !heard
+	switch {
+	case heard && !paused:
+		r.exact = true
+	case paused && now-sent > slowAnswer:
+		r.slowUntil = now + slowTime
 	}
-	return b
 }
 
-// largestPause returns the longest pause before a read of the topic. An instance claims later than larger ones by its size delay, and a
-// pause of no more than that leaves it silence of claimAfter before its claim. One that may become the named successor reads all at once.
-func (e *Elector) largestPause(s State) time.Duration {
+// pauseBeforeRead returns how long to pause before the next read of the topic, so that it returns several heartbeats. There is no pause
+// while the holder may be lost or leaves, or while this instance may become its named successor. The pause is random, so that it does not
+// stay in step with the heartbeats.
+func (e *Elector) pauseBeforeRead(s State) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := &e.rhythm
+	if s.Leaving || r.term != s.Term || !r.exact || !r.known || r.waiting || e.clock() < r.slowUntil {
+		return 0
+	}
 	if s.ProcessorShare > 0 && e.processorShare >= takeoverRatio*s.ProcessorShare {
 		return 0
 	}
-	return e.sizeDelay(s)
+	return claimAfter - watchTime + e.sizeDelay(s) - time.Duration(rand.Int64N(int64(pauseJitter)))
 }
--- a/internal/ledger/monitoredlog.go
+++ b/internal/ledger/monitoredlog.go
@@ -12,8 +12,8 @@
 // Timings for detecting that the log does not answer.
 const (
 	// silentAfter is the time without any answer after which the log is silent: records are then sent only after an answered probe.
-	// The scheduler and the largest instances get an answer with each heartbeat, every 350 ms. Smaller ones call less often while little
-	// happens (up to 1.2 s apart), so that a record after such a gap costs a probe; what is sent to a silent log must not grow.
+	// The scheduler gets an answer with each heartbeat, every 350 ms. The other instances call less often while little happens (up to
+	// 1.2 s apart), so that a record after such a gap costs a probe; what is sent to a silent log must not grow.
 	silentAfter   = 550 * time.Millisecond
 	probeTimeout  = 400 * time.Millisecond // time limit of a probe, which takes about 5 ms on a healthy log and 300 ms on a slow one
 	probeInterval = 100 * time.Millisecond // pause between probes of a silent log
