Choice of workers: half a standard deviation is added to a slowdown, so that little known workers come later for urgent work

Cause: on a large fleet most workers are hardly used, so the model takes them for neutral, and an urgent gang met a slow one among them. Change: for the choice, not for predictions, slowdownMargin standard deviations are added.

--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -45,9 +45,9 @@
 	}
 	missing := pl.headroomTarget
 	if p.scheduler.uneven {
-		missing = p.markHeadroomAmong(pl, missing, func(w *worker) bool { return w.relativeTime() <= headroomSlowdown })
+		missing = p.markHeadroomAmong(pl, missing, func(w *worker) bool { return w.boundedTime() <= headroomSlowdown })
 	}
-	p.markHeadroomAmong(pl, missing, func(w *worker) bool { return !p.scheduler.uneven || w.relativeTime() > headroomSlowdown })
+	p.markHeadroomAmong(pl, missing, func(w *worker) bool { return !p.scheduler.uneven || w.boundedTime() > headroomSlowdown })
 }
 
 // markHeadroomAmong marks workers that match until nothing is missing, and returns what still is.
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/forecast"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
@@ -313,7 +314,7 @@
 	s.config.Events.Emit(eventWorkerRestarted, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("born", processStart))
 	w.processStart, w.processSeenAt = processStart, now
 	w.lastHandledEnd, w.lastRecordedEnd = 0, 0
-	w.slowdown, w.speedLevel = 0, 0
+	w.setSlowdown(forecast.Slowdown{Factor: 1})
 	s.forecast.Forget(w.info.ID)
 }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -30,8 +30,8 @@
 		pl = &pool{racks: map[string][]*worker{}, dataCentres: map[string][]*worker{}}
 		p.pools[w.info.Service] = pl
 	}
-	if pl.fastest == 0 || w.relativeTime() < pl.fastest {
-		pl.fastest = w.relativeTime()
+	if pl.fastest == 0 || w.boundedTime() < pl.fastest {
+		pl.fastest = w.boundedTime()
 	}
 	pl.workers = append(pl.workers, w)
 	pl.racks[w.info.Rack] = append(pl.racks[w.info.Rack], w)
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -14,6 +14,7 @@
 // Rules for the choice of workers by speed. All hold only while the model finds the workers uneven.
 const (
 	speedStep        = 1.25                   // slowdowns within this factor count as equal, so that noise does not prevent packing
+	slowdownMargin   = 0.5                    // standard deviations that are added to the slowdown of a worker of which little is known
 	startOverhead    = 100 * time.Millisecond // for the record and order of a start, and the report and record of an end
 	headroomSlowdown = 1.2                    // with which a stretch of 1.5 is still met after a short wait; the headroom begins with such workers
 	hopelessMargin   = 1.2                    // factor by which predictions may be too long before an urgent unit counts as late
@@ -43,13 +44,11 @@
 	s.uneven = uneven
 	slow, fast := 0, 0
 	for _, w := range s.workers {
-		factor := 0.0
+		slowdown := forecast.Slowdown{Factor: 1}
 		if uneven {
-			factor = source.Slowdown(w.info.ID).Factor
-		}
-		if factor != w.slowdown {
-			w.setSlowdown(factor)
+			slowdown = source.Slowdown(w.info.ID)
 		}
+		w.setSlowdown(slowdown)
 		switch {
 		case w.speedLevel > 0:
 			slow++
@@ -63,12 +62,22 @@
 	}
 }
 
-// setSlowdown sets a worker's slowdown; 0 stands for 1.
-func (w *worker) setSlowdown(factor float64) {
-	w.slowdown, w.speedLevel = factor, 0
-	if factor > 0 {
-		w.speedLevel = int(math.Round(math.Log(factor) / math.Log(speedStep)))
+// setSlowdown sets what the model says of a worker's speed.
+func (w *worker) setSlowdown(s forecast.Slowdown) {
+	if w.slowdown == s.Factor && w.slowdownSpread == s.Spread {
+		return
+	}
+	w.slowdown, w.slowdownSpread = s.Factor, s.Spread
+	logBound := math.Log(s.Factor) + slowdownMargin*s.Spread
+	w.slowdownBound, w.speedLevel = math.Exp(logBound), int(math.Round(logBound/math.Log(speedStep)))
+}
+
+// boundedTime returns how long runs take on the worker relative to a neutral one, as a bound that is hardly exceeded.
+func (w *worker) boundedTime() float64 {
+	if w.slowdownBound <= 0 {
+		return 1
 	}
+	return w.slowdownBound
 }
 
 // relativeTime returns how long runs take on the worker relative to a neutral one.
@@ -120,7 +129,7 @@
 
 // suits reports whether a run that starts on the worker after the given delay ends in time.
 func (g *speedGoal) suits(w *worker, delay time.Duration) bool {
-	return g == nil || w.relativeTime() <= g.tolerance(delay)
+	return g == nil || w.boundedTime() <= g.tolerance(delay)
 }
 
 // unsuited is added to the order of workers that do not suit.
@@ -132,7 +141,7 @@
 	switch {
 	case g == nil:
 		return 0
-	case w.relativeTime() > g.limit:
+	case w.boundedTime() > g.limit:
 		return unsuited + w.speedLevel
 	case g.fastestFirst:
 		return w.speedLevel
@@ -307,7 +316,7 @@
 		need := u.size()
 		due := map[*worker]int{}
 		for _, w := range set {
-			delay := min(within, g.slack-time.Duration(w.relativeTime()*float64(g.runTime)))
+			delay := min(within, g.slack-time.Duration(w.boundedTime()*float64(g.runTime)))
 			if delay < 0 || !p.allowed(w, u) || p.preferenceFor(w, u) == lastResort {
 				continue
 			}
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -7,13 +7,14 @@
 
 	"gotest.tools/v3/assert"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/forecast"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
 
 // workerOfSpeed returns a worker with the given slowdown that takes no part in a scheduler.
 func workerOfSpeed(slowdown float64) *worker {
 	w := &worker{}
-	w.setSlowdown(slowdown)
+	w.setSlowdown(forecast.Slowdown{Factor: slowdown})
 	return w
 }
 
@@ -41,6 +42,9 @@
 	}
 	similar := (&speedGoal{runTime: time.Second, fastestFirst: true, limit: 2})
 	assert.Equal(t, similar.order(workerOfSpeed(0.95)), similar.order(workerOfSpeed(1.05)), "packing decides among similar workers")
+	unknown := &worker{}
+	unknown.setSlowdown(forecast.Slowdown{Factor: 1, Spread: 0.4})
+	assert.Assert(t, similar.order(unknown) > similar.order(workerOfSpeed(1)), "a worker known as neutral comes before one of which nothing is known")
 }
 
 // Guards against a gang that takes a few fast workers beside a slow one, which decides how long it runs, and against speed that comes before
