--- a/internal/ledger/follow.go
+++ b/internal/ledger/follow.go
@@ -208,7 +208,7 @@
 	for ctx.Err() == nil {
 		wait := r.pauseBeforeRead(ctx)
 		end := r.beginRead(wait)
-		err := r.read(ctx, wait)
+		err := r.Read(ctx, wait)
 		end(err)
 		var trimmed *TrimmedError
 		if errors.As(err, &trimmed) {
@@ -225,8 +225,8 @@
 	}
 }
 
-// read makes one read, which waits at most the given time for records, and passes them to Record.
-func (r *Reader) read(ctx context.Context, wait time.Duration) error {
+// Read makes one read, which waits at most the given time for records, and passes them to Record.
+func (r *Reader) Read(ctx context.Context, wait time.Duration) error {
 	callCtx, cancel := context.WithTimeout(ctx, min(wait+readGrace, readTimeout))
 	defer cancel()
 	r.sent = time.Now()
--- a/internal/ledger/follow_test.go
+++ b/internal/ledger/follow_test.go
@@ -39,7 +39,7 @@
 		Failed: func(err error) { failure = errors.Join(failure, err) },
 	}
 	assert.NilError(t, r.Load(t.Context()))
-	assert.NilError(t, r.read(t.Context(), 0))
+	assert.NilError(t, r.Read(t.Context(), 0))
 	assert.DeepEqual(t, handled, []string{"a", "b", "a", "b"})
 	assert.ErrorContains(t, failure, `"odd" panicked: unexpected`)
 	var unhandled *UnhandledError
