--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -25,6 +27,7 @@
 // deployment runs entry instances against stand-ins of the platform, in one process.
 type deployment struct {
 	t              *testing.T
+	bounds         Bounds
 	store          *store.Store
 	fleet          *taskworker.Fleet
 	instances      []*instance
@@ -32,10 +35,11 @@
 }
 
 type instance struct {
-	jobsAddress, readinessAddress string
-	stop                          context.CancelFunc
-	ended                         chan struct{}
-	log                           *lockedBuffer
+	jobsAddress, readinessAddress, controlAddress string
+
+	stop  context.CancelFunc
+	ended chan struct{}
+	log   *lockedBuffer
 }
 
 // lockedBuffer collects log lines of several goroutines.
@@ -66,7 +70,12 @@
 
 // deployBehind deploys instances that reach the store through a handler.
 func deployBehind(t *testing.T, front func(http.Handler) http.Handler, instances int, workers ...string) *deployment {
-	d := &deployment{t: t, store: store.New(), fleet: taskworker.New(workers...)}
+	return deployBounded(t, Bounds{LeaseMS: 3000, KeepStatusS: 60}, front, instances, workers...)
+}
+
+// deployBounded deploys instances with the given bounds that reach the store through a handler.
+func deployBounded(t *testing.T, bounds Bounds, front func(http.Handler) http.Handler, instances int, workers ...string) *deployment {
+	d := &deployment{t: t, bounds: bounds, store: store.New(), fleet: taskworker.New(workers...)}
 	storeServer := httptest.NewServer(front(d.store))
 	workersServer := httptest.NewServer(d.fleet)
 	t.Cleanup(storeServer.Close)
@@ -90,27 +99,42 @@
 	return d
 }
 
-// putWorker writes a worker's entry into the platform's list of workers.
+// putWorker writes a worker's entry into the platform's list of workers. Its data centre is z2 if its ID begins with that, otherwise z1.
 func (d *deployment) putWorker(id, state string) {
-	d.store.Put("keyed.servers", id, fmt.Appendf(nil, `{"service":"render","address":%q,"zone":"z1","state":%q,"slots":8,
-"capacity":{"cpu":64000,"mem_mb":262144,"gpu":8},"labels":["a","r1-1"],"remaining_ms":500,"sequence":1}`, d.workersAddress, state))
+	dataCentre := "z1"
+	if strings.HasPrefix(id, "z2") {
+		dataCentre = "z2"
+	}
+	d.store.Put("keyed.servers", id, fmt.Appendf(nil, `{"service":"render","address":%q,"zone":%q,"state":%q,"slots":8,
+"capacity":{"cpu":64000,"mem_mb":262144,"gpu":8},"labels":["a","r1-1"],"remaining_ms":500,"sequence":1}`, d.workersAddress, dataCentre, state))
 }
 
+// latestPort is the latest port that freeAddress has tried, counted from firstPort.
+var latestPort atomic.Int64
+
+// freeAddress returns an address to listen on. Its port is below those that the system gives to other sockets, which deployments of
+// other tests open at any time.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	const firstPort, ports = 20_000, 10_000
+	for range ports {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(int64(os.Getpid())*37+latestPort.Add(1))%ports)
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 func (d *deployment) start(i int, storeAddress string) *instance {
 	s := &Settings{
 		Instance: fmt.Sprintf("entry-%d", i), DataCentre: "z1", Store: storeAddress,
-		Listen: Listen{Jobs: freeAddress(d.t), Readiness: freeAddress(d.t)},
-		Bounds: Bounds{LeaseMS: 3000, KeepStatusS: 60},
+		Listen: Listen{Jobs: freeAddress(d.t), Readiness: freeAddress(d.t), Control: freeAddress(d.t)},
+		Bounds: d.bounds,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &instance{jobsAddress: s.Listen.Jobs, readinessAddress: s.Listen.Readiness, stop: cancel, ended: make(chan struct{}), log: &lockedBuffer{}}
+	n := &instance{jobsAddress: s.Listen.Jobs, readinessAddress: s.Listen.Readiness, controlAddress: s.Listen.Control, stop: cancel, ended: make(chan struct{}), log: &lockedBuffer{}}
 	node := New(s, n.log)
 	go func() {
 		defer close(n.ended)
--- a/internal/standin/taskworker/taskworker.go
+++ b/internal/standin/taskworker/taskworker.go
@@ -49,6 +49,7 @@
 	StaleTokens  int `json:"unfenced"`     // commands refused because of a stale fencing token
 	Acknowledged int `json:"acknowledged"` // ends that were acknowledged
 	Unticketed   int `json:"unticketed"`   // starts refused for want of a valid ticket
+	Forbidden    int `json:"forbidden"`    // starts on a worker after the time from which Forbid allows none
 
 	Violations []string         `json:"violations"`  // what is known of each doubled run
 	LastStarts map[string]int64 `json:"last_starts"` // latest start of a task of each job, in Unix milliseconds
@@ -65,6 +66,7 @@
 	frozen       bool            // see Freeze
 	born         time.Time       // start of its process
 	poweredOff   bool            // see LosePower
+	closesAt     time.Time       // see Forbid; zero if starts are allowed
 }
 
 // run is a run of a task that has not ended.
@@ -104,6 +106,7 @@
 	f.router.HandleFunc("/v1/hold", f.handler(f.hold)).Methods(http.MethodPost)
 	f.router.HandleFunc("/v1/advise", f.advise).Methods(http.MethodPost)
 	f.router.HandleFunc("/control/power", f.handlePower).Methods(http.MethodPost)
+	f.router.HandleFunc("/control/forbid", f.handleForbid).Methods(http.MethodPost)
 	f.router.HandleFunc("/report/workers", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, f.Report()) }).Methods(http.MethodGet)
 	return f
 }
@@ -151,9 +154,27 @@
 	}
 	born = time.Now().Add(off)
 	f.workers[id] = newWorker(born)
+	f.workers[id].closesAt = w.closesAt
 	return born
 }
 
+// Forbid makes starts on a worker from the given time on count as forbidden, and no longer if the time is zero.
+func (f *Fleet) Forbid(id string, from time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].closesAt = from
+}
+
+// handleForbid serves Forbid. The query is ?worker=ID&from=T with a time in Unix milliseconds, or without one to allow starts.
+func (f *Fleet) handleForbid(w http.ResponseWriter, r *http.Request) {
+	from := time.Time{}
+	if ms, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64); err == nil {
+		from = time.UnixMilli(ms)
+	}
+	f.Forbid(r.URL.Query().Get("worker"), from)
+	w.WriteHeader(http.StatusOK)
+}
+
 // handlePower serves a loss of power. The query is ?worker=ID&off_ms=N; the answer is the start of the new process.
 func (f *Fleet) handlePower(w http.ResponseWriter, r *http.Request) {
 	off, err := strconv.Atoi(r.URL.Query().Get("off_ms"))
@@ -305,6 +326,10 @@
 		f.report.Violations = append(f.report.Violations, fmt.Sprintf("%s run %d started at %s beside %d other runs, acknowledged as done: %t",
 			c.Task, c.Run, time.Now().UTC().Format(time.RFC3339Nano), f.running[c.Task], f.finished[c.Task]))
 	}
+	if !target.closesAt.IsZero() && time.Now().After(target.closesAt) {
+		f.report.Forbidden++
+		f.report.Violations = append(f.report.Violations, fmt.Sprintf("%s run %d started %v after starts were forbidden", c.Task, c.Run, time.Since(target.closesAt)))
+	}
 	f.report.Started++
 	f.running[c.Task]++
 	f.report.LastStarts[jobOf(c.Task)] = time.Now().UnixMilli()
