Package clientlimit: bounds what HTTP clients hold of a process

Cause: connections, heads, bodies and unread responses of clients had no common bound; net/http allows 1 MiB for each head, which can take more than ten times its size once it is parsed, and any number of connections. Change: a guard wraps the listeners of a process. It counts connections and charges what each holds to a budget; above it, the connections that hold the most and have gone longest without a complete request are closed. What closed connections still hold counts until their goroutine has ended, and reading waits for it: without this, a crowd on a busy machine (load 33) took a process to 330 MiB of 256 once. Refusals are counted by reason; event 2900 is logged once per burst.

--- /dev/null
+++ b/internal/clientlimit/conn.go
@@ -0,0 +1,285 @@
+package clientlimit
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+)
+
+// headerSlack is added to the limit of a head's bytes, since the last read of a head may contain up to a buffer of what follows it.
+const headerSlack = 4 << 10
+
+// Response to a head over the limit. The client may still be sending, and would not see the response if the connection were closed with
+// unread bytes, so a little is read before.
+const (
+	tooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n" +
+		"431 Request Header Fields Too Large"
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
+)
+
+var errHeaderBytes = errors.New("the head of the request is larger than the limit")
+
+// conn is a connection of a client.
+type conn struct {
+	net.Conn
+	guard *Guard
+	port  string
+
+	// Guarded by guard.mu.
+	phase        phase
+	held         int64
+	headBytes    int64
+	bodyBytes    int64
+	since        time.Time // opening, beginning of a head, or end of the last response
+	writingSince time.Time // start of the write in progress, zero for none
+	bodyDeadline time.Time
+	idleBounded  bool      // the deadline of the idle time has been set; the next one is that of a head
+	asked        time.Time // write deadline that the server has set
+	removed      bool
+	reason       string // why it was chosen to be closed
+	closed       bool
+}
+
+// score returns how much a connection deserves to be closed; it reports false if it must not be. guard.mu must be held.
+func (c *conn) score(now time.Time) (score float64, ok bool) {
+	age, weight := now.Sub(c.since), 1.0
+	switch c.phase {
+	case phaseHead, phaseBody:
+		weight = pendingWeight
+	case phaseAnswer:
+		age = now.Sub(c.writingSince)
+		if c.writingSince.IsZero() || age < unreadAfter {
+			return 0, false
+		}
+		weight = pendingWeight
+	}
+	return float64(c.held) * age.Seconds() * weight, true
+}
+
+// Read implements net.Conn. It charges what it reads.
+func (c *conn) Read(p []byte) (int, error) {
+	c.guard.awaitRoom(c)
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.received(int64(n)) {
+		c.rejectHead()
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errHeaderBytes} // net/http answers no error of this type
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.countTimeout()
+	}
+	return n, err
+}
+
+// received charges n bytes. It returns false if they exceed the limit of a head.
+func (c *conn) received(n int64) bool {
+	g := c.guard
+	g.mu.Lock()
+	if c.phase == phaseIdle {
+		c.startHead()
+	}
+	fits := true
+	switch c.phase {
+	case phaseHead:
+		c.headBytes += n
+		fits = c.headBytes <= g.headerBytes+headerSlack
+		g.charge(c, n*headerFactor)
+	case phaseBody:
+		c.bodyBytes += n
+		g.charge(c, n*bodyFactor)
+	}
+	victims := g.reduce()
+	g.mu.Unlock()
+	g.closeAll(victims)
+	return fits
+}
+
+// startHead begins the head of a further request. guard.mu must be held.
+func (c *conn) startHead() { c.phase, c.headBytes, c.since = phaseHead, 0, time.Now() }
+
+// rejectHead answers a head over the limit, and reads a little of what the client still sends.
+func (c *conn) rejectHead() {
+	c.guard.refuse(reasonHeaderBytes, c.port)
+	deadline := time.Now().Add(lingerTime)
+	_ = c.SetDeadline(deadline)
+	if _, err := io.WriteString(c.Conn, tooLargeResponse); err != nil {
+		return
+	}
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.CloseWrite() // fails only if the client has closed the connection
+	}
+	_, _ = io.CopyBuffer(io.Discard, io.LimitReader(c.Conn, lingerBytes), make([]byte, 1<<10)) // ends at the deadline at the latest
+}
+
+// countTimeout counts a request that did not arrive in time. The end of an idle connection is no refusal.
+func (c *conn) countTimeout() {
+	g := c.guard
+	g.mu.Lock()
+	late := c.phase == phaseBody && !c.bodyDeadline.IsZero() && !time.Now().Before(c.bodyDeadline)
+	inHead := c.phase == phaseHead
+	g.mu.Unlock()
+	switch {
+	case inHead:
+		g.refuse(reasonHeaderTime, c.port)
+	case late:
+		g.refuse(reasonBodyTime, c.port)
+	}
+}
+
+// startBody is called when the head of a request with a body has been read.
+func (c *conn) startBody(h http.Header) {
+	g := c.guard
+	deadline := time.Now().Add(g.limits.BodyTimeout)
+	g.mu.Lock()
+	c.phase, c.bodyDeadline = phaseBody, deadline
+	c.chargeRequest(h)
+	victims := g.reduce()
+	g.mu.Unlock()
+	g.closeAll(victims)
+	_ = c.Conn.SetReadDeadline(deadline) // fails only if the connection is closed
+}
+
+// startAnswer is called when a request without a body has been read.
+func (c *conn) startAnswer(h http.Header) {
+	g := c.guard
+	g.mu.Lock()
+	c.phase = phaseAnswer
+	c.chargeRequest(h)
+	victims := g.reduce()
+	g.mu.Unlock()
+	g.closeAll(victims)
+}
+
+// chargeRequest replaces the charge for the worst head by that for the one that was read. guard.mu must be held.
+func (c *conn) chargeRequest(h http.Header) {
+	n := connectionBytes + requestBytes + c.headBytes
+	for _, values := range h {
+		n += fieldBytes + int64(len(values))*valueBytes
+	}
+	c.guard.charge(c, n-c.held)
+}
+
+// completeRequest is called when the body of a request has been read. net/http has removed the read deadline by then.
+func (c *conn) completeRequest() {
+	c.guard.mu.Lock()
+	c.phase = phaseAnswer
+	c.guard.charge(c, -c.bodyBytes*(bodyFactor-1)) // the buffers in which it was collected are free again
+	c.bodyBytes = 0
+	c.guard.mu.Unlock()
+}
+
+// hold charges n bytes of a response.
+func (c *conn) hold(n int64) {
+	g := c.guard
+	g.mu.Lock()
+	g.charge(c, n)
+	victims := g.reduce()
+	g.mu.Unlock()
+	g.closeAll(victims)
+}
+
+// becomeIdle is called when a response is complete.
+func (c *conn) becomeIdle() {
+	g := c.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.phase, c.since, c.headBytes, c.bodyBytes = phaseIdle, time.Now(), 0, 0
+	c.idleBounded = false
+	if !c.removed {
+		g.discard(c.held - connectionBytes)
+	}
+	g.charge(c, connectionBytes-c.held)
+}
+
+// SetReadDeadline implements net.Conn. It extends the server's deadlines by what the operator's limits exceed the settings. After a response
+// net/http sets a deadline for the idle time, and then one for the next head.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	g := c.guard
+	g.mu.Lock()
+	if c.phase == phaseIdle && c.idleBounded { // the first bytes of the next head had arrived together with the last request
+		c.startHead()
+	}
+	switch {
+	case !t.After(time.Now()): // no deadline, or one that ends a read in progress
+	case c.phase == phaseIdle:
+		c.idleBounded = true
+		t = t.Add(g.extraIdle)
+	case c.phase == phaseHead:
+		t = t.Add(g.extraHeader)
+	}
+	g.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.guard.mu.Lock()
+	c.asked = t
+	c.guard.mu.Unlock()
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// Write implements net.Conn. Each write has a time limit of its own, so that a handler may take as long as its request may.
+func (c *conn) Write(p []byte) (int, error) {
+	g, now := c.guard, time.Now()
+	g.mu.Lock()
+	c.writingSince = now
+	deadline := now.Add(g.limits.WriteTimeout)
+	if !c.asked.IsZero() && c.asked.Before(deadline) {
+		deadline = c.asked
+	}
+	g.mu.Unlock()
+	_ = c.Conn.SetWriteDeadline(deadline) // fails only if the connection is closed
+	n, err := c.Conn.Write(p)
+	g.mu.Lock()
+	c.writingSince = time.Time{}
+	g.mu.Unlock()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		g.refuse(reasonUnread, c.port)
+	}
+	return n, err
+}
+
+// CloseWrite lets net/http send the end of its side before it closes the connection, so that the client can read the last response.
+func (c *conn) CloseWrite() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn. Every way in which a connection ends leads here.
+func (c *conn) Close() error {
+	g := c.guard
+	g.mu.Lock()
+	if !c.closed {
+		c.closed = true
+		if !c.removed {
+			g.remove(c)
+		}
+		g.closing--
+		g.closingHeld -= c.held
+		g.discard(c.held)
+		c.held = 0
+	}
+	g.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// body is the body of a request. It tells the connection when it has been read.
+type body struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.conn.completeRequest()
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/clientlimit/listener.go
@@ -0,0 +1,90 @@
+package clientlimit
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Pauses of Accept.
+const (
+	minAcceptPause = 10 * time.Millisecond // after an error, doubled up to maxAcceptPause
+	maxAcceptPause = time.Second
+	closingPause   = 2 * time.Millisecond // between two looks at the number of connections that are ending
+	maxClosingWait = 50 * time.Millisecond
+	maxRoomWait    = time.Second // of one read for memory that is being released
+)
+
+// listener counts the connections that it accepts.
+type listener struct {
+	net.Listener
+	guard *Guard
+	port  string
+}
+
+// Listener returns a listener whose connections the guard bounds. The port is its name in metrics and log lines.
+func (g *Guard) Listener(l net.Listener, port string) net.Listener {
+	if t, ok := l.(*net.TCPListener); ok && g.limits.SocketBytes > 0 {
+		setSocketBuffers(t, g.limits.SocketBytes)
+	}
+	return &listener{Listener: l, guard: g, port: port}
+}
+
+// setSocketBuffers sets the size of the buffers that accepted connections have. Bytes that a client sends unasked wait there.
+func setSocketBuffers(l *net.TCPListener, bytes int) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return // the listener is closed
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes) // the kernel's own sizes remain if it refuses
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, bytes)
+	})
+}
+
+// Accept implements net.Listener. It returns an error only when the listener is closed.
+func (l *listener) Accept() (net.Conn, error) {
+	for pause := minAcceptPause; ; {
+		l.guard.awaitClosing()
+		accepted, err := l.Listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil, err
+		case err != nil: // no descriptor or no memory is left, or the client has gone already
+			l.guard.refuse(reasonAccept, l.port)
+			l.guard.closeWorst()
+			time.Sleep(pause)
+			pause = min(2*pause, maxAcceptPause)
+			continue
+		}
+		pause = minAcceptPause
+		c := &conn{Conn: accepted, guard: l.guard, port: l.port}
+		if l.guard.add(c) {
+			return c, nil
+		}
+		reset(accepted)
+		l.guard.refuse(reasonConnections, l.port)
+	}
+}
+
+// closeWorst closes the worst connection.
+func (g *Guard) closeWorst() {
+	g.mu.Lock()
+	chosen := g.choose(1, 0)
+	g.mu.Unlock()
+	g.closeAll(chosen)
+}
+
+// awaitClosing waits a little while many connections that were closed still have a goroutine, so that closing keeps up with opening.
+func (g *Guard) awaitClosing() {
+	for deadline := time.Now().Add(maxClosingWait); ; time.Sleep(closingPause) {
+		g.mu.Lock()
+		many := g.closing > g.limits.Connections/8
+		g.mu.Unlock()
+		if !many || time.Now().After(deadline) {
+			return
+		}
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -18,7 +18,7 @@
 
 // Definition describes an event. Each package has a range of numbers, which starts at: server 1000, settings 1100, configuration 1200, jobstore 1300,
 // peer 1400, membership 1500, idempotency 1600, router 1700, minion 1800, rackowner 1900, scheduler 2000,
-// gang 2100, api 2200, platform 2300, leadership 2400, dispatch 2500, entry 2600, node 2700.
+// gang 2100, api 2200, platform 2300, leadership 2400, dispatch 2500, entry 2600, node 2700, clientlimit 2900.
 type Definition struct {
 	Number  int
 	Name    string
