Node: limits for clients on all three ports

A body of 256 KiB with 87,000 empty steps was decoded whole before the job was refused for more than 64 steps. A submission is read whole within its limit, then waits for room to be decoded, and is refused with 503 and Retry-After without it; steps beyond 65 are not decoded. An announced body over the limit is answered with 413 unread. The control port answers four requests at a time.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -33,6 +33,7 @@
 	Queues       []Queue
 	Customers    []Customer
 	MaxBodyBytes int64 // largest body of a request, 0 for the default
+	ClientLimits ClientLimits
 
 	byHost     map[string][]*Queue // queues of each host, longest prefix first
 	byName     map[string]*Queue
@@ -40,6 +41,13 @@
 	guarantees map[string]int64  // guaranteed accelerators by customer's name
 }
 
+// ClientLimits are what ordinary clients may use in full. 0 stands for no statement.
+type ClientLimits struct {
+	HeaderBytes   int           // of a request's head
+	HeaderTimeout time.Duration // for a request's head
+	IdleTimeout   time.Duration // between two requests of a connection
+}
+
 // Build indexes the catalog and returns it.
 func (c *Catalog) Build() *Catalog {
 	c.byHost, c.byName = map[string][]*Queue{}, map[string]*Queue{}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -12,7 +12,7 @@
 	r := mux.NewRouter()
 	r.Handle("/metrics", n.metrics)
 	r.HandleFunc("/v1/dump", n.dump).Methods(http.MethodGet)
-	return r
+	return n.clients.Buffered(r, controlRequests)
 }
 
 // dumpState is the body of the state dump.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/catalog"
+	"dogwoodnotch.example/dogwoodnotch/internal/clientlimit"
 	"dogwoodnotch.example/dogwoodnotch/internal/entry"
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
@@ -29,8 +30,7 @@
 // Timings of an instance.
 const (
 	jobsReadInterval = 400 * time.Millisecond  // pause between reads of the jobs topic; a query for a job's state reads at once
-	headerTimeout    = 3 * time.Second         // time limit for reading the headers of a request
-	idleTimeout      = 30 * time.Second        // for callers' connections; longer than the platform's own limit
+	controlRequests  = 4                       // requests to the control port that are answered at once
 	drainDelay       = 2600 * time.Millisecond // from failing readiness to closing the listeners; the balancer needs two failed checks
 	shutdownTimeout  = 2 * time.Second         // for requests that are in flight when the listeners close
 	memoryLimitShare = 0.6                     // share of the instance's memory that the Go runtime aims to stay under
@@ -67,6 +67,7 @@
 	api         *platform.API
 	writer      *ledger.Writer
 	elector     *leadership.Elector
+	clients     *clientlimit.Guard // of all ports
 	incarnation string
 }
 
@@ -81,7 +82,8 @@
 	n.writer.SetProbe(n.store.Probe)
 	n.prepare(n.writer)
 	n.jobsReader = n.newJobsReader()
-	n.api = &platform.API{Jobs: entry.New(n.jobIndex, n.jobsReader, n.writer, n.store, n.events, n.scope), Catalog: &n.current}
+	n.clients = clientlimit.New(s.clientLimits(), n.events, n.scope)
+	n.api = &platform.API{Bodies: n.clients, Jobs: entry.New(n.jobIndex, n.jobsReader, n.writer, n.store, n.events, n.scope), Catalog: &n.current}
 	n.elector = leadership.New(leadership.Config{
 		Log: n.store, Instance: s.Instance, Incarnation: n.incarnation, ProcessorShare: s.Machine.ProcessorShare, Events: n.events, Clock: bootTime,
 		Eligible:       func() bool { return n.current.Get() != nil },
@@ -135,10 +137,11 @@
 	}
 	group.Go(func() error { n.elector.Run(ctx, n.lead); return nil }) // uses ctx, so the instance resigns before it drains
 	servers := []*http.Server{n.server(n.api.Handler()), n.server(n.api.ReadinessHandler()), n.server(n.controlHandler())}
+	ports := []string{"jobs", "readiness", "control"}
 	failures := make(chan error, len(servers))
 	for i, l := range []net.Listener{jobs, readiness, control} {
 		if l != nil {
-			go func() { failures <- servers[i].Serve(l) }()
+			go func() { failures <- servers[i].Serve(n.clients.Listener(l, ports[i])) }()
 		}
 	}
 	select {
@@ -183,7 +186,9 @@
 }
 
 func (n *Node) server(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s := &http.Server{Handler: h}
+	n.clients.Configure(s)
+	return s
 }
 
 // shutDown gives callers time to move to other instances, then closes the servers after the requests in flight.
@@ -204,6 +209,7 @@
 func (n *Node) configurationReader() *ledger.Reader {
 	apply := func(c *catalog.Catalog) {
 		if n.current.Advance(c) {
+			n.clients.SetOperator(clientlimit.Operator(c.ClientLimits))
 			n.events.Emit(eventConfig, event.F("version", c.Version), event.F("queues", len(c.Queues)), event.F("customers", len(c.Customers)))
 			n.scope.Gauge("configuration_version").Update(float64(c.Version))
 		}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -9,19 +9,21 @@
 
 	"github.com/goccy/go-yaml"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/clientlimit"
 	"dogwoodnotch.example/dogwoodnotch/internal/dispatch"
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 )
 
 // Settings of an instance, in YAML.
 type Settings struct {
-	Instance   string  `yaml:"instance"`
-	DataCentre string  `yaml:"data_centre"`
-	Listen     Listen  `yaml:"listen"`
-	Store      string  `yaml:"store"`   // address of the platform's log, host:port
-	Advisor    string  `yaml:"advisor"` // address of the service that approves workers for a step, host:port; empty for none
-	Machine    Machine `yaml:"machine"`
-	Bounds     Bounds  `yaml:"bounds"`
+	Instance   string               `yaml:"instance"`
+	DataCentre string               `yaml:"data_centre"`
+	Listen     Listen               `yaml:"listen"`
+	Store      string               `yaml:"store"`   // address of the platform's log, host:port
+	Advisor    string               `yaml:"advisor"` // address of the service that approves workers for a step, host:port; empty for none
+	Machine    Machine              `yaml:"machine"`
+	Bounds     Bounds               `yaml:"bounds"`
+	Clients    clientlimit.Settings `yaml:"clients"`
 }
 
 // Listen holds the addresses to listen on, host:port.
@@ -35,6 +37,7 @@
 type Machine struct {
 	ProcessorShare float64 `yaml:"processor_share"` // share of a core
 	MemoryMB       int64   `yaml:"memory_mb"`
+	Descriptors    int     `yaml:"descriptors"` // descriptors that the process may open; 0 for the process's own limit
 }
 
 // Bounds are limits that the platform sets.
@@ -76,16 +79,26 @@
 	if s.Bounds.RecordBytes < 0 {
 		return errkind.New(errkind.Invalid, "give 0 or a positive number of bytes", "the setting bounds.record_bytes is %d", s.Bounds.RecordBytes)
 	}
-	if s.Machine.ProcessorShare < 0 || s.Machine.MemoryMB < 0 {
+	if s.Machine.ProcessorShare < 0 || s.Machine.MemoryMB < 0 || s.Machine.Descriptors < 0 {
 		return errkind.New(errkind.Invalid, "give numbers of 0 or more", "a setting of the machine is negative")
 	}
-	return nil
+	return s.Clients.Check()
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
+// socketBytes is the size of the kernel's buffers of a client's connection, which count towards the machine's memory. The kernel doubles it.
+const socketBytes = 32 << 10
+
+// clientLimits returns the limits for clients of all ports.
+func (s *Settings) clientLimits() clientlimit.Limits {
+	l := s.Clients.Derive(s.Machine.MemoryMB, s.Machine.Descriptors)
+	l.SocketBytes = socketBytes
+	return l
+}
+
 // taskBytes is the memory that the scheduler needs for a task of an accepted job: 360 bytes and its share of records that are being written.
 const taskBytes = 400
 
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -10,9 +10,11 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 )
 
+// MaxSteps is the largest number of steps of a job.
+const MaxSteps = 64
+
 // Limits of one job. They bound the memory that a single submission can take.
 const (
-	maxSteps        = 64
 	maxTasksPerStep = 10_000
 	maxTasks        = 100_000 // of a job, in all its steps and occurrences; the scheduler keeps some hundred bytes for each
 	maxSpecBytes    = 4_000   // the platform's limit for the text that is passed to each task
@@ -138,7 +140,7 @@
 	if len(j.Spec) > maxSpecBytes {
 		return invalid("shorten the spec", "the spec has %d bytes, at most %d are allowed", len(j.Spec), maxSpecBytes)
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		return invalid("give 1 to 64 steps", "the job has %d steps", len(j.Steps))
 	}
 	if j.Schedule.Occurrences < 0 || j.Schedule.Occurrences > maxOccurrences {
