Serve: limits for clients by the same package

Cause: 7 of 14 cases of internal/standin/crowd failed: nothing limited connections, nor the bodies of 8 MiB that many clients sent at once. Change: the HTTP port has a guard with the limits of size and time that it had, a budget of 64 MiB (clients.memory_mb) and a number of connections from the process's descriptors. As the runtime has no memory limit here, the guard collects garbage once half of the budget was released. Metrics are gathered for four requests at a time.

--- a/internal/server/run.go
+++ b/internal/server/run.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -11,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/api"
+	"dogwoodnotch.example/dogwoodnotch/internal/clientlimit"
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
@@ -22,9 +24,11 @@
 	readTimeout       = 30 * time.Second
 	// writeTimeout counts from the end of a request's header. It exceeds the longest wait of a job call, 60 s. Calls that
 	// may take longer, namely requests to a service and the event stream, set their own write deadline when they write.
-	writeTimeout   = 90 * time.Second
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 64 << 10
+	writeTimeout = 90 * time.Second
+	// partWriteTimeout bounds one write. An answer of the largest size is one write.
+	partWriteTimeout = 30 * time.Second
+	idleTimeout      = 60 * time.Second
+	maxHeaderBytes   = 64 << 10
 	// balancerGrace is how long a draining instance still accepts requests after its readiness check has started to fail.
 	// By then the load balancer has noticed and sends no more requests.
 	balancerGrace = time.Second
@@ -47,9 +51,10 @@
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	httpServer := newHTTPServer(s.routes)
+	s.clients.Configure(httpServer)
 	group, workCtx := errgroup.WithContext(workCtx)
 	s.startComponents(workCtx, group, peerListener)
-	group.Go(func() error { return ignoreServerClosed(httpServer.Serve(httpListener)) })
+	group.Go(func() error { return ignoreServerClosed(httpServer.Serve(s.clients.Listener(httpListener, "http"))) })
 	select {
 	case <-ctx.Done():
 	case <-workCtx.Done():
@@ -62,6 +67,20 @@
 	return errors.Join(drainError, runError)
 }
 
+// clientLimits returns the limits for clients. Where the settings say nothing, they are those of newHTTPServer.
+func clientLimits(c clientlimit.Settings) clientlimit.Limits {
+	c.HeaderBytes = cmp.Or(c.HeaderBytes, maxHeaderBytes)
+	c.HeaderTimeoutMS = cmp.Or(c.HeaderTimeoutMS, readHeaderTimeout.Milliseconds())
+	c.BodyTimeoutMS = cmp.Or(c.BodyTimeoutMS, readTimeout.Milliseconds())
+	c.IdleTimeoutMS = cmp.Or(c.IdleTimeoutMS, idleTimeout.Milliseconds())
+	c.WriteTimeoutMS = cmp.Or(c.WriteTimeoutMS, partWriteTimeout.Milliseconds())
+	l := c.Derive(0, 0)
+	l.MemoryBytes += l.DecodeBytes // bodies are passed on without being decoded, or are small
+	l.DecodeBytes = 0
+	l.Collect = true
+	return l
+}
+
 // newHTTPServer returns the HTTP server of an instance. Its limits bound how long a caller can hold a connection and how
 // large a header can be. Unknown paths and methods get an api.ErrorBody.
 func newHTTPServer(routes *mux.Router) *http.Server {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 	"github.com/uber-go/tally/v4"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/clientlimit"
 	"dogwoodnotch.example/dogwoodnotch/internal/configuration"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
 	"dogwoodnotch.example/dogwoodnotch/internal/idempotency"
@@ -27,6 +28,9 @@
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
 )
 
+// metricsRequests is the number of requests for metrics that are answered at once. Each gathers all metrics in memory.
+const metricsRequests = 4
+
 // Server is one entry instance.
 type Server struct {
 	settings      *settings.Settings
@@ -49,6 +53,7 @@
 	gateway    *scheduler.Gateway
 	services   *scheduler.Services
 	routes     *mux.Router
+	clients    *clientlimit.Guard
 
 	exchangeSuccessors func(context.Context) error // tells peers which successor holds whose request keys, and learns the same from them
 }
@@ -58,7 +63,9 @@
 func New(s *settings.Settings, logs io.Writer) (*Server, error) {
 	events := event.NewLog(logs, string(s.Instance))
 	scope, handler, closer := metrics.New(map[string]string{"instance": string(s.Instance)})
-	server := &Server{settings: s, events: events, scope: scope, metrics: handler, metricsCloser: closer, stopping: make(chan struct{})}
+	clients := clientlimit.New(clientLimits(s.Clients), events, scope)
+	handler = clients.Buffered(handler, metricsRequests)
+	server := &Server{settings: s, clients: clients, events: events, scope: scope, metrics: handler, metricsCloser: closer, stopping: make(chan struct{})}
 	ring, err := newKeyRing(s)
 	if err != nil {
 		return nil, err
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -42,6 +42,9 @@
 	c.checkPeerKeys()
 	c.checkTokens()
 	c.checkTiming()
+	if err := s.Clients.Check(); err != nil {
+		c.report.Add("clients", "leave the key out, or choose a value in its range", "%v", err)
+	}
 }
 
 func (c *checker) checkIdentifier(path, value string) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/clientlimit"
 	"dogwoodnotch.example/dogwoodnotch/internal/errkind"
 	"dogwoodnotch.example/dogwoodnotch/internal/spec/strict"
 	"dogwoodnotch.example/dogwoodnotch/internal/structs"
@@ -12,18 +13,19 @@
 
 // Settings is the decoded settings file. It must not be changed after it was loaded.
 type Settings struct {
-	Instance             structs.InstanceID `yaml:"instance" json:"instance"`
-	DataCentre           structs.DataCentre `yaml:"data_centre" json:"data_centre"`
-	Region               string             `yaml:"region" json:"region"`
-	Listen               string             `yaml:"listen" json:"listen"`                 // host:port of the HTTP interface
-	PeerListen           string             `yaml:"peer_listen" json:"peer_listen"`       // host:port for other entry instances
-	Advertise            string             `yaml:"advertise" json:"advertise"`           // ip:port that others connect to; default: listen
-	PeerAdvertise        string             `yaml:"peer_advertise" json:"peer_advertise"` // ip:port that other entry instances connect to; default: peer_listen
-	LogService           string             `yaml:"log_service" json:"log_service"`       // base URL of the log service
-	InstanceList         string             `yaml:"instance_list" json:"instance_list"`   // base URL of the instance list
-	PeerKeys             []PeerKey          `yaml:"peer_keys" json:"peer_keys"`
-	OperatorTokensSHA256 []string           `yaml:"operator_tokens_sha256" json:"operator_tokens_sha256"` // SHA-256 digests in hex
-	Timing               Timing             `yaml:"timing" json:"timing"`
+	Instance             structs.InstanceID   `yaml:"instance" json:"instance"`
+	DataCentre           structs.DataCentre   `yaml:"data_centre" json:"data_centre"`
+	Region               string               `yaml:"region" json:"region"`
+	Listen               string               `yaml:"listen" json:"listen"`                 // host:port of the HTTP interface
+	PeerListen           string               `yaml:"peer_listen" json:"peer_listen"`       // host:port for other entry instances
+	Advertise            string               `yaml:"advertise" json:"advertise"`           // ip:port that others connect to; default: listen
+	PeerAdvertise        string               `yaml:"peer_advertise" json:"peer_advertise"` // ip:port that other entry instances connect to; default: peer_listen
+	LogService           string               `yaml:"log_service" json:"log_service"`       // base URL of the log service
+	InstanceList         string               `yaml:"instance_list" json:"instance_list"`   // base URL of the instance list
+	PeerKeys             []PeerKey            `yaml:"peer_keys" json:"peer_keys"`
+	OperatorTokensSHA256 []string             `yaml:"operator_tokens_sha256" json:"operator_tokens_sha256"` // SHA-256 digests in hex
+	Timing               Timing               `yaml:"timing" json:"timing"`
+	Clients              clientlimit.Settings `yaml:"clients" json:"clients"` // limits for HTTP clients
 }
 
 // Timing holds the durations that section 9 of docs/design.md explains.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -66,6 +66,8 @@
 		{"log_retention: 1h", "checkpoint_grace: 6s", "within 7.8 s"},
 		{"log_retention: 1h", "list_poll: 4s", "no new work after 3 s"},
 		{"log_retention: 1h", "minion_status_poll: 4s", "no new work after 3 s"},
+		{"instance: fremantle-1", "clients: {header_bytes: 5}\ninstance: fremantle-1", "clients.header_bytes is 5"},
+		{"instance: fremantle-1", "clients: {bytes: 5}\ninstance: fremantle-1", `unknown key "bytes"`},
 	}
 	for _, row := range rows {
 		assert.Assert(t, cmp.Contains(valid, row.old))
