--- a/internal/standin/crowd/crowd_test.go
+++ b/internal/standin/crowd/crowd_test.go
@@ -1,11 +1,13 @@
 package crowd_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -75,6 +77,27 @@
 	playAll(t, func(t *testing.T) *daemon { return startServe(t, bin) })
 }
 
+// Guards against limits that ordinary clients reach: a head and a body of the sizes that the operator grants are served in full.
+func TestNodeServesOrdinaryRequestsInFull(t *testing.T) {
+	d := startNode(t, buildPrograms(t))
+	address := d.ports[0].target.Address
+	job := `{"phases":[{"count":1,"cpu":1,"mem_mb":1}]}`
+	post := fmt.Sprintf("POST /plans/00000000000000aa HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: 262144\r\nA: ", host, nodeToken)
+	post += strings.Repeat("x", 16_384-len(post)-4) + "\r\n\r\n" + job + strings.Repeat(" ", 262_144-len(job))
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	for range 3 {
+		_, err = io.WriteString(conn, post)
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+}
+
 // playAll plays each kind of client, and all kinds at once, against a process of its own, on one port after the other.
 func playAll(t *testing.T, start func(*testing.T) *daemon) {
 	for _, kind := range crowd.Kinds {
