Soak: one client of each kind that keeps to no limits beside the ordinary ones

Cause: the soak had ordinary callers only. Change: each run plays one client of each kind of internal/standin/crowd against one instance, chosen by the seed, with a pause of 50 ms after each part so that they do not take the machine's processors.

--- a/internal/standin/crowd/crowd.go
+++ b/internal/standin/crowd/crowd.go
@@ -57,6 +57,8 @@
 	// Dense is the repeated part of the body of DenseBody, between DenseStart and DenseEnd.
 	DenseStart, Dense, DenseEnd string
 	SlowBodyBytes               int // size of the body of SlowBody
+	// Pause is a pause after each part that is sent and before each new connection, for clients that are not to take all processor time.
+	Pause time.Duration
 }
 
 // Run runs clients clients, with the kinds in turn, until ctx ends, and closes their connections. A client whose connection is closed
@@ -69,7 +71,7 @@
 		all.Go(func() {
 			for ctx.Err() == nil {
 				runClient(ctx, target, kind, payloads[kind])
-				wait(ctx, redialDelay)
+				wait(ctx, redialDelay+target.Pause)
 			}
 		})
 	}
@@ -147,7 +149,7 @@
 			return
 		case <-ctx.Done():
 			return
-		case <-time.After(p.pause):
+		case <-time.After(p.pause + target.Pause):
 		}
 	}
 	select {
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/process"
+	"dogwoodnotch.example/dogwoodnotch/internal/standin/crowd"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/store"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/taskworker"
 )
@@ -32,6 +33,7 @@
 	// startsAfterCancel is how long after the answer to a cancellation a task of the job may still start (cancel_ms of the platform's bounds).
 	startsAfterCancel = 3 * time.Second
 	pollInterval      = 200 * time.Millisecond // interval between two attempts of a repeated call
+	crowdPause        = 50 * time.Millisecond  // of the clients that keep to no limits, so that they do not take the machine's processors
 	host              = "jobs.example"
 	apiKey            = "soak-key"
 	workerCount       = 6
@@ -112,6 +114,7 @@
 // node is an entry instance, which faults may restart.
 type node struct {
 	name, settingsPath, address string // address is that of callerProxy
+	jobsAddress                 string // address of the instance itself
 	process                     *process.Process
 	starts                      int    // number of processes so far; each has a log of its own
 	callerProxy                 *proxy // proxy between callers and the instance
@@ -140,7 +143,10 @@
 	loadDone := make(chan struct{})
 	go func() {
 		defer close(loadDone)
+		var clients sync.WaitGroup
+		clients.Go(func() { r.playCrowd(loadCtx) })
 		r.generateLoad(loadCtx)
+		clients.Wait()
 	}()
 	if err := r.setStoreFaults(ctx, options.Violations.Store); err != nil {
 		return Verdict{}, err
@@ -210,7 +216,7 @@
 	if n.callerProxy, err = newProxy(ctx, jobs); err != nil {
 		return err
 	}
-	n.address = n.callerProxy.address()
+	n.address, n.jobsAddress = n.callerProxy.address(), jobs
 	n.storeProxy, err = newProxy(ctx, store)
 	return err
 }
@@ -308,6 +314,15 @@
 	}
 }
 
+// playCrowd plays one client of each kind that keeps to no limits, against one instance, until ctx ends. No ordinary caller may notice them.
+func (r *run) playCrowd(ctx context.Context) {
+	n := r.nodes[r.options.Seed%uint64(len(r.nodes))]
+	crowd.Run(ctx, crowd.Target{
+		Address: n.jobsAddress, Host: host, Token: apiKey, Get: "/plans/", Post: "/plans/dddddddddddddddd", SlowBodyBytes: 200_000,
+		DenseStart: `{"phases":[`, Dense: `{},`, DenseEnd: `{}]}`, Pause: crowdPause,
+	}, len(crowd.Kinds), crowd.Kinds...)
+}
+
 // runCaller submits a job, retrying at other instances, and cancels it if cancel is set.
 func (r *run) runCaller(ctx context.Context, id string, first, tasks, runTimeMS int, cancel bool) {
 	for attempt := range 4 {
