Tests of pauses without evidence, and of the service with the interval in use

Cause: nothing tested the conditions under which followers do not pause, and the tests of the job service used a reader without the interval of an instance.

Change: TestNoPauseWithoutEvidence has a row for each condition; the reader of the job service's tests has the interval in use.

--- a/internal/entry/jobservice_test.go
+++ b/internal/entry/jobservice_test.go
@@ -76,7 +76,7 @@
 		index := ledger.NewJobIndex()
 		monitored := ledger.NewMonitoredLog(log)
 		reader := &ledger.Reader{
-			Log: monitored, Topic: ledger.JobsTopic, MinInterval: 400 * time.Millisecond, Synced: index.MarkSynced, Failed: func(error) {},
+			Log: monitored, Topic: ledger.JobsTopic, MinInterval: 400 * time.Millisecond, Interval: 1250 * time.Millisecond, Synced: index.MarkSynced, Failed: func(error) {},
 			Record: func(r ledger.Record) {
 				e, err := ledger.DecodeEntry(r)
 				assert.NilError(t, err)
--- a/internal/leadership/rhythm_test.go
+++ b/internal/leadership/rhythm_test.go
@@ -243,3 +243,32 @@
 		assert.Assert(t, perSecond("small") < 1.1)
 	})
 }
+
+// Guards against a pause while nothing is known about when records were made, while the holder leaves, or at an instance that may become the
+// named successor.
+func TestNoPauseWithoutEvidence(t *testing.T) {
+	s := newSuccession(t)
+	b := s.join("b", "2")
+	state := State{Term: 3, ProcessorShare: 1}
+	for name, c := range map[string]struct {
+		change func(*rhythm, *State)
+		pauses bool
+	}{
+		"steady holder":                {func(*rhythm, *State) {}, true},
+		"holder of an earlier version": {func(r *rhythm, _ *State) { r.known = false }, false},
+		"no record read as written":    {func(r *rhythm, _ *State) { r.exact = false }, false},
+		"new term":                     {func(_ *rhythm, s *State) { s.Term++ }, false},
+		"no heartbeat in last read":    {func(r *rhythm, _ *State) { r.waiting = true }, false},
+		"slow log":                     {func(r *rhythm, _ *State) { r.slowUntil = s.clock + 1 }, false},
+		"holder leaves":                {func(_ *rhythm, s *State) { s.Leaving = true }, false},
+		"much smaller holder":          {func(_ *rhythm, s *State) { s.ProcessorShare = 0.5 }, false},
+	} {
+		now := state
+		b.rhythm = rhythm{term: 3, known: true, exact: true}
+		c.change(&b.rhythm, &now)
+		assert.Equal(t, b.pauseBeforeRead(now) > 0, c.pauses, name)
+	}
+	var r rhythm
+	r.made(State{Term: 3, Heartbeats: 5}, 0, time.Second)
+	assert.Assert(t, !r.known, "a record without SinceClaim")
+}
