Start orders expire before an evacuation that they may miss can be in force

Cause: an order that waits in the network, or in a process that is paused between check and call, could start a task after an evacuation is in force, for as long as its lease lasted (6 or 10 s).

Change: with bounds.evacuate_ms set, the lease that a start order carries ends at the latest when an evacuation that the scheduler's view does not show could be in force, less 0.2 s. Leases on a worker never shorten, and the next heartbeat renews it. The first order of a run is again sent for a run that the worker has reported as ended; the check before it had taken such runs out.

--- a/internal/dispatch/datacentre.go
+++ b/internal/dispatch/datacentre.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,8 @@
 	maxOperatorView = 3 * time.Second
 	// startOrderTime covers startAttempts orders of startTimeout each, which take 1.05 s, and an order's way to the worker.
 	startOrderTime = 1500 * time.Millisecond
+	// startExpiryMargin covers the inaccuracy of the worker's clock, of which at most 3 % of the time since its latest answer is expected.
+	startExpiryMargin = 200 * time.Millisecond
 )
 
 // Evacuations says in which data centres no task may start. It must be safe for concurrent use.
@@ -45,6 +48,17 @@
 	return s.config.OperatorView() <= min(maxOperatorView, limit-startOrderTime)
 }
 
+// latestStart returns the time of the worker's clock, in milliseconds, from which it is to refuse a start order that is made now: no earlier
+// than that is an evacuation in force that the view of the operator's records does not show. The order may wait for longer than its sender
+// does, in the network or in a process that is paused. The lease that it carries ends then at the latest; the next heartbeat, which
+// follows within two seconds, renews it.
+func (s *Scheduler) latestStart(w *worker, now time.Time) int64 {
+	if s.config.Bounds.Evacuation <= 0 || s.config.OperatorView == nil {
+		return math.MaxInt64
+	}
+	return w.clockAt(now) + (s.config.Bounds.Evacuation - s.config.OperatorView() - startExpiryMargin).Milliseconds()
+}
+
 // mayStartAt reports whether the operator's records permit a start of a whole unit on the workers of its run.
 func (s *Scheduler) mayStartAt(members []*member) bool {
 	return s.operatorViewValid() && !slices.ContainsFunc(members, func(m *member) bool { return s.evacuated(m.worker) })
--- a/internal/dispatch/datacentre_test.go
+++ b/internal/dispatch/datacentre_test.go
@@ -155,15 +155,16 @@
 	})
 }
 
-// Guards against starts on a view of the operator's records that an evacuation may have made obsolete, against preemptions for work that may
+// Guards against starts on a view of the operator's records that an evacuation may have made obsolete, or by orders that arrive late, against preemptions for work that may
 // not start then, and against limits where the platform sets none.
 func TestStartsNeedARecentViewOfTheOperatorsRecords(t *testing.T) {
 	for _, c := range []struct {
 		evacuation, age time.Duration
 		starts          int
+		expiry          int64 // of the order, on the worker's clock
 	}{
-		{0, time.Hour, 1}, {5 * time.Second, 3 * time.Second, 1}, {5 * time.Second, 3001 * time.Millisecond, 0},
-		{4 * time.Second, 2500 * time.Millisecond, 1}, {4 * time.Second, 2501 * time.Millisecond, 0},
+		{0, time.Hour, 1, 11_000}, {5 * time.Second, 3 * time.Second, 1, 2800}, {5 * time.Second, 3001 * time.Millisecond, 0, 5800},
+		{4 * time.Second, 2500 * time.Millisecond, 1, 2300}, {4 * time.Second, 2501 * time.Millisecond, 0, 4800},
 	} {
 		t.Run(fmt.Sprint(c), func(t *testing.T) {
 			playEvacuation(t, func(h *evacuationHarness) {
@@ -181,6 +182,7 @@
 				h.viewAge.Store(0)
 				h.settle()
 				assert.Equal(t, h.fleet.started(), 9)
+				assert.Equal(t, h.fleet.starts[8].LeaseEnd, c.expiry)
 			})
 		})
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -25,8 +25,9 @@
 
 // startOrderFor returns the order that starts a member, and grants its lease.
 func (s *Scheduler) startOrderFor(m *member) StartOrder {
+	now := time.Now()
 	return StartOrder{
-		Task: m.taskName(), Run: m.run, Spec: m.unit.job().spec.Spec, LeaseEnd: s.grantLease(m.worker, time.Now()),
+		Task: m.taskName(), Run: m.run, Spec: m.unit.job().spec.Spec, LeaseEnd: min(s.grantLease(m.worker, now), s.latestStart(m.worker, now)),
 		Token: s.config.Token, Checkpoint: m.unit.checkpoint, Ticket: m.unit.step.advice.tickets[m.worker.info.ID].text,
 	}
 }
@@ -39,7 +40,12 @@
 	if end.After(w.leasesOverAt) {
 		w.leasesOverAt = end
 	}
-	return w.workerClock + now.Sub(w.lastAnswerAt).Milliseconds() + lease.Milliseconds()
+	return w.clockAt(now) + lease.Milliseconds()
+}
+
+// clockAt returns the worker's clock at a time, in milliseconds, or a little less.
+func (w *worker) clockAt(now time.Time) int64 {
+	return w.workerClock + now.Sub(w.lastAnswerAt).Milliseconds()
 }
 
 // leaseOn returns the length of the leases on a worker.
@@ -111,7 +117,7 @@
 	unanswered := errStartNotSent
 	for attempt := range startAttempts {
 		ctx, cancel := context.WithTimeout(s.ctx, startTimeout) // begins before the check, so that a pause after it counts
-		if !s.startStillWanted(m) {
+		if !s.mayOrderStart(m, attempt > 0) {
 			cancel()
 			return unanswered
 		}
@@ -135,11 +141,14 @@
 	return unanswered
 }
 
-// startStillWanted reports whether a member's start is still unanswered, wanted and permitted.
-func (s *Scheduler) startStillWanted(m *member) bool {
+// mayOrderStart reports whether a member's start is wanted and permitted, and a repeated one still unanswered.
+func (s *Scheduler) mayOrderStart(m *member, repeated bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return m.state == starting && !m.stopWanted && s.ctx.Err() == nil && s.config.Term.Authority() && s.mayStartAt(m.unit.members)
+	if m.stopWanted || repeated && m.state != starting || s.ctx.Err() != nil || !s.config.Term.Authority() {
+		return false
+	}
+	return !s.evacuated(m.worker) && s.mayStartAt(m.unit.members)
 }
 
 // markRunning notes that a member is known to run.
