Soak: the operator evacuates a data centre

Cause: the soak did not play evacuations, which have to hold while instances are killed and paused and the store and connections fail.

Change: each run of 14 s or more evacuates one of two data centres for 8 s. The workers count starts from 5 s after the acknowledgement on, and one such start fails the run. A violation that loses the operator's record shows that the check can fail. Other faults of a seed are as before.

--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -44,6 +44,9 @@
 // OddEntry writes an entry that no worker writes to the list of workers: under a key of its own or, for a while, under that of a worker.
 const OddEntry Kind = "odd"
 
+// Evacuate lets the operator evacuate a data centre. There is at most one in a plan, that lasts for some time after it is in force.
+const Evacuate Kind = "evacuate"
+
 // oddEntries are the values of the entries that OddEntry writes. ADDRESS stands for the address of the workers.
 var oddEntries = []string{
 	strings.Repeat(`{"a":`, 40_000) + `1` + strings.Repeat(`}`, 40_000),
@@ -90,6 +93,11 @@
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 3)), linkKinds, length, instances)...)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 4)), []Kind{OddEntry}, length, instances)...)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 5)), []Kind{LosePower}, length, instances)...)
+	random := rand.New(rand.NewPCG(seed, 6))
+	evacuation := Fault{At: time.Second + time.Duration(random.Int64N(int64(2*time.Second))), Kind: Evacuate, Node: random.IntN(instances), Length: evacuateTime + 3*time.Second}
+	if evacuation.At+evacuation.Length < length-faultFreeTail {
+		plan = append(plan, evacuation)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -128,7 +136,7 @@
 		if r.injectLinkFault(f) {
 			continue
 		}
-		inject, isWorkerFault := map[Kind]func(context.Context, Fault) error{OddEntry: r.injectOddEntry, LosePower: r.losePower}[f.Kind]
+		inject, isWorkerFault := map[Kind]func(context.Context, Fault) error{OddEntry: r.injectOddEntry, LosePower: r.losePower, Evacuate: r.evacuate}[f.Kind]
 		if isWorkerFault {
 			if err := inject(ctx, f); err != nil {
 				return err
@@ -190,6 +198,40 @@
 	return nil
 }
 
+// evacuate evacuates a data centre for the fault's length. From evacuateTime after the acknowledgement on, starts there are forbidden.
+func (r *run) evacuate(ctx context.Context, f Fault) error {
+	dataCentre := dataCentreOf(f.Node % workerCount)
+	if !r.options.Violations.DropEvacuation {
+		if err := r.put(ctx, operatorTopic, "evacuate/"+dataCentre, "{}"); err != nil {
+			return err
+		}
+	}
+	if err := r.forbidStarts(ctx, dataCentre, fmt.Sprint(time.Now().Add(evacuateTime).UnixMilli())); err != nil {
+		return err
+	}
+	time.AfterFunc(f.Length, func() {
+		if err := r.forbidStarts(ctx, dataCentre, ""); err != nil {
+			fmt.Fprintf(r.options.Progress, "%s stays evacuated: %v\n", dataCentre, err)
+		}
+		if err := r.put(ctx, operatorTopic, "evacuate/"+dataCentre, ""); err != nil {
+			fmt.Fprintf(r.options.Progress, "%s stays evacuated: %v\n", dataCentre, err)
+		}
+	})
+	return nil
+}
+
+// forbidStarts forbids starts in a data centre from a time in Unix milliseconds on, or allows them if it is empty.
+func (r *run) forbidStarts(ctx context.Context, dataCentre, from string) error {
+	for i := range workerCount {
+		if dataCentreOf(i) == dataCentre {
+			if _, err := r.post(ctx, fmt.Sprintf("http://%s/control/forbid?worker=w%d&from=%s", r.workersAddress, i, from), nil); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func (r *run) sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
 
 // storeFaults returns the store's settings for a kind of fault, and whether the kind is a fault of the store.
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -1,6 +1,6 @@
 // Package soak runs entry instances as separate processes against the other stand-ins, acts as their callers and operator, and
 // injects faults from outside. It checks the invariants that callers and workers can see: every accepted job ends as its caller
-// asked, no task runs twice, and a job that was refused does not exist.
+// asked, no task runs twice or starts in an evacuated data centre, and a job that was refused does not exist.
 package soak
 
 import (
@@ -34,11 +34,14 @@
 	pollInterval      = 200 * time.Millisecond // interval between two attempts of a repeated call
 	host              = "jobs.example"
 	apiKey            = "soak-key"
-	workerCount       = 6
-	firstJob          = "ffffffffffffffff" // id of the job that is submitted until an instance accepts it
-	lastJobs          = "eeeeeeeeeeeeee"   // beginning of the ids of the jobs that each instance is to accept after the faults
-	workersTopic      = "keyed.servers"    // list of workers
-	advisedQueue      = "advised"          // queue with advice
+	// evacuateTime is the time from the acknowledgement of an evacuation until no task may start (evacuate_ms of the platform's bounds).
+	evacuateTime  = 5 * time.Second
+	workerCount   = 6
+	firstJob      = "ffffffffffffffff" // id of the job that is submitted until an instance accepts it
+	lastJobs      = "eeeeeeeeeeeeee"   // beginning of the ids of the jobs that each instance is to accept after the faults
+	workersTopic  = "keyed.servers"    // list of workers
+	operatorTopic = "keyed.op"         // configuration and evacuations
+	advisedQueue  = "advised"          // queue with advice
 )
 
 // Options of a run.
@@ -61,6 +64,7 @@
 	DenyAcceptance bool         // callers see an acceptance as a refusal, but for the first and last jobs
 	DropCancels    bool         // cancellations are not sent, and count as answered startsAfterCancel earlier
 	DeafInstance   bool         // the first instance gets no more calls after the faults
+	DropEvacuation bool         // evacuations are acknowledged, but not recorded
 }
 
 // Verdict counts what callers and workers saw.
@@ -75,13 +79,13 @@
 
 // Passed reports whether every invariant held.
 func (v Verdict) Passed() bool {
-	return v.Accepted > 0 && len(v.Lost) == 0 && len(v.FalseRefusals) == 0 && len(v.Unasked) == 0 && len(v.Stuck) == 0 && v.Workers.Doubled == 0
+	return v.Accepted > 0 && len(v.Lost) == 0 && len(v.FalseRefusals) == 0 && len(v.Unasked) == 0 && len(v.Stuck) == 0 && v.Workers.Doubled == 0 && v.Workers.Forbidden == 0
 }
 
 // String returns the last line of a run's output.
 func (v Verdict) String() string {
-	return fmt.Sprintf("soak: accepted=%d completed=%d cancelled=%d refused=%d open=%d lost=%d false_refusals=%d unasked=%d stuck=%d started=%d doubled=%d lapsed=%d unticketed=%d",
-		v.Accepted, v.Completed, v.Cancelled, v.Refused, v.Unknown, len(v.Lost), len(v.FalseRefusals), len(v.Unasked), len(v.Stuck), v.Workers.Started, v.Workers.Doubled, v.Workers.Lapsed, v.Workers.Unticketed)
+	return fmt.Sprintf("soak: accepted=%d completed=%d cancelled=%d refused=%d open=%d lost=%d false_refusals=%d unasked=%d stuck=%d started=%d doubled=%d forbidden=%d lapsed=%d unticketed=%d",
+		v.Accepted, v.Completed, v.Cancelled, v.Refused, v.Unknown, len(v.Lost), len(v.FalseRefusals), len(v.Unasked), len(v.Stuck), v.Workers.Started, v.Workers.Doubled, v.Workers.Forbidden, v.Workers.Lapsed, v.Workers.Unticketed)
 }
 
 // run is the state of one run.
@@ -193,8 +197,8 @@
 		}
 		r.nodes = append(r.nodes, n)
 		n.settingsPath = filepath.Join(r.options.Directory, n.name+".yaml")
-		text := fmt.Sprintf("instance: %s\ndata_centre: z1\nlisten: {jobs: %q, readiness: %q, control: %q}\nstore: %q\nadvisor: %q\nbounds: {lease_ms: 4000, keep_status_s: 300}\n",
-			n.name, addresses[2+3*i], addresses[3+3*i], addresses[4+3*i], n.storeProxy.address(), r.workerProxies[0].address())
+		text := fmt.Sprintf("instance: %s\ndata_centre: z1\nlisten: {jobs: %q, readiness: %q, control: %q}\nstore: %q\nadvisor: %q\nbounds: {lease_ms: 4000, keep_status_s: 300, evacuate_ms: %d}\n",
+			n.name, addresses[2+3*i], addresses[3+3*i], addresses[4+3*i], n.storeProxy.address(), r.workerProxies[0].address(), evacuateTime.Milliseconds())
 		if err := os.WriteFile(n.settingsPath, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -229,7 +233,7 @@
 		`"target_latency_ms":250,"priority":0,"service":"render","max_attempts":3,"stretch":1.5},{"name":"advised","host":%q,"path_prefix":"/advised/","timeout_ms":3000,`+
 		`"target_latency_ms":1000,"priority":1,"service":"render","max_attempts":3,"stretch":3.0,"advice":{"decision_ms":40,"per_worker_ms":5,"validity_ms":1500}}],`+
 		`"services":[{"name":"render"}],"tenants":[{"name":"club","api_keys":[%q],"guaranteed":{"gpu":16}}]}`, host, host, host, apiKey)
-	if err := r.put(ctx, "keyed.op", "config", config); err != nil {
+	if err := r.put(ctx, operatorTopic, "config", config); err != nil {
 		return err
 	}
 	for i := range workerCount {
@@ -240,13 +244,16 @@
 	return nil
 }
 
+// dataCentreOf returns the data centre of a worker.
+func dataCentreOf(worker int) string { return fmt.Sprintf("z%d", 1+worker/3) }
+
 // putWorker writes the entry of a worker in the list of workers.
 func (r *run) putWorker(ctx context.Context, i int) error {
 	r.mu.Lock()
 	born := r.born[i]
 	r.mu.Unlock()
-	entry := fmt.Sprintf(`{"service":"render","address":%q,"zone":"z1","state":"ready","capacity":{"cpu":64000,"mem_mb":262144,"gpu":8},`+
-		`"labels":["a","r1-%d"],"sequence":1,"born":%d}`, r.workerProxies[i].address(), 1+i/3, born)
+	entry := fmt.Sprintf(`{"service":"render","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":64000,"mem_mb":262144,"gpu":8},`+
+		`"labels":["a","r1-%d"],"sequence":1,"born":%d}`, r.workerProxies[i].address(), dataCentreOf(i), 1+i/3, born)
 	return r.put(ctx, workersTopic, fmt.Sprintf("w%d", i), entry)
 }
 
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -53,7 +53,7 @@
 // must detect it.
 func TestChecksDetectViolations(t *testing.T) {
 	o := buildOptions(t)
-	o.Length, o.SettleTimeout = 5*time.Second, 4*time.Second
+	o.SettleTimeout = 4 * time.Second
 	for _, c := range []struct {
 		name       string
 		violations Violations
@@ -63,11 +63,15 @@
 		{"accepted jobs are reported as refused", Violations{DenyAcceptance: true}, func(v Verdict) bool { return len(v.FalseRefusals) > 0 }},
 		{"cancellations are lost", Violations{DropCancels: true}, func(v Verdict) bool { return len(v.Unasked) > 0 }},
 		{"an instance answers no callers", Violations{DeafInstance: true}, func(v Verdict) bool { return len(v.Stuck) > 0 }},
+		{"evacuations are lost", Violations{DropEvacuation: true}, func(v Verdict) bool { return v.Workers.Forbidden > 0 }},
 		{"workers hide running tasks", Violations{HideRuns: true}, func(v Verdict) bool { return v.Workers.Doubled > 0 }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := uint64(1); seed <= 10; seed++ {
-				o.Seed, o.Directory, o.Violations = seed, t.TempDir(), c.violations
+				o.Seed, o.Directory, o.Violations, o.Length = seed, t.TempDir(), c.violations, 5*time.Second
+				if c.violations.DropEvacuation {
+					o.Length = 15 * time.Second // a shorter plan has no evacuation
+				}
 				verdict, err := Run(context.Background(), o)
 				assert.NilError(t, err)
 				if c.detected(verdict) {
