Node tests take their ports from process.FreeAddresses

Change: freeAddress uses process.FreeAddresses, whose ports lie below those of outgoing connections.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -6,10 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +18,7 @@
 	"gotest.tools/v3/poll"
 
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
+	"dogwoodnotch.example/dogwoodnotch/internal/process"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/store"
 	"dogwoodnotch.example/dogwoodnotch/internal/standin/taskworker"
 )
@@ -109,22 +108,12 @@
 "capacity":{"cpu":64000,"mem_mb":262144,"gpu":8},"labels":["a","r1-1"],"remaining_ms":500,"sequence":1}`, d.workersAddress, dataCentre, state))
 }
 
-// latestPort is the latest port that freeAddress has tried, counted from firstPort.
-var latestPort atomic.Int64
-
 // freeAddress returns an address to listen on. Its port is below those that the system gives to other sockets, which deployments of
 // other tests open at any time.
 func freeAddress(t *testing.T) string {
-	const firstPort, ports = 20_000, 10_000
-	for range ports {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(int64(os.Getpid())*37+latestPort.Add(1))%ports)
-		if l, err := net.Listen("tcp", address); err == nil {
-			l.Close()
-			return address
-		}
-	}
-	t.Fatal("no port is free")
-	return ""
+	addresses, err := process.FreeAddresses(1)
+	assert.NilError(t, err)
+	return addresses[0]
 }
 
 func (d *deployment) start(i int, storeAddress string) *instance {
