Forecast: summaries of steps with unlike tasks can be restored

Cause: the squared deviations of a queue included the variance within a step without a limit, while Restore refuses squares above spreadCut squared per observation. Where the tasks of a queue's steps differ by more than a factor of about 100, Restore refused the model's own summary with ErrSummaryValue, so each takeover lost all workers and queues.

Change: a squared deviation, with the variance, counts at most as spreadCut squared in a queue and as maxRefinedSquare in a refinement, which are the limits that Restore checks.

Result: TestSummaryOfUnlikeTasksIsReadable (tasks of 0.2 s and 100 s) failed with "the summary has a number out of range" and passes. TestSummary*, TestUnreadable* and the seeds of FuzzRestore pass.

--- a/internal/forecast/summary.go
+++ b/internal/forecast/summary.go
@@ -254,7 +254,7 @@
 	r := &refinement{weight: float64(q.Numbers[0]), sum: float64(q.Numbers[1]), with: float64(q.Numbers[2]), without: float64(q.Numbers[3]), compared: float64(q.Numbers[4])}
 	const (
 		maxWeight  = 100
-		maxSquares = maxWeight * 4 * spreadCut * spreadCut
+		maxSquares = maxWeight * maxRefinedSquare
 	)
 	valid := q.Level >= 0 && q.Level < int(levels) && q.Step >= 0 && q.Step <= 15 && q.Width >= 0 && q.Width <= 64 &&
 		within(r.weight, 0, maxWeight) && within(r.sum/max(r.weight, 1e-3), -2*spreadCut, 2*spreadCut) &&
--- a/internal/forecast/summary_test.go
+++ b/internal/forecast/summary_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -64,6 +65,19 @@
 	assert.DeepEqual(t, g.model.Summary(3000), g.model.Summary(3000))
 }
 
+// Guards against a summary that Restore refuses because the tasks of some steps differ by a large factor.
+func TestSummaryOfUnlikeTasksIsReadable(t *testing.T) {
+	m, now := New(), time.Unix(1e9, 0)
+	w := Work{Queue: "q", Customer: "c", Width: 2, Estimate: time.Second}
+	for range 300 {
+		now = now.Add(time.Second)
+		m.ObserveStep(w, []Run{{Worker: "w1", Ran: 200 * time.Millisecond, At: now}, {Worker: "w2", Ran: 100 * time.Second, At: now}})
+	}
+	p := m.Predict(w)
+	assert.Assert(t, p.Median > 0 && p.Spread < 10, "%v", p)
+	assert.NilError(t, New().Restore(m.Summary(16<<10)))
+}
+
 // Guards against an unreadable summary that spoils or ends a scheduler.
 func TestUnreadableSummaryLeavesTheModelUnchanged(t *testing.T) {
 	m := trained(20).model
--- a/internal/forecast/work.go
+++ b/internal/forecast/work.go
@@ -20,9 +20,11 @@
 	minSpread      = 0.08 // lower bound of a spread: even the same work varies from run to run
 	spreadPrior    = 3.0  // number of observations that the spread without observations counts as
 	spreadCut      = 2.3  // a deviation counts at most as this one (a factor of 10) in a spread
-	maxQueues      = 256  // queues that are kept
-	maxRefinements = 4096 // refinements that are kept, about 150 bytes each
-	usefulFrom     = 0.97 // a refinement is used if its squared errors are below this share of those without it
+	// maxRefinedSquare limits a squared deviation of a refinement, which is the difference of two deviations.
+	maxRefinedSquare = 4 * spreadCut * spreadCut
+	maxQueues        = 256  // queues that are kept
+	maxRefinements   = 4096 // refinements that are kept, about 150 bytes each
+	usefulFrom       = 0.97 // a refinement is used if its squared errors are below this share of those without it
 )
 
 // regression predicts the log of run times from that of estimates. Estimates may be far off: where they say little,
@@ -85,7 +87,7 @@
 	r.sumXX = decay*r.sumXX + weight*x*x
 	r.sumXY = decay*r.sumXY + weight*x*y
 	deviation = clamp(deviation, spreadCut)
-	r.squares = decay*r.squares + weight*(deviation*deviation+variance)
+	r.squares = decay*r.squares + weight*min(deviation*deviation+variance, spreadCut*spreadCut)
 	r.squaresWeight = decay*r.squaresWeight + weight
 }
 
@@ -253,8 +255,8 @@
 		decay := math.Pow(levelParameters[of].decay, weight)
 		refined := deviation - offset
 		if f.weight > 0 {
-			f.with = decay*f.with + weight*(refined*refined+variance)
-			f.without = decay*f.without + weight*(deviation*deviation+variance)
+			f.with = decay*f.with + weight*min(refined*refined+variance, maxRefinedSquare)
+			f.without = decay*f.without + weight*min(deviation*deviation+variance, maxRefinedSquare)
 			f.compared = decay*f.compared + weight
 		}
 		if f.weight >= outlierMinWeight {
