Elections: silence counts from the answer if it is late or cut

Cause: after a pause, silence counted from when the last record read was made, even if the answer took long or did not reach the end of the topic. The deadline of the claim was then in the past, so the claim followed at once although the holder could have written since. After a cut answer the offset also went to the end of the topic, which skipped records.

Change: after an answer that took more than 100 ms or is cut, silence counts from the answer, as at an instance that does not pause. After a cut answer the next read follows at once where the answer ended.

TestLateOrCutAnswerIsNoSilence failed before (1.2 s and 1.401 s in place of 0) and passes now.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -323,13 +323,19 @@
 		return false, err
 	}
 	e.noteAnswerLocked()
-	earliest := e.clock() // a record that was awaited counts from when it was read
-	if paused {
+	cut := false
+	if n := len(batch.Records); n > 0 {
+		end := batch.Records[n-1].Offset + 1
+		cut, batch.End = end < batch.End, end // the records that are missing must be read before a claim
+	}
+	// A record that was awaited counts from when it was read. So does the last one of a late or cut answer: the holder may have written since.
+	earliest := e.clock()
+	if paused && !cut && earliest-sent <= slowAnswer {
 		earliest = e.readSentAt // a new record was appended after the read before was sent
 	}
 	e.readSentAt = sent
 	heard = e.observe(batch, earliest)
-	e.rhythm.noteRead(heard, paused, sent, e.clock())
+	e.rhythm.noteRead(heard && !cut, paused, sent, e.clock()) // after a cut answer the next read follows at once
 	return heard, nil
 }
 
--- a/internal/leadership/rhythm_test.go
+++ b/internal/leadership/rhythm_test.go
@@ -272,3 +272,140 @@
 	r.made(State{Term: 3, Heartbeats: 5}, 0, time.Second)
 	assert.Assert(t, !r.known, "a record without SinceClaim")
 }
+
+// lateLog answers a read after a time by the clock of a succession, with a limited number of records.
+type lateLog struct {
+	*succession
+	takes time.Duration
+	most  int
+}
+
+func (l *lateLog) Append(ctx context.Context, topic string, records []ledger.Record, o ledger.AppendOptions) (int64, error) {
+	return l.log.Append(ctx, topic, records, o)
+}
+
+func (l *lateLog) Newest(ctx context.Context, topic string) (ledger.Batch, error) {
+	return l.log.Newest(ctx, topic)
+}
+
+func (l *lateLog) Read(ctx context.Context, topic string, from int64, wait time.Duration) (ledger.Batch, error) {
+	batch, err := l.log.Read(ctx, topic, from, wait)
+	l.clock += l.takes
+	batch.Records = batch.Records[:min(l.most, len(batch.Records))]
+	return batch, err
+}
+
+// Guards against a claim at once after a read whose answer was late or cut, because its last record is old: the holder may have written since.
+func TestLateOrCutAnswerIsNoSilence(t *testing.T) {
+	for name, c := range map[string]struct {
+		takes time.Duration
+		most  int
+	}{
+		"late": {1200 * time.Millisecond, 100},
+		"cut":  {time.Millisecond, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSuccession(t)
+			a, term := s.claim("a", "1")
+			b := s.join("b", "2")
+			s.clock += heartbeatInterval
+			assert.NilError(t, a.renew(t.Context(), term))
+			_, err := b.follow(t.Context(), 0, false)
+			assert.NilError(t, err)
+			for range 6 {
+				s.clock += heartbeatInterval
+				assert.NilError(t, a.renew(t.Context(), term))
+			}
+			b.log = &lateLog{succession: s, takes: c.takes, most: c.most}
+			heard, err := b.follow(t.Context(), 0, true)
+			assert.NilError(t, err)
+			assert.Assert(t, heard)
+			assert.Equal(t, b.sinceLastRecord(), time.Duration(0))
+			assert.Equal(t, b.topicEnd, b.current.Heartbeats+1, "records were skipped")
+		})
+	}
+}
+
+// silentLog leaves all calls without an answer for a time. A call that ends in between has no effect.
+type silentLog struct {
+	*quietClient
+	outage *outage
+}
+
+// outage is a time during which a log answers nobody.
+type outage struct {
+	mu   sync.Mutex
+	over chan struct{} // closed at the end; nil without an outage
+}
+
+func (o *outage) begin() (end func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	over := make(chan struct{})
+	o.over = over
+	return func() { close(over) }
+}
+
+func (o *outage) await(ctx context.Context) error {
+	o.mu.Lock()
+	over := o.over
+	o.mu.Unlock()
+	if over == nil {
+		return nil
+	}
+	select {
+	case <-over:
+		return nil
+	case <-ctx.Done():
+		return &ledger.UnknownError{Cause: ctx.Err()}
+	}
+}
+
+func (l *silentLog) Append(ctx context.Context, topic string, records []ledger.Record, o ledger.AppendOptions) (int64, error) {
+	if err := l.outage.await(ctx); err != nil {
+		return 0, err
+	}
+	return l.quietClient.Append(ctx, topic, records, o)
+}
+
+func (l *silentLog) Read(ctx context.Context, topic string, from int64, wait time.Duration) (ledger.Batch, error) {
+	if err := l.outage.await(ctx); err != nil {
+		return ledger.Batch{}, err
+	}
+	return l.quietClient.Read(ctx, topic, from, wait)
+}
+
+// Guards against instances that claim the role of a living holder after an outage of the log in which a read after a pause was not answered.
+func TestOutageDuringALateReadMovesNoRole(t *testing.T) {
+	moved := 0
+	const runs = 400
+	for range runs {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			out := &outage{}
+			log := &quietLog{latency: 10 * time.Millisecond, changed: make(chan struct{})}
+			claims := make(chan string, 10)
+			ctx, cancel := context.WithCancel(t.Context())
+			for _, name := range []string{"a", "b"} {
+				elector := New(Config{
+					Log: &silentLog{&quietClient{quietLog: log}, out}, Instance: name, Incarnation: name, ProcessorShare: 0.8, Events: event.Discard(),
+					Clock: func() time.Duration { return time.Since(start) }, Eligible: func() bool { return true },
+				})
+				go elector.Run(ctx, func(term *Term) {
+					claims <- name
+					<-term.Context.Done()
+				})
+				time.Sleep(100*time.Millisecond + rand.N(heartbeatInterval))
+			}
+			time.Sleep(4*time.Second + rand.N(2*time.Second))
+			end := out.begin()
+			time.Sleep(callTimeout + rand.N(450*time.Millisecond))
+			end()
+			time.Sleep(time.Second)
+			moved += len(claims) - 1
+			cancel()
+			time.Sleep(time.Minute)
+		})
+	}
+	assert.Equal(t, moved, 0, "the role moved in some of %d outages", runs)
+}
