Elections: a stop during an outage sends no further heartbeats

Cause: since heartbeats no longer end with the instance's context, each takes 0.9 s on a silent log, and the next tick is due when it ends. The loop then chose at random between the tick and the announcement or resignation, so the number of heartbeats had no bound.

Change: no heartbeat is sent once the announcement or the resignation is due.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -454,10 +454,11 @@
 	callCtx := context.WithoutCancel(ctx)
 	ending := ctx.Done()
 	var resign <-chan time.Time
+	var toldAt time.Time // when ctx ended
 	for {
 		select {
 		case <-ending:
-			ending, resign = nil, time.After(leaveNotice)
+			ending, resign, toldAt = nil, time.After(leaveNotice), time.Now()
 			term.leaving = true
 		case <-resign:
 			e.resign(term, "")
@@ -466,6 +467,9 @@
 			e.events.Emit(eventLost, event.F("term", term.Number), event.F("cause", context.Cause(term.Context)))
 			return
 		case <-ticker.C:
+			if ctx.Err() != nil && (!term.leaving || time.Since(toldAt) >= leaveNotice) {
+				continue // the announcement or the resignation is due, and a heartbeat to a silent log takes callTimeout
+			}
 		}
 		if err := e.renew(callCtx, term); err != nil {
 			term.Lose(err)
--- a/internal/leadership/rhythm_test.go
+++ b/internal/leadership/rhythm_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -326,6 +327,49 @@
 	}
 }
 
+// stalledLog takes appends of a quietClient only if its holder is not stalled; otherwise they end with their time limit.
+type stalledLog struct {
+	*quietClient
+	stalled atomic.Bool
+}
+
+func (l *stalledLog) Append(ctx context.Context, topic string, records []ledger.Record, o ledger.AppendOptions) (int64, error) {
+	if l.stalled.Load() {
+		<-ctx.Done()
+		return 0, &ledger.UnknownError{Cause: ctx.Err()}
+	}
+	return l.quietClient.Append(ctx, topic, records, o)
+}
+
+// Guards against a planned stop that sends further heartbeats to a silent log before it resigns.
+func TestStopWhileTheLogIsSilentIsBounded(t *testing.T) {
+	for range 40 {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			log := &stalledLog{quietClient: &quietClient{quietLog: &quietLog{latency: 10 * time.Millisecond, changed: make(chan struct{})}}}
+			elector := New(Config{
+				Log: log, Instance: "a", Incarnation: "1", ProcessorShare: 1, Events: event.Discard(),
+				Clock: func() time.Duration { return time.Since(start) }, Eligible: func() bool { return true },
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				elector.Run(ctx, func(term *Term) { <-term.Context.Done() })
+			}()
+			time.Sleep(3 * time.Second)
+			log.stalled.Store(true)
+			time.Sleep(rand.N(3 * time.Second))
+			stopped := time.Now()
+			cancel()
+			<-ended
+			// A heartbeat in flight, the announcement and the resignation.
+			limit := 2*(callTimeout+retryPause) + resignTimeout + retryPause
+			assert.Assert(t, time.Since(stopped) <= limit, "stopped after %v", time.Since(stopped))
+		})
+	}
+}
+
 // silentLog leaves all calls without an answer for a time. A call that ends in between has no effect.
 type silentLog struct {
 	*quietClient
