Authority of a former holder whose clock lost time in its term

Cause: a stop of the holder's virtual machine that its clock did not count makes SinceClaim too small from then on. The limit on when records were made was corrected only if it was too early by more than 2 s; a shorter stop left it too early for the rest of the term, so a new holder took the authority of the former one to end earlier than it did, by the stop or the time between two reads.

Change: the limit is set anew if it precedes the read before by more than 0.1 s (oddStep); the true error is noticed within some reads, since these are out of step with the heartbeats.

--- a/internal/leadership/rhythm.go
+++ b/internal/leadership/rhythm.go
@@ -15,8 +15,10 @@
 	// or the log is slow, and heartbeats take effect long after they were made.
 	slowAnswer = 100 * time.Millisecond
 	slowTime   = 5 * time.Second
-	clockDrift = 1e-3            // largest relative difference in speed of two machines' clocks
-	oddStep    = 2 * time.Second // a heartbeat takes effect sooner after it was made, since calls are limited to callTimeout
+	clockDrift = 1e-3 // largest relative difference in speed of two machines' clocks
+	// oddStep is by how much the limit on when a record was made may precede the read before, for example because the append took long. If it
+	// precedes that by more, the holder's clock has lost time, and the limit would be too early for the rest of the term.
+	oddStep = 100 * time.Millisecond
 )
 
 // rhythm tells when records of the holder were made, for an instance that pauses between reads. A record says how long after the claim it
--- a/internal/leadership/rhythm_test.go
+++ b/internal/leadership/rhythm_test.go
@@ -453,3 +453,40 @@
 	}
 	assert.Equal(t, moved, 0, "the role moved in some of %d outages", runs)
 }
+
+// Guards against a lost holder that counts as having less authority than it has for the rest of its term, because its clock did not count a
+// short stop of its virtual machine.
+func TestAuthorityAfterAStopThatTheHolderDidNotCount(t *testing.T) {
+	for _, stop := range []time.Duration{300 * time.Millisecond, time.Second, 1900 * time.Millisecond} {
+		s := newSuccession(t)
+		a, term := s.claim("a", "1")
+		b := s.join("b", "2")
+		made, lastMade := s.clock, s.clock
+		beat := func() {
+			s.clock += heartbeatInterval
+			made = s.clock
+			assert.NilError(t, a.renew(t.Context(), term))
+		}
+		for range 5 {
+			beat()
+			_, err := b.follow(t.Context(), 0, false)
+			assert.NilError(t, err)
+		}
+		s.clock += stop
+		term.claimed += stop
+		for range 60 { // each read returns up to three heartbeats and is late by a random part of an interval
+			beat()
+			beat()
+			late := rand.N(heartbeatInterval)
+			s.clock += late
+			_, err := b.follow(t.Context(), 0, true)
+			assert.NilError(t, err)
+			assert.Assert(t, b.heardAt <= s.clock)
+			lastMade = made
+			s.clock += heartbeatInterval - late
+			made = s.clock
+			assert.NilError(t, a.renew(t.Context(), term))
+		}
+		assert.Assert(t, b.heardAt >= lastMade-100*time.Millisecond, "stop of %v: %v before it was made", stop, lastMade-b.heardAt)
+	}
+}
