Urgent units do not wait for preempted workers that cannot help

A unit that preempted work for room on workers too slow for it left that room unused once the stops were over, as long as a faster worker existed. It also went on waiting when the preempted worker was evacuated or lost, or had the room already and was a last resort for the unit.

Change: the unit waits only while stops on the preempted workers are not over and all of these are usable, not evacuated and still suit. Otherwise it starts where it has room. A preemption for speed takes no worker that is a last resort.

--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -284,6 +284,9 @@
 		return false
 	}
 	if len(u.preemptedWorkers) > 0 && p.now.Sub(u.preemptedAt) < preemptionTimeout {
+		if !p.preemptionHelps(u, g) {
+			return false
+		}
 		p.claimWorkers(u)
 		return true
 	}
@@ -295,7 +298,7 @@
 		return true
 	}
 	delay := p.scheduler.stopTime() + startOverhead
-	workers, victims, cost := p.bestPreemption(pl, r, u, func(w *worker) bool { return g.suits(w, delay) })
+	workers, victims, cost := p.bestPreemption(pl, r, u, func(w *worker) bool { return g.suits(w, delay) && p.preferenceFor(w, u) != lastResort })
 	if workers == nil || len(victims) == 0 || cost > preemptionGain*p.ownWork(pl, u, g) {
 		return false
 	}
@@ -303,6 +306,22 @@
 	return true
 }
 
+// preemptionHelps reports whether the workers on which work was preempted for the unit still suit it and are about to have room. The preemption
+// may have been for room alone, and a worker may have been lost or evacuated since.
+func (p *plan) preemptionHelps(u *unit, g *speedGoal) bool {
+	stops := func(w *worker) bool {
+		for _, m := range w.members {
+			if m.stopWanted {
+				return true
+			}
+		}
+		return false
+	}
+	return slices.ContainsFunc(u.preemptedWorkers, stops) && allWorkers(u.preemptedWorkers, func(w *worker) bool {
+		return w.usable(p.now) && !p.scheduler.evacuated(w) && g.suits(w, 0)
+	})
+}
+
 // ownWork returns how much of the pool's scarcest resource a unit uses on neutral workers, in seconds.
 func (p *plan) ownWork(pl *pool, u *unit, g *speedGoal) float64 {
 	return float64(pl.scarceResource(u.step.resources())*int64(u.size())) * g.runTime.Seconds()
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/catalog"
 	"dogwoodnotch.example/dogwoodnotch/internal/forecast"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
@@ -254,3 +255,64 @@
 		assert.Equal(t, s.longestRunTime(m), 2*neutral)
 	}
 }
+
+// Guards against an urgent unit that leaves the room made for it unused, since the workers of the preemption are too slow for it, and
+// against one that goes on waiting for preempted workers that are evacuated or whose room it does not take.
+func TestWaitForPreemptedWorkersEnds(t *testing.T) {
+	// begin submits an urgent unit that could end in time on "busy" if that did not run work that may not be preempted. Workers named
+	// "work..." run less urgent work, "slow" is idle.
+	begin := func(speeds knownSpeeds, ids ...string) (*harness, *workload.Job, *unit) {
+		h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+		h.scheduler.speeds = speeds
+		h.scheduler.config.Bounds.Stop = 200 * time.Millisecond
+		for _, id := range ids {
+			w := h.addWorkerIn("of "+id, id, "r1", 8)
+			switch id {
+			case "busy":
+				urgent := speedJob(901, 0, 1)
+				urgent.Customer = "club"
+				h.submit(urgent)
+			case "slow":
+				continue
+			default:
+				h.submit(singleStepJob(900, stepOf(8)))
+			}
+			h.pass()
+			h.awaitRunning(w, len(w.members))
+			assert.Assert(t, len(w.members) > 0, id)
+		}
+		guest := speedJob(1, 0, 1)
+		h.submit(guest)
+		h.pass()
+		u := h.scheduler.jobs[guest.ID].occurrences[0].steps[0].units[0]
+		assert.Equal(t, len(u.preemptedWorkers), 1)
+		return h, guest, u
+	}
+	endAll := func(h *harness, w *worker) {
+		awaitStops(t, h.fleet, len(w.members))
+		h.scheduler.mu.Lock()
+		defer h.scheduler.mu.Unlock()
+		for _, m := range w.members {
+			h.scheduler.endMember(m, EndStopped, "")
+		}
+	}
+	h, guest, u := begin(knownSpeeds{"busy": 0.6, "work slow": 2}, "work slow", "busy")
+	endAll(h, u.preemptedWorkers[0])
+	h.pass()
+	assert.DeepEqual(t, h.placedOn(guest), []string{"work slow"})
+
+	h, guest, u = begin(knownSpeeds{"busy": 0.6, "work": 0.6, "slow": 2}, "work", "busy", "slow")
+	h.pass()
+	assert.Equal(t, len(h.placedOn(guest)), 0, "the stops are not over")
+	evacuations := &catalog.Evacuations{}
+	evacuations.Set("of work", true)
+	h.scheduler.config.Evacuations = evacuations
+	h.pass()
+	assert.DeepEqual(t, h.placedOn(guest), []string{"slow"})
+
+	h, guest, u = begin(knownSpeeds{"busy": 0.6, "work": 0.6, "slow": 2}, "work", "busy", "slow")
+	endAll(h, u.preemptedWorkers[0])
+	u.avoidWorker(u.preemptedWorkers[0])
+	h.pass()
+	assert.DeepEqual(t, h.placedOn(guest), []string{"slow"})
+}
