The model forgets workers that left, and runs of earlier processes

Cause: the runs of a step that are held until the step is done were told to the model also if their worker restarted in between, so a restarted worker did not begin as neutral. A worker that was removed from the scheduler stayed in the model, until 2,048 are known: it counted in the fleet's mean and, with its last comparisons, in the test for unevenness.

Change: held runs of an earlier process are left out, and the removal of a worker forgets it.

--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -350,5 +350,6 @@
 			w.stopHeartbeats()
 		}
 		delete(s.workers, w.info.ID)
+		s.forecast.Forget(w.info.ID) // or it would count in the fleet's mean and unevenness for ever
 	}
 }
--- a/internal/dispatch/observations.go
+++ b/internal/dispatch/observations.go
@@ -25,9 +25,10 @@
 
 // timedRun is a run that ended as done and whose time tells about the work and the worker.
 type timedRun struct {
-	worker *worker
-	ran    time.Duration
-	at     time.Time
+	worker       *worker
+	processStart int64 // of the worker's process that ran it
+	ran          time.Duration
+	at           time.Time
 }
 
 // neutral returns how long the run would have taken on a neutral worker.
@@ -85,7 +86,7 @@
 func (s *Scheduler) observeTimedRun(u *unit, ran time.Duration, now time.Time) {
 	st := u.step
 	if u.index >= 0 {
-		st.heldRuns = append(st.heldRuns, timedRun{u.members[0].worker, ran, now})
+		st.heldRuns = append(st.heldRuns, timedRun{u.members[0].worker, u.members[0].processStart, ran, now})
 		return
 	}
 	workers := make([]string, len(u.members))
@@ -96,17 +97,22 @@
 }
 
 // observeHeldRuns tells the model about the single tasks of a step. They are told together, since those that end first are usually those on
-// fast workers.
+// fast workers. Runs on a worker that has restarted since are left out, as they say nothing about its present process.
 func (s *Scheduler) observeHeldRuns(st *step) {
 	if len(st.heldRuns) == 0 {
 		return
 	}
 	st.noteNeutralRunTime()
-	runs := make([]forecast.Run, len(st.heldRuns))
-	for i, r := range st.heldRuns {
-		runs[i] = forecast.Run{Worker: r.worker.info.ID, Ran: r.ran, At: r.at}
+	runs := make([]forecast.Run, 0, len(st.heldRuns))
+	for _, r := range st.heldRuns {
+		if r.processStart == r.worker.processStart {
+			runs = append(runs, forecast.Run{Worker: r.worker.info.ID, Ran: r.ran, At: r.at})
+		}
 	}
 	st.heldRuns = nil
+	if len(runs) == 0 {
+		return
+	}
 	s.forecast.ObserveStep(workOf(st), runs)
 }
 
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -316,3 +316,33 @@
 	h.pass()
 	assert.DeepEqual(t, h.placedOn(guest), []string{"slow"})
 }
+
+// Guards against a model that goes on counting workers which have left, or takes runs of a worker's earlier process for its present speed.
+func TestModelForgetsEarlierWorkers(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	w := h.addWorker("w1", "r1", 8)
+	h.submit(singleStepJob(1, stepOf(2)))
+	h.pass()
+	h.awaitRunning(w, 2)
+	s := h.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.jobs[singleStepJob(1, stepOf(2)).ID].occurrences[0].steps[0]
+	u := st.units[0]
+	u.startedAt, u.members[0].runningSince = time.Now().Add(-time.Second), time.Now().Add(-time.Second)
+	s.observeRun(u, time.Now())
+	assert.Equal(t, len(st.heldRuns), 1)
+	s.noteRestart(w, w.processStart+1, time.Now())
+	before := s.forecast.Changes()
+	s.observeHeldRuns(st)
+	assert.Equal(t, s.forecast.Changes(), before, "a run of the earlier process is told")
+	assert.Equal(t, len(st.heldRuns), 0)
+
+	s.forecast.ObserveProgress("w1", 2, time.Now())
+	known := len(s.forecast.Summary(8 << 10))
+	s.loseMembers(w, causeLeaseExpired)
+	w.listed, w.responsive, w.leasesOverAt = false, false, time.Now().Add(-time.Hour)
+	s.expireLeases(w, time.Now())
+	assert.Assert(t, s.workers["w1"] == nil)
+	assert.Assert(t, len(s.forecast.Summary(8<<10)) < known, "the model still knows the worker")
+}
