Urgent and permanent work is not preempted for speed

Cause: a unit within a guarantee may preempt permanent work and urgent work beyond guarantees. The search for a preemption on faster workers used the same rule, so such work was stopped for the speed of its worker although less urgent work elsewhere could make the room.

Change: the preemption for speed may stop only work that an urgent unit beyond its guarantee may stop. The one for room alone is as before.

Result: TestNoUrgentOrPermanentWorkIsPreemptedForSpeed fails in both cases without the change (preempts on "fast") and passes with it, 5 of 5 runs with -race.

--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -32,7 +32,9 @@
 	workers, victims, cost := p.bestPreemption(pl, r, u, func(*worker) bool { return true })
 	delay := p.scheduler.stopTime() + startOverhead
 	if g := p.goal(u.step); g != nil && g.fastestFirst && !allWorkers(workers, func(w *worker) bool { return g.suits(w, delay) }) {
-		suited, itsVictims, itsCost := p.bestPreemption(pl, r, u, func(w *worker) bool { return g.suits(w, delay) })
+		forSpeed := r
+		forSpeed.class = urgent // permanent and other urgent work make room for work within a guarantee, but not for its speed
+		suited, itsVictims, itsCost := p.bestPreemption(pl, forSpeed, u, func(w *worker) bool { return g.suits(w, delay) })
 		if suited != nil && itsCost-cost <= preemptionGain*p.ownWork(pl, u, g) {
 			workers, victims, cost = suited, itsVictims, itsCost
 		}
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -346,3 +346,35 @@
 	assert.Assert(t, s.workers["w1"] == nil)
 	assert.Assert(t, len(s.forecast.Summary(8<<10)) < known, "the model still knows the worker")
 }
+
+// Guards against urgent or permanent work that is stopped for the speed of its worker, when other work can make room for work within a guarantee.
+func TestNoUrgentOrPermanentWorkIsPreemptedForSpeed(t *testing.T) {
+	for _, name := range []string{"urgent", "permanent"} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+			h.scheduler.speeds = knownSpeeds{"fast": 0.6, "slow": 2}
+			h.scheduler.config.Bounds.Stop = 200 * time.Millisecond
+			var workers []*worker
+			for i, j := range []*workload.Job{speedJob(1, 1, 1), speedJob(2, 0, 1)} {
+				w := h.addWorker([]string{"slow", "fast"}[i], "r1", 8)
+				h.submit(j)
+				h.pass()
+				h.awaitRunning(w, 1)
+				workers = append(workers, w)
+			}
+			h.scheduler.mu.Lock()
+			for _, m := range workers[1].members {
+				m.runningSince = time.Now().Add(-200 * time.Millisecond) // so that the preemption for room alone takes the slow worker
+				m.unit.step.spec.Permanent = name == "permanent"
+			}
+			h.scheduler.mu.Unlock()
+			guaranteedJob := speedJob(4, 0, 1)
+			guaranteedJob.Customer = "club"
+			h.submit(guaranteedJob)
+			h.pass()
+			u := h.scheduler.jobs[guaranteedJob.ID].occurrences[0].steps[0].units[0]
+			assert.Equal(t, len(u.preemptedWorkers), 1)
+			assert.Equal(t, u.preemptedWorkers[0].info.ID, "slow")
+		})
+	}
+}
