Runs whose start order was repeated give no observations

Cause: a run counted as timed from the answer to the start order, also if an earlier copy had started it and only the answer was lost. The run then seemed shorter by up to the time of the repetitions, about a second, and its worker faster than it is.

Change: a member whose start was answered only by a repeated order is not timed.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -113,6 +113,7 @@
 	stopAnsweredAt  time.Time // when the worker answered the stop order
 
 	runningSince   time.Time     // when the run was first known to run
+	startRepeated  bool          // the latest start order repeats one whose answer was lost, and which may have started the run
 	startTimed     bool          // runningSince is when the worker answered the start
 	marksPassed    int           // number of progressMarks that the reported progress has passed
 	projected      time.Duration // total run time that follows from the progress; 0 if not known
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -79,7 +79,7 @@
 	if err == nil {
 		s.metrics.orderAnswered("start", "taken")
 		m.startAnsweredAt = time.Now()
-		m.startTimed = s.onTime(m.startAnsweredAt)
+		m.startTimed = !m.startRepeated && s.onTime(m.startAnsweredAt)
 		s.markRunning(m)
 		return
 	}
@@ -149,7 +149,11 @@
 	if m.stopWanted || repeated && m.state != starting || s.ctx.Err() != nil || !s.config.Term.Authority() {
 		return false
 	}
-	return !s.evacuated(m.worker) && s.mayStartAt(m.unit.members)
+	if s.evacuated(m.worker) || !s.mayStartAt(m.unit.members) {
+		return false
+	}
+	m.startRepeated = repeated
+	return true
 }
 
 // markRunning notes that a member is known to run.
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"slices"
 	"testing"
 	"time"
@@ -378,3 +379,26 @@
 		})
 	}
 }
+
+// Guards against a model that takes a run for shorter than it was, since the answer to its first start order was lost.
+func TestRepeatedStartsAreNotTimed(t *testing.T) {
+	for _, lost := range []int{0, 1} {
+		h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+		orders := 0
+		h.fleet.startError = func(StartOrder) error {
+			if orders++; orders <= lost {
+				return errors.New("the answer is lost")
+			}
+			return nil
+		}
+		w := h.addWorker("w1", "r1", 8)
+		h.submit(singleStepJob(1, stepOf(1)))
+		h.pass()
+		h.awaitRunning(w, 1)
+		h.scheduler.mu.Lock()
+		for _, m := range w.members {
+			assert.Equal(t, m.startTimed, lost == 0)
+		}
+		h.scheduler.mu.Unlock()
+	}
+}
