--- a/internal/dispatch/observations.go
+++ b/internal/dispatch/observations.go
@@ -181,6 +181,7 @@
 	if now := time.Now(); st.predictedAt.IsZero() || now.Sub(st.predictedAt) >= predictionsLast {
 		st.noteNeutralRunTime()
 		st.prediction = s.forecast.WithSiblings(s.forecast.Predict(workOf(st)), st.neutralRunTime, st.neutralRuns)
+		st.prediction.Median = min(st.prediction.Median, maxRunTime)
 		st.predictedAt = now
 	}
 	return st.prediction
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -402,3 +403,20 @@
 		h.scheduler.mu.Unlock()
 	}
 }
+
+// Guards against sums and multiples of an extreme prediction that overflow, so that a run seems to be over soon.
+func TestExtremePredictionsDoNotOverflow(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	h.scheduler.speeds = knownSpeeds{"fast": 0.6, "slow": 2}
+	w := h.addWorker("slow", "r1", 8)
+	j := speedJob(1, 1, 1)
+	j.Steps[0].Estimate = math.MaxInt64
+	h.submit(j)
+	h.pass()
+	h.awaitRunning(w, 1)
+	h.scheduler.mu.Lock()
+	defer h.scheduler.mu.Unlock()
+	for _, m := range w.members {
+		assert.Assert(t, h.scheduler.expectedRemaining(m, time.Now()) > time.Hour)
+	}
+}
