--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -1,12 +1,15 @@
 package dispatch
 
 import (
+	"errors"
+	"math"
 	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"dogwoodnotch.example/dogwoodnotch/internal/catalog"
 	"dogwoodnotch.example/dogwoodnotch/internal/forecast"
 	"dogwoodnotch.example/dogwoodnotch/internal/workload"
 )
@@ -254,3 +257,166 @@
 		assert.Equal(t, s.longestRunTime(m), 2*neutral)
 	}
 }
+
+// Guards against an urgent unit that leaves the room made for it unused, since the workers of the preemption are too slow for it, and
+// against one that goes on waiting for preempted workers that are evacuated or whose room it does not take.
+func TestWaitForPreemptedWorkersEnds(t *testing.T) {
+	// begin submits an urgent unit that could end in time on "busy" if that did not run work that may not be preempted. Workers named
+	// "work..." run less urgent work, "slow" is idle.
+	begin := func(speeds knownSpeeds, ids ...string) (*harness, *workload.Job, *unit) {
+		h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+		h.scheduler.speeds = speeds
+		h.scheduler.config.Bounds.Stop = 200 * time.Millisecond
+		for _, id := range ids {
+			w := h.addWorkerIn("of "+id, id, "r1", 8)
+			switch id {
+			case "busy":
+				urgent := speedJob(901, 0, 1)
+				urgent.Customer = "club"
+				h.submit(urgent)
+			case "slow":
+				continue
+			default:
+				h.submit(singleStepJob(900, stepOf(8)))
+			}
+			h.pass()
+			h.awaitRunning(w, len(w.members))
+			assert.Assert(t, len(w.members) > 0, id)
+		}
+		guest := speedJob(1, 0, 1)
+		h.submit(guest)
+		h.pass()
+		u := h.scheduler.jobs[guest.ID].occurrences[0].steps[0].units[0]
+		assert.Equal(t, len(u.preemptedWorkers), 1)
+		return h, guest, u
+	}
+	endAll := func(h *harness, w *worker) {
+		awaitStops(t, h.fleet, len(w.members))
+		h.scheduler.mu.Lock()
+		defer h.scheduler.mu.Unlock()
+		for _, m := range w.members {
+			h.scheduler.endMember(m, EndStopped, "")
+		}
+	}
+	h, guest, u := begin(knownSpeeds{"busy": 0.6, "work slow": 2}, "work slow", "busy")
+	endAll(h, u.preemptedWorkers[0])
+	h.pass()
+	assert.DeepEqual(t, h.placedOn(guest), []string{"work slow"})
+
+	h, guest, u = begin(knownSpeeds{"busy": 0.6, "work": 0.6, "slow": 2}, "work", "busy", "slow")
+	h.pass()
+	assert.Equal(t, len(h.placedOn(guest)), 0, "the stops are not over")
+	evacuations := &catalog.Evacuations{}
+	evacuations.Set("of work", true)
+	h.scheduler.config.Evacuations = evacuations
+	h.pass()
+	assert.DeepEqual(t, h.placedOn(guest), []string{"slow"})
+
+	h, guest, u = begin(knownSpeeds{"busy": 0.6, "work": 0.6, "slow": 2}, "work", "busy", "slow")
+	endAll(h, u.preemptedWorkers[0])
+	u.avoidWorker(u.preemptedWorkers[0])
+	h.pass()
+	assert.DeepEqual(t, h.placedOn(guest), []string{"slow"})
+}
+
+// Guards against a model that goes on counting workers which have left, or takes runs of a worker's earlier process for its present speed.
+func TestModelForgetsEarlierWorkers(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	w := h.addWorker("w1", "r1", 8)
+	h.submit(singleStepJob(1, stepOf(2)))
+	h.pass()
+	h.awaitRunning(w, 2)
+	s := h.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.jobs[singleStepJob(1, stepOf(2)).ID].occurrences[0].steps[0]
+	u := st.units[0]
+	u.startedAt, u.members[0].runningSince = time.Now().Add(-time.Second), time.Now().Add(-time.Second)
+	s.observeRun(u, time.Now())
+	assert.Equal(t, len(st.heldRuns), 1)
+	s.noteRestart(w, w.processStart+1, time.Now())
+	before := s.forecast.Changes()
+	s.observeHeldRuns(st)
+	assert.Equal(t, s.forecast.Changes(), before, "a run of the earlier process is told")
+	assert.Equal(t, len(st.heldRuns), 0)
+
+	s.forecast.ObserveProgress("w1", 2, time.Now())
+	known := len(s.forecast.Summary(8 << 10))
+	s.loseMembers(w, causeLeaseExpired)
+	w.listed, w.responsive, w.leasesOverAt = false, false, time.Now().Add(-time.Hour)
+	s.expireLeases(w, time.Now())
+	assert.Assert(t, s.workers["w1"] == nil)
+	assert.Assert(t, len(s.forecast.Summary(8<<10)) < known, "the model still knows the worker")
+}
+
+// Guards against urgent or permanent work that is stopped for the speed of its worker, when other work can make room for work within a guarantee.
+func TestNoUrgentOrPermanentWorkIsPreemptedForSpeed(t *testing.T) {
+	for _, name := range []string{"urgent", "permanent"} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+			h.scheduler.speeds = knownSpeeds{"fast": 0.6, "slow": 2}
+			h.scheduler.config.Bounds.Stop = 200 * time.Millisecond
+			var workers []*worker
+			for i, j := range []*workload.Job{speedJob(1, 1, 1), speedJob(2, 0, 1)} {
+				w := h.addWorker([]string{"slow", "fast"}[i], "r1", 8)
+				h.submit(j)
+				h.pass()
+				h.awaitRunning(w, 1)
+				workers = append(workers, w)
+			}
+			h.scheduler.mu.Lock()
+			for _, m := range workers[1].members {
+				m.runningSince = time.Now().Add(-200 * time.Millisecond) // so that the preemption for room alone takes the slow worker
+				m.unit.step.spec.Permanent = name == "permanent"
+			}
+			h.scheduler.mu.Unlock()
+			guaranteedJob := speedJob(4, 0, 1)
+			guaranteedJob.Customer = "club"
+			h.submit(guaranteedJob)
+			h.pass()
+			u := h.scheduler.jobs[guaranteedJob.ID].occurrences[0].steps[0].units[0]
+			assert.Equal(t, len(u.preemptedWorkers), 1)
+			assert.Equal(t, u.preemptedWorkers[0].info.ID, "slow")
+		})
+	}
+}
+
+// Guards against a model that takes a run for shorter than it was, since the answer to its first start order was lost.
+func TestRepeatedStartsAreNotTimed(t *testing.T) {
+	for _, lost := range []int{0, 1} {
+		h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+		orders := 0
+		h.fleet.startError = func(StartOrder) error {
+			if orders++; orders <= lost {
+				return errors.New("the answer is lost")
+			}
+			return nil
+		}
+		w := h.addWorker("w1", "r1", 8)
+		h.submit(singleStepJob(1, stepOf(1)))
+		h.pass()
+		h.awaitRunning(w, 1)
+		h.scheduler.mu.Lock()
+		for _, m := range w.members {
+			assert.Equal(t, m.startTimed, lost == 0)
+		}
+		h.scheduler.mu.Unlock()
+	}
+}
+
+// Guards against sums and multiples of an extreme prediction that overflow, so that a run seems to be over soon.
+func TestExtremePredictionsDoNotOverflow(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	h.scheduler.speeds = knownSpeeds{"fast": 0.6, "slow": 2}
+	w := h.addWorker("slow", "r1", 8)
+	j := speedJob(1, 1, 1)
+	j.Steps[0].Estimate = math.MaxInt64
+	h.submit(j)
+	h.pass()
+	h.awaitRunning(w, 1)
+	h.scheduler.mu.Lock()
+	defer h.scheduler.mu.Unlock()
+	for _, m := range w.members {
+		assert.Assert(t, h.scheduler.expectedRemaining(m, time.Now()) > time.Hour)
+	}
+}
