--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -303,7 +303,7 @@
 	h.pass()
 	assert.DeepEqual(t, h.placedOn(guest), []string{"work slow"})
 
-	h, guest, u = begin(knownSpeeds{"busy": 0.6, "work": 0.6, "slow": 2}, "work", "busy", "slow")
+	h, guest, _ = begin(knownSpeeds{"busy": 0.6, "work": 0.6, "slow": 2}, "work", "busy", "slow")
 	h.pass()
 	assert.Equal(t, len(h.placedOn(guest)), 0, "the stops are not over")
 	evacuations := &catalog.Evacuations{}
