Leadership: recordTiming in place of rhythm

Cause: the type that dates a holder's records had a figurative name. Change: renamed, with its file and test.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -129,7 +129,7 @@
 	confirmedAt     time.Duration // when the last confirmed heartbeat was sent, by clock
 	heardAt         time.Duration // latest time at which the last record that was read can have been made, by clock
 	silentSince     time.Duration // when the holder probably made its last record, by clock
-	rhythm          rhythm        // tells when the records of the holder were made
+	timing          recordTiming  // tells when the records of the holder were made
 	readSentAt      time.Duration // when the last answered read was sent, by clock
 	earlierUntil    time.Duration // until when holders of earlier terms than the one held may grant leases of full length, by clock
 	failures        int           // number of calls in a row without a usable answer
@@ -300,7 +300,7 @@
 	e.noteAnswer()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.rhythm = rhythm{}
+	e.timing = recordTiming{}
 	e.readSentAt = sent
 	e.observe(batch, e.clock())
 	return nil
@@ -319,7 +319,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err != nil {
-		e.rhythm = rhythm{}
+		e.timing = recordTiming{}
 		return false, err
 	}
 	e.noteAnswerLocked()
@@ -335,7 +335,7 @@
 	}
 	e.readSentAt = sent
 	heard = e.observe(batch, earliest)
-	e.rhythm.noteRead(heard && !cut, paused, sent, e.clock()) // after a cut answer the next read follows at once
+	e.timing.noteRead(heard && !cut, paused, sent, e.clock()) // after a cut answer the next read follows at once
 	return heard, nil
 }
 
@@ -354,7 +354,7 @@
 			continue
 		}
 		heard = true
-		e.heardAt, e.silentSince = e.rhythm.made(state, earliest, e.heardAt)
+		e.heardAt, e.silentSince = e.timing.made(state, earliest, e.heardAt)
 		if state.Term != e.current.Term || state.Resigned != e.current.Resigned {
 			e.termSeenAt = time.Now()
 			e.events.Emit(eventObserved, event.F("term", state.Term), event.F("holder", state.Holder), event.F("size", state.ProcessorShare), event.F("resigned", state.Resigned), event.F("successor", state.Successor))
--- a/internal/leadership/rhythm.go
+++ b/internal/leadership/recordtiming.go
@@ -21,10 +21,10 @@
 	oddStep = 100 * time.Millisecond
 )
 
-// rhythm tells when records of the holder were made, for an instance that pauses between reads. A record says how long after the claim it
+// recordTiming tells when records of the holder were made, for an instance that pauses between reads. A record says how long after the claim it
 // was made, by the holder's clock. It was made before it was read, so each read limits when the claim can have been, and with it when later
 // records can have been made. The limit is as exact as the read that was the soonest after its record.
-type rhythm struct {
+type recordTiming struct {
 	term    int64
 	known   bool          // whether origin is known
 	origin  time.Duration // latest time from which SinceClaim can count
@@ -37,9 +37,9 @@
 
 // made returns the latest time at which a record that was read now can have been made, and the likely time, which assumes that the clocks do
 // not drift. Both are no earlier than earliest, so that a record with an odd SinceClaim misleads by the time between two reads at most.
-func (r *rhythm) made(s State, earliest, now time.Duration) (latest, likely time.Duration) {
+func (r *recordTiming) made(s State, earliest, now time.Duration) (latest, likely time.Duration) {
 	if s.Term != r.term {
-		*r = rhythm{term: s.Term, slowUntil: r.slowUntil}
+		*r = recordTiming{term: s.Term, slowUntil: r.slowUntil}
 	}
 	if s.SinceClaim <= 0 { // the record of a claim, or of an earlier version
 		return now, now
@@ -54,7 +54,7 @@
 }
 
 // noteRead notes whether a read that was answered now found a record of the holder.
-func (r *rhythm) noteRead(heard, paused bool, sent, now time.Duration) {
+func (r *recordTiming) noteRead(heard, paused bool, sent, now time.Duration) {
 	r.waiting = !heard
 	switch {
 	case heard && !paused:
@@ -70,7 +70,7 @@
 func (e *Elector) pauseBeforeRead(s State) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := &e.rhythm
+	r := &e.timing
 	if s.Leaving || r.term != s.Term || !r.exact || !r.known || r.waiting || e.clock() < r.slowUntil {
 		return 0
 	}
--- a/internal/leadership/rhythm_test.go
+++ b/internal/leadership/recordtiming_test.go
@@ -156,7 +156,7 @@
 }
 
 // Guards against a small instance that claims before a larger one because it takes the holder to be silent for longer than it was, and
-// against one that claims while the holder merely skips heartbeats, so that the rhythm misleads.
+// against one that claims while the holder merely skips heartbeats, so that the estimate misleads.
 func TestRhythmOfAHolderThatSkipsHeartbeats(t *testing.T) {
 	for range 20 {
 		runContest(t, 10*time.Millisecond, []string{"holder", "small", "large"}, []float64{0.8, 0.2, 0.8}, func(t *testing.T, c *contest) {
@@ -252,24 +252,24 @@
 	b := s.join("b", "2")
 	state := State{Term: 3, ProcessorShare: 1}
 	for name, c := range map[string]struct {
-		change func(*rhythm, *State)
+		change func(*recordTiming, *State)
 		pauses bool
 	}{
-		"steady holder":                {func(*rhythm, *State) {}, true},
-		"holder of an earlier version": {func(r *rhythm, _ *State) { r.known = false }, false},
-		"no record read as written":    {func(r *rhythm, _ *State) { r.exact = false }, false},
-		"new term":                     {func(_ *rhythm, s *State) { s.Term++ }, false},
-		"no heartbeat in last read":    {func(r *rhythm, _ *State) { r.waiting = true }, false},
-		"slow log":                     {func(r *rhythm, _ *State) { r.slowUntil = s.clock + 1 }, false},
-		"holder leaves":                {func(_ *rhythm, s *State) { s.Leaving = true }, false},
-		"much smaller holder":          {func(_ *rhythm, s *State) { s.ProcessorShare = 0.5 }, false},
+		"steady holder":                {func(*recordTiming, *State) {}, true},
+		"holder of an earlier version": {func(r *recordTiming, _ *State) { r.known = false }, false},
+		"no record read as written":    {func(r *recordTiming, _ *State) { r.exact = false }, false},
+		"new term":                     {func(_ *recordTiming, s *State) { s.Term++ }, false},
+		"no heartbeat in last read":    {func(r *recordTiming, _ *State) { r.waiting = true }, false},
+		"slow log":                     {func(r *recordTiming, _ *State) { r.slowUntil = s.clock + 1 }, false},
+		"holder leaves":                {func(_ *recordTiming, s *State) { s.Leaving = true }, false},
+		"much smaller holder":          {func(_ *recordTiming, s *State) { s.ProcessorShare = 0.5 }, false},
 	} {
 		now := state
-		b.rhythm = rhythm{term: 3, known: true, exact: true}
-		c.change(&b.rhythm, &now)
+		b.timing = recordTiming{term: 3, known: true, exact: true}
+		c.change(&b.timing, &now)
 		assert.Equal(t, b.pauseBeforeRead(now) > 0, c.pauses, name)
 	}
-	var r rhythm
+	var r recordTiming
 	r.made(State{Term: 3, Heartbeats: 5}, 0, time.Second)
 	assert.Assert(t, !r.known, "a record without SinceClaim")
 }
