Dispatch: the time from which an occurrence's latency counts is derived in one place

Cause: the order of waiting work and the goals of placement by speed each derived it (rank.go, speed.go). Change: occurrence.earliestStart. No behaviour changes.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -288,6 +288,14 @@
 	return o
 }
 
+// earliestStart returns the time from which the occurrence's latency counts.
+func (o *occurrence) earliestStart() time.Time {
+	if o.due.IsZero() {
+		return o.job.spec.Submitted
+	}
+	return o.due
+}
+
 // unitNames returns the names of the step's units, also if these are no longer kept.
 func (s *step) unitNames() []ledger.UnitName {
 	o := s.occurrence
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -37,10 +37,7 @@
 // rankStep returns a step's rank.
 func (s *Scheduler) rankStep(st *step, now time.Time) rank {
 	o := st.occurrence
-	earliestStart := o.due
-	if earliestStart.IsZero() {
-		earliestStart = o.job.spec.Submitted
-	}
+	earliestStart := o.earliestStart()
 	criticalPath, remaining := s.expectedCriticalPath(o)
 	objective := latencyObjective(o, criticalPath)
 	r := rank{step: st, latestStart: earliestStart.Add(objective - remaining + time.Duration(o.job.queueSettings.Priority)*priorityDelay)}
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -178,13 +178,9 @@
 // leaves fast workers to others.
 func (s *Scheduler) speedGoalOf(st *step, fastest float64) *speedGoal {
 	o := st.occurrence
-	earliestStart := o.due
-	if earliestStart.IsZero() {
-		earliestStart = o.job.spec.Submitted
-	}
 	criticalPath, _ := s.expectedCriticalPath(o)
 	objective := latencyObjective(o, criticalPath)
-	taken := s.config.Now().Sub(earliestStart) + s.expectedAfter(st) + startOverhead
+	taken := s.config.Now().Sub(o.earliestStart()) + s.expectedAfter(st) + startOverhead
 	g := &speedGoal{runTime: max(s.expectedRunTime(st), minRunTime), fastestFirst: o.job.queueSettings.Priority == 0}
 	g.setSlack(objective - taken)
 	margin := 1.0
