Dispatch: runs that no report has shown are logged when leases lapse or a worker restarts

Change: 2505 and 2517 name the process (born), 2515 and 2516 count the runs that were ordered and not reported. A run counts as reported once a report that was asked for after its last start order was answered or given up lists it. No decision depends on it yet.

Tests of internal/dispatch pass.

--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -276,7 +276,7 @@
 		key := runKey{r.Task, r.Run}
 		m := w.members[key]
 		if m == nil {
-			s.config.Events.Emit(eventStray, event.F("worker", w.info.ID), event.F("task", r.Task), event.F("run", r.Run))
+			s.config.Events.Emit(eventStray, event.F("worker", w.info.ID), event.F("born", w.processStart), event.F("task", r.Task), event.F("run", r.Run))
 			target := w.target()
 			go s.protect("stop", func() { s.stopStrayRun(target, key) })
 			continue
@@ -284,6 +284,7 @@
 		if m.state == starting {
 			m.startAnsweredAt = now
 		}
+		m.reported = m.reported || m.startSettled(sent)
 		s.markRunning(m)
 		if r.Percent > m.percent || m.progressedAt.IsZero() {
 			m.noteProgress(r.Percent, now)
@@ -315,7 +316,7 @@
 // noteRestart notes that a worker's process is a new one, which numbers ends from the start. What ran in the earlier process is lost
 // once a report of the new one does not list it: orders that were sent to the earlier process may have reached the new one.
 func (s *Scheduler) noteRestart(w *worker, processStart int64, now time.Time) {
-	s.config.Events.Emit(eventWorkerRestarted, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("born", processStart))
+	s.config.Events.Emit(eventWorkerRestarted, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("unreported", w.unreported()), event.F("born", processStart))
 	w.processStart, w.processSeenAt = processStart, now
 	w.lastHandledEnd, w.lastRecordedEnd = 0, 0
 	w.setSlowdown(forecast.Slowdown{Factor: 1})
@@ -342,7 +343,7 @@
 		return
 	}
 	if len(w.members) > 0 {
-		s.config.Events.Emit(eventLeasesExpired, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("silent_ms", s.silence(w, now).Milliseconds()))
+		s.config.Events.Emit(eventLeasesExpired, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("unreported", w.unreported()), event.F("silent_ms", s.silence(w, now).Milliseconds()))
 		s.loseMembers(w, causeLeaseExpired)
 	}
 	if !w.listed && len(w.members) == 0 && now.Sub(w.leasesOverAt) >= withheldAfterLeases {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -109,6 +109,8 @@
 	recordPending   bool      // the run is not recorded yet, so the start order was not sent
 	processStart    int64     // start of the worker's process for which the run was planned
 	startAnsweredAt time.Time // when the worker confirmed the start; zero for runs of earlier terms
+	startSettledAt  time.Time // when the last start order was answered or given up, or this term began; zero before
+	reported        bool      // a report that was asked for after startSettledAt lists the run, so no later process of the worker has it
 	stopWanted      bool      // the run is to end
 	stopAnsweredAt  time.Time // when the worker answered the stop order
 
@@ -186,6 +188,22 @@
 	run  int
 }
 
+// unreported returns how many runs were ordered on the worker that no report shows, so that any of its processes may have them.
+func (w *worker) unreported() int {
+	n := 0
+	for _, m := range w.members {
+		if !m.reported && !m.recordPending {
+			n++
+		}
+	}
+	return n
+}
+
+// startSettled reports whether no start order of the member was under way at a time.
+func (m *member) startSettled(at time.Time) bool {
+	return !m.startSettledAt.IsZero() && m.startSettledAt.Before(at)
+}
+
 // compare orders runs by their tasks, then by their numbers.
 func (k runKey) compare(o runKey) int {
 	a, b := k.task, o.task
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -68,6 +68,7 @@
 	err := s.sendStart(m, target, o)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	m.startSettledAt = time.Now()
 	if m.state == ended {
 		return
 	}
@@ -90,7 +91,7 @@
 	}
 	if reason == "" {
 		s.metrics.orderAnswered("start", "unanswered")
-		s.config.Events.Emit(eventStartUnanswered, event.F("task", o.Task), event.F("run", o.Run), event.F("worker", m.worker.info.ID), event.F("cause", err))
+		s.config.Events.Emit(eventStartUnanswered, event.F("task", o.Task), event.F("run", o.Run), event.F("worker", m.worker.info.ID), event.F("born", m.processStart), event.F("cause", err))
 		s.stopMember(m, causeStartUnsure)
 		return
 	}
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -122,7 +122,7 @@
 	if w == nil {
 		w = s.addWorker(id)
 	}
-	m := &member{unit: u, run: u.run, index: i, worker: w, resources: u.step.resources(), state: running, pace: fullPace, runningSince: u.startedAt}
+	m := &member{unit: u, run: u.run, index: i, worker: w, resources: u.step.resources(), state: running, pace: fullPace, runningSince: u.startedAt, startSettledAt: s.createdAt}
 	if u.index >= 0 {
 		m.index = u.index
 	}
