Dispatch: leases that orders give to a worker's next process are reckoned with

Cause: a lease ends at a time of the worker's clock, which the scheduler knows from the latest report. An order that was meant for the process of that report and reaches the next one, whose clock starts anew, grants a lease of the greatest length from its arrival on. The scheduler reckoned from when it granted the lease, before up to three attempts of a start, and with a shorter lease while its term was not confirmed. When it heard nothing more, it gave the runs up while they went on, and started them elsewhere. Its successor did the same.

Evidence: a fleet of two machines that restart in virtual time. Ruled out: a report without the run and a late start (orders are fenced or not confirmed then), and a change of the scheduler (one instance gave both orders).

Change: each order that grants a lease also moves the time by which leases of an unheard process are over: when its sender gives up, plus the longest lease. A run that no report has shown since its order was settled waits for that; reported ones cannot be on a later process, and wait no longer than before. The process that is heard next may hold such leases, so its own count from then.

--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -76,13 +76,20 @@
 			s.config.Events.Emit(eventHeartbeatPanic, event.F("worker", w.info.ID), event.F("cause", err))
 		}
 	}()
-	order, target := func() (HeartbeatOrder, Target) {
+	order, target, givenUpAt := func() (HeartbeatOrder, Target, time.Time) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.nextHeartbeat(w, now)
+		order, target := s.nextHeartbeat(w, now)
+		givenUpAt := time.Now().Add(order.Wait + heartbeatTimeout)
+		if order.LeaseEnd > 0 {
+			s.noteUnheardProcess(w, givenUpAt)
+		}
+		return order, target, givenUpAt
 	}()
 	sent := time.Now()
-	report, err := s.sendHeartbeat(ctx, w, target, order)
+	callCtx, cancel := context.WithDeadline(ctx, givenUpAt)
+	defer cancel()
+	report, err := s.sendHeartbeat(callCtx, w, target, order)
 	if err != nil || ctx.Err() != nil {
 		return false, err
 	}
@@ -125,9 +132,7 @@
 // sendHeartbeat sends a heartbeat. If it may not reach the process that answered last, the acknowledgement is held back until the worker
 // has reported again.
 func (s *Scheduler) sendHeartbeat(ctx context.Context, w *worker, to Target, order HeartbeatOrder) (HeartbeatReport, error) {
-	callCtx, cancel := context.WithTimeout(ctx, order.Wait+heartbeatTimeout)
-	defer cancel()
-	report, err := s.config.Fleet.Heartbeat(callCtx, to, order)
+	report, err := s.config.Fleet.Heartbeat(ctx, to, order)
 	heldBack := errors.Is(err, ErrOtherProcessPossible)
 	s.mu.Lock()
 	switch {
@@ -142,7 +147,7 @@
 	}
 	s.metrics.orderAnswered("hold", "held back")
 	order.AcknowledgedEnd, order.SameProcess, order.Wait = 0, false, 0
-	return s.config.Fleet.Heartbeat(callCtx, to, order)
+	return s.config.Fleet.Heartbeat(ctx, to, order)
 }
 
 // heartbeatFailed handles a heartbeat that was refused or not answered.
@@ -191,7 +196,8 @@
 		}
 		s.requestPass()
 	}
-	w.responsive, w.lastAnswerAt, w.workerClock = true, now, r.Clock
+	w.responsive, w.lastAnswerAt = true, now
+	w.noteClock(r)
 	s.handleEnds(w, r.Ended)
 	s.handleRuns(w, r.Running, sent, now)
 	if !r.Partial {
@@ -327,24 +333,31 @@
 // marked, so that their start order is not sent.
 func (s *Scheduler) loseMembers(w *worker, cause endCause) {
 	for _, m := range w.membersWhere(func(*member) bool { return true }) {
-		m.noteCause(cause)
-		if m.recordPending {
-			m.stopWanted = true
-			continue
-		}
-		s.endMember(m, EndLost, "")
+		s.loseMember(m, cause)
 	}
 }
 
-// expireLeases ends all members on a silent worker whose leases have certainly expired. It removes the worker later if discovery
+func (s *Scheduler) loseMember(m *member, cause endCause) {
+	m.noteCause(cause)
+	if m.recordPending {
+		m.stopWanted = true
+		return
+	}
+	s.endMember(m, EndLost, "")
+}
+
+// expireLeases ends the members on a silent worker whose leases have certainly expired. It removes the worker later if discovery
 // no longer shows it.
 func (s *Scheduler) expireLeases(w *worker, now time.Time) {
 	if now.Before(w.leasesOverAt) || w.responsive && now.Sub(w.lastAnswerAt) < maxSilence {
 		return
 	}
-	if len(w.members) > 0 {
-		s.config.Events.Emit(eventLeasesExpired, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("unreported", w.unreported()), event.F("silent_ms", s.silence(w, now).Milliseconds()))
-		s.loseMembers(w, causeLeaseExpired)
+	expired := w.membersWhere(func(m *member) bool { return !now.Before(w.leasesOverFor(m)) })
+	if len(expired) > 0 {
+		s.config.Events.Emit(eventLeasesExpired, event.F("worker", w.info.ID), event.F("tasks", len(expired)), event.F("unreported", w.unreported()), event.F("silent_ms", s.silence(w, now).Milliseconds()))
+	}
+	for _, m := range expired {
+		s.loseMember(m, causeLeaseExpired)
 	}
 	if !w.listed && len(w.members) == 0 && now.Sub(w.leasesOverAt) >= withheldAfterLeases {
 		if w.stopHeartbeats != nil {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -147,25 +147,28 @@
 	members map[runKey]*member
 	free    workload.Resources // resources that no member has booked; may be negative
 
-	lastAnswerAt    time.Time // when it last answered a heartbeat
-	workerClock     int64     // its clock at lastAnswerAt, in milliseconds
-	processStart    int64     // start of its process, Unix milliseconds; 0 if not known
-	processSeenAt   time.Time // when processStart last changed
-	leasesOverAt    time.Time // when all leases granted so far have certainly expired
-	withheld        bool      // it is granted no leases, see withheldList
-	withheldIn      int64     // number of the latest list that names it
-	lastHandledEnd  int64     // number of the last reported end that was handled
-	lastRecordedEnd int64     // number of the last reported end whose effects are durable
-	heldBack        int       // number of latest heartbeats from which an acknowledgement was held back
-	responsive      bool      // it answered the last heartbeat, so the next one renews its leases
-	health          health
-	slowdown        float64       // of its runs relative to a neutral worker; 0 stands for 1, see refreshSpeeds
-	slowdownSpread  float64       // standard deviation of the log of slowdown
-	slowdownBound   float64       // slowdown that it hardly exceeds, see slowdownMargin; 0 stands for 1
-	speedLevel      int           // slowdownBound in steps of speedStep; 0 for a neutral worker, higher for a slower one
-	leavesAt        time.Time     // earliest time when it leaves; zero unless discovery shows it as draining
-	endsRecorded    chan struct{} // signals that lastRecordedEnd has risen
-	stopHeartbeats  func()        // ends the heartbeat loop; nil if there is none
+	lastAnswerAt  time.Time // when it last answered a heartbeat
+	workerClock   int64     // its clock at lastAnswerAt, in milliseconds
+	processStart  int64     // start of its process, Unix milliseconds; 0 if not known
+	processSeenAt time.Time // when processStart last changed
+	clockProcess  int64     // start of the process whose clock workerClock is
+	leasesOverAt  time.Time // when all leases granted to the process whose clock is known have certainly expired
+	// nextLeasesOverAt is when leases have certainly expired that orders sent so far gave to a process that the scheduler has not heard.
+	nextLeasesOverAt time.Time
+	withheld         bool  // it is granted no leases, see withheldList
+	withheldIn       int64 // number of the latest list that names it
+	lastHandledEnd   int64 // number of the last reported end that was handled
+	lastRecordedEnd  int64 // number of the last reported end whose effects are durable
+	heldBack         int   // number of latest heartbeats from which an acknowledgement was held back
+	responsive       bool  // it answered the last heartbeat, so the next one renews its leases
+	health           health
+	slowdown         float64       // of its runs relative to a neutral worker; 0 stands for 1, see refreshSpeeds
+	slowdownSpread   float64       // standard deviation of the log of slowdown
+	slowdownBound    float64       // slowdown that it hardly exceeds, see slowdownMargin; 0 stands for 1
+	speedLevel       int           // slowdownBound in steps of speedStep; 0 for a neutral worker, higher for a slower one
+	leavesAt         time.Time     // earliest time when it leaves; zero unless discovery shows it as draining
+	endsRecorded     chan struct{} // signals that lastRecordedEnd has risen
+	stopHeartbeats   func()        // ends the heartbeat loop; nil if there is none
 }
 
 // target returns where to send orders. Goroutines that send orders without the scheduler's lock call it while they still
@@ -199,6 +202,22 @@
 	return n
 }
 
+// leasesOverFor returns when the member's leases have certainly expired. A member that no report shows may be on a process that has not been heard.
+func (w *worker) leasesOverFor(m *member) time.Time {
+	if m.reported || m.recordPending || w.nextLeasesOverAt.Before(w.leasesOverAt) {
+		return w.leasesOverAt
+	}
+	return w.nextLeasesOverAt
+}
+
+// allLeasesOverAt returns when the leases of all members have certainly expired.
+func (w *worker) allLeasesOverAt() time.Time {
+	if w.unreported() > 0 && w.nextLeasesOverAt.After(w.leasesOverAt) {
+		return w.nextLeasesOverAt
+	}
+	return w.leasesOverAt
+}
+
 // startSettled reports whether no start order of the member was under way at a time.
 func (m *member) startSettled(at time.Time) bool {
 	return !m.startSettledAt.IsZero() && m.startSettledAt.Before(at)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -43,6 +43,23 @@
 	return w.clockAt(now) + lease.Milliseconds()
 }
 
+// noteUnheardProcess reckons with an order that may reach a process of the worker that has not been heard, until its sender gives up at
+// the given time. The end of its lease lies far ahead on the clock of such a process, which therefore shortens the lease to the longest one,
+// counted from when the order arrives.
+func (s *Scheduler) noteUnheardProcess(w *worker, givenUpAt time.Time) {
+	if over := givenUpAt.Add(expiryOf(s.config.Bounds.Lease)); over.After(w.nextLeasesOverAt) {
+		w.nextLeasesOverAt = over
+	}
+}
+
+// noteClock notes the clock of the process that has reported. Before it was heard, orders may have given it leases by the clock of another one.
+func (w *worker) noteClock(r HeartbeatReport) {
+	if r.ProcessStart != w.clockProcess && w.nextLeasesOverAt.After(w.leasesOverAt) {
+		w.leasesOverAt = w.nextLeasesOverAt
+	}
+	w.clockProcess, w.workerClock = r.ProcessStart, r.Clock
+}
+
 // clockAt returns the worker's clock at a time, in milliseconds, or a little less.
 func (w *worker) clockAt(now time.Time) int64 {
 	return w.workerClock + now.Sub(w.lastAnswerAt).Milliseconds()
@@ -118,8 +135,9 @@
 func (s *Scheduler) sendStart(m *member, target Target, o StartOrder) error {
 	unanswered := errStartNotSent
 	for attempt := range startAttempts {
-		ctx, cancel := context.WithTimeout(s.ctx, startTimeout) // begins before the check, so that a pause after it counts
-		if !s.mayOrderStart(m, attempt > 0) {
+		givenUpAt := time.Now().Add(startTimeout) // counts from before the check, so that a pause after it counts
+		ctx, cancel := context.WithDeadline(s.ctx, givenUpAt)
+		if !s.mayOrderStart(m, attempt > 0, givenUpAt) {
 			cancel()
 			return unanswered
 		}
@@ -143,8 +161,9 @@
 	return unanswered
 }
 
-// mayOrderStart reports whether a member's start is wanted and permitted, and a repeated one still unanswered.
-func (s *Scheduler) mayOrderStart(m *member, repeated bool) bool {
+// mayOrderStart reports whether a member's start is wanted and permitted, and a repeated one still unanswered. An order that is sent then is
+// given up at the given time.
+func (s *Scheduler) mayOrderStart(m *member, repeated bool, givenUpAt time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m.stopWanted || repeated && m.state != starting || s.ctx.Err() != nil || !s.config.Term.Authority() {
@@ -154,6 +173,7 @@
 		return false
 	}
 	m.startRepeated = repeated
+	s.noteUnheardProcess(m.worker, givenUpAt)
 	return true
 }
 
--- a/internal/dispatch/withheld.go
+++ b/internal/dispatch/withheld.go
@@ -48,7 +48,7 @@
 	l.number++
 	l.leasesLeft = map[string]time.Duration{}
 	for _, w := range workers {
-		if left := w.leasesOverAt.Sub(now); s.foundSilent(w, now) && left > -withheldAfterLeases && len(l.leasesLeft) < maxWithheld {
+		if left := w.allLeasesOverAt().Sub(now); s.foundSilent(w, now) && left > -withheldAfterLeases && len(l.leasesLeft) < maxWithheld {
 			l.leasesLeft[w.info.ID] = left
 			w.withheld, w.withheldIn = true, l.number
 		}
