Dispatch: ends are acknowledged only while no unheard process of the worker can have any

Cause: the same as of leases that a next process is given: a heartbeat meant for the process that reported an end can reach the one after it, which numbers ends from 1 again and forgets those up to the number that is acknowledged, before it has reported them. It was held back only from new connections; behind a proxy an old one leads to the next process, and every later heartbeat repeated the number.

Change: a heartbeat acknowledges ends only if no start order has been sent since the latest report was asked for: only such runs can have ended on a process that has not reported. A number that an answered heartbeat has carried is not repeated. Runs count as heard once a report was asked for after their last order was settled, whether or not it lists them; the fix of leases uses the same.

TestEndsOfAWorkerThatKeepsNoConnectionAreAcknowledged counted repeated acknowledgements of one end; it now asks for those of two ends, each once.

Result: TestEndsOfANewProcessBehindAnOldConnectionAreNotAcknowledged failed before (the job was running again), and passes.

--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -25,6 +25,7 @@
 	heartbeatRetryPause = 250 * time.Millisecond  // pause after a heartbeat without an answer
 	endRecordWait       = 400 * time.Millisecond  // wait for reported ends to be recorded before the next heartbeat
 	maxSilence          = 2 * heartbeatWait       // a worker that has not answered for this long gets no new work
+	startSettlePause    = 20 * time.Millisecond   // before a heartbeat that acknowledges nothing because of start orders; a healthy worker answers these in less
 	maxHeldBack         = 3                       // heartbeats in a row from which an acknowledgement may be held back
 	// withheldHeartbeatWait is the wait of a worker that gets leases once its silence is no longer on record.
 	withheldHeartbeatWait = 200 * time.Millisecond
@@ -48,7 +49,7 @@
 			wait.For(ctx, heartbeatRetryPause)
 			continue
 		}
-		unrecorded, err := s.exchangeHeartbeat(ctx, w, now)
+		next, err := s.exchangeHeartbeat(ctx, w, now)
 		if ctx.Err() != nil {
 			return
 		}
@@ -57,19 +58,30 @@
 			wait.For(ctx, heartbeatRetryPause)
 			continue
 		}
-		if unrecorded {
+		switch next {
+		case afterRecords:
 			select {
 			case <-ctx.Done():
 			case <-w.endsRecorded:
 			case <-time.After(endRecordWait):
 			}
+		case afterOrders:
+			wait.For(ctx, startSettlePause)
 		}
 	}
 }
 
-// exchangeHeartbeat sends one heartbeat, whose leases begin at now, and handles the answer. It reports whether the answer listed
-// ends that are not recorded yet. A panic counts as an unanswered heartbeat, so that one worker's answer cannot end the process.
-func (s *Scheduler) exchangeHeartbeat(ctx context.Context, w *worker, now time.Time) (unrecorded bool, err error) {
+// nextStep says when the next heartbeat of a worker that has answered is sent.
+type nextStep uint8
+
+const (
+	atOnce       nextStep = iota
+	afterRecords          // once reported ends are recorded
+	afterOrders           // once start orders may be settled, until which recorded ends are not acknowledged
+)
+
+// exchangeHeartbeat sends one heartbeat, whose leases begin at now, and handles the answer. A panic counts as an unanswered heartbeat, so that one worker's answer cannot end the process.
+func (s *Scheduler) exchangeHeartbeat(ctx context.Context, w *worker, now time.Time) (next nextStep, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			err = eris.Errorf("heartbeat of worker %s: %v", w.info.ID, cause)
@@ -89,20 +101,29 @@
 	sent := time.Now()
 	callCtx, cancel := context.WithDeadline(ctx, givenUpAt)
 	defer cancel()
-	report, err := s.sendHeartbeat(callCtx, w, target, order)
+	report, acknowledged, err := s.sendHeartbeat(callCtx, w, target, order)
 	if err != nil || ctx.Err() != nil {
-		return false, err
+		return atOnce, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.handleReport(w, sent, time.Now(), report)
-	return w.lastRecordedEnd < w.lastHandledEnd, nil
+	if acknowledged <= w.lastRecordedEnd { // or the answer is that of a new process
+		w.lastAcknowledgedEnd = max(w.lastAcknowledgedEnd, acknowledged)
+	}
+	switch {
+	case w.lastRecordedEnd < w.lastHandledEnd:
+		return afterRecords, nil
+	case w.lastAcknowledgedEnd < w.lastRecordedEnd && w.unheard() > 0:
+		return afterOrders, nil
+	}
+	return atOnce, nil
 }
 
 // nextHeartbeat returns the next heartbeat of a worker. It renews leases only if the previous heartbeat was answered: if
 // heartbeats reach the worker but its answers are lost, its leases still expire at a known time. It acknowledges ends only then, too,
 // and only to the process that reported them: a worker that has restarted numbers ends from 1 again, and would forget ends that it has
-// not reported yet.
+// not reported yet. Only members that may be on an unheard process can have ended there, so it acknowledges nothing while there are such.
 func (s *Scheduler) nextHeartbeat(w *worker, now time.Time) (HeartbeatOrder, Target) {
 	order := HeartbeatOrder{Token: s.config.Token}
 	if !w.responsive {
@@ -111,9 +132,12 @@
 	if !w.withheld {
 		order.LeaseEnd = s.grantLease(w, now)
 	}
-	order.AcknowledgedEnd, order.SameProcess = w.lastRecordedEnd, w.lastRecordedEnd > 0
+	unacknowledged := w.lastRecordedEnd > w.lastAcknowledgedEnd
+	if unacknowledged && w.unheard() == 0 {
+		order.AcknowledgedEnd, order.SameProcess = w.lastRecordedEnd, true
+	}
 	switch {
-	case w.lastRecordedEnd != w.lastHandledEnd:
+	case w.lastRecordedEnd != w.lastHandledEnd, unacknowledged && order.AcknowledgedEnd == 0:
 	case w.withheld:
 		order.Wait = withheldHeartbeatWait
 	case w.hasMixedWork():
@@ -121,7 +145,7 @@
 	default:
 		order.Wait = heartbeatWait
 	}
-	if w.heldBack >= maxHeldBack {
+	if order.SameProcess && w.heldBack >= maxHeldBack {
 		// Such a worker closes its connections after each answer, and would list no more ends after some time. Without a wait, a new
 		// process forgets only ends of the few milliseconds since the previous answer.
 		order.SameProcess, order.Wait = false, 0
@@ -130,9 +154,9 @@
 }
 
 // sendHeartbeat sends a heartbeat. If it may not reach the process that answered last, the acknowledgement is held back until the worker
-// has reported again.
-func (s *Scheduler) sendHeartbeat(ctx context.Context, w *worker, to Target, order HeartbeatOrder) (HeartbeatReport, error) {
-	report, err := s.config.Fleet.Heartbeat(ctx, to, order)
+// has reported again. It returns the number up to which it acknowledged ends.
+func (s *Scheduler) sendHeartbeat(ctx context.Context, w *worker, to Target, order HeartbeatOrder) (report HeartbeatReport, acknowledged int64, err error) {
+	report, err = s.config.Fleet.Heartbeat(ctx, to, order)
 	heldBack := errors.Is(err, ErrOtherProcessPossible)
 	s.mu.Lock()
 	switch {
@@ -143,11 +167,12 @@
 	}
 	s.mu.Unlock()
 	if !heldBack {
-		return report, err
+		return report, order.AcknowledgedEnd, err
 	}
 	s.metrics.orderAnswered("hold", "held back")
 	order.AcknowledgedEnd, order.SameProcess, order.Wait = 0, false, 0
-	return s.config.Fleet.Heartbeat(ctx, to, order)
+	report, err = s.config.Fleet.Heartbeat(ctx, to, order)
+	return report, 0, err
 }
 
 // heartbeatFailed handles a heartbeat that was refused or not answered.
@@ -196,7 +221,7 @@
 		}
 		s.requestPass()
 	}
-	w.responsive, w.lastAnswerAt = true, now
+	w.responsive, w.reportAskedAt, w.lastAnswerAt = true, sent, now
 	w.noteClock(r)
 	s.handleEnds(w, r.Ended)
 	s.handleRuns(w, r.Running, sent, now)
@@ -290,7 +315,6 @@
 		if m.state == starting {
 			m.startAnsweredAt = now
 		}
-		m.reported = m.reported || m.startSettled(sent)
 		s.markRunning(m)
 		if r.Percent > m.percent || m.progressedAt.IsZero() {
 			m.noteProgress(r.Percent, now)
@@ -322,9 +346,9 @@
 // noteRestart notes that a worker's process is a new one, which numbers ends from the start. What ran in the earlier process is lost
 // once a report of the new one does not list it: orders that were sent to the earlier process may have reached the new one.
 func (s *Scheduler) noteRestart(w *worker, processStart int64, now time.Time) {
-	s.config.Events.Emit(eventWorkerRestarted, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("unreported", w.unreported()), event.F("born", processStart))
+	s.config.Events.Emit(eventWorkerRestarted, event.F("worker", w.info.ID), event.F("tasks", len(w.members)), event.F("unheard", w.unheard()), event.F("born", processStart))
 	w.processStart, w.processSeenAt = processStart, now
-	w.lastHandledEnd, w.lastRecordedEnd = 0, 0
+	w.lastHandledEnd, w.lastRecordedEnd, w.lastAcknowledgedEnd = 0, 0, 0
 	w.setSlowdown(forecast.Slowdown{Factor: 1})
 	s.forecast.Forget(w.info.ID)
 }
@@ -354,7 +378,7 @@
 	}
 	expired := w.membersWhere(func(m *member) bool { return !now.Before(w.leasesOverFor(m)) })
 	if len(expired) > 0 {
-		s.config.Events.Emit(eventLeasesExpired, event.F("worker", w.info.ID), event.F("tasks", len(expired)), event.F("unreported", w.unreported()), event.F("silent_ms", s.silence(w, now).Milliseconds()))
+		s.config.Events.Emit(eventLeasesExpired, event.F("worker", w.info.ID), event.F("tasks", len(expired)), event.F("unheard", w.unheard()), event.F("silent_ms", s.silence(w, now).Milliseconds()))
 	}
 	for _, m := range expired {
 		s.loseMember(m, causeLeaseExpired)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -110,7 +110,6 @@
 	processStart    int64     // start of the worker's process for which the run was planned
 	startAnsweredAt time.Time // when the worker confirmed the start; zero for runs of earlier terms
 	startSettledAt  time.Time // when the last start order was answered or given up, or this term began; zero before
-	reported        bool      // a report that was asked for after startSettledAt lists the run, so no later process of the worker has it
 	stopWanted      bool      // the run is to end
 	stopAnsweredAt  time.Time // when the worker answered the stop order
 
@@ -147,6 +146,7 @@
 	members map[runKey]*member
 	free    workload.Resources // resources that no member has booked; may be negative
 
+	reportAskedAt time.Time // when the heartbeat was sent that it answered last
 	lastAnswerAt  time.Time // when it last answered a heartbeat
 	workerClock   int64     // its clock at lastAnswerAt, in milliseconds
 	processStart  int64     // start of its process, Unix milliseconds; 0 if not known
@@ -154,21 +154,22 @@
 	clockProcess  int64     // start of the process whose clock workerClock is
 	leasesOverAt  time.Time // when all leases granted to the process whose clock is known have certainly expired
 	// nextLeasesOverAt is when leases have certainly expired that orders sent so far gave to a process that the scheduler has not heard.
-	nextLeasesOverAt time.Time
-	withheld         bool  // it is granted no leases, see withheldList
-	withheldIn       int64 // number of the latest list that names it
-	lastHandledEnd   int64 // number of the last reported end that was handled
-	lastRecordedEnd  int64 // number of the last reported end whose effects are durable
-	heldBack         int   // number of latest heartbeats from which an acknowledgement was held back
-	responsive       bool  // it answered the last heartbeat, so the next one renews its leases
-	health           health
-	slowdown         float64       // of its runs relative to a neutral worker; 0 stands for 1, see refreshSpeeds
-	slowdownSpread   float64       // standard deviation of the log of slowdown
-	slowdownBound    float64       // slowdown that it hardly exceeds, see slowdownMargin; 0 stands for 1
-	speedLevel       int           // slowdownBound in steps of speedStep; 0 for a neutral worker, higher for a slower one
-	leavesAt         time.Time     // earliest time when it leaves; zero unless discovery shows it as draining
-	endsRecorded     chan struct{} // signals that lastRecordedEnd has risen
-	stopHeartbeats   func()        // ends the heartbeat loop; nil if there is none
+	nextLeasesOverAt    time.Time
+	withheld            bool  // it is granted no leases, see withheldList
+	withheldIn          int64 // number of the latest list that names it
+	lastHandledEnd      int64 // number of the last reported end that was handled
+	lastRecordedEnd     int64 // number of the last reported end whose effects are durable
+	lastAcknowledgedEnd int64 // number of the last end that an answered heartbeat has acknowledged
+	heldBack            int   // number of latest heartbeats from which an acknowledgement was held back
+	responsive          bool  // it answered the last heartbeat, so the next one renews its leases
+	health              health
+	slowdown            float64       // of its runs relative to a neutral worker; 0 stands for 1, see refreshSpeeds
+	slowdownSpread      float64       // standard deviation of the log of slowdown
+	slowdownBound       float64       // slowdown that it hardly exceeds, see slowdownMargin; 0 stands for 1
+	speedLevel          int           // slowdownBound in steps of speedStep; 0 for a neutral worker, higher for a slower one
+	leavesAt            time.Time     // earliest time when it leaves; zero unless discovery shows it as draining
+	endsRecorded        chan struct{} // signals that lastRecordedEnd has risen
+	stopHeartbeats      func()        // ends the heartbeat loop; nil if there is none
 }
 
 // target returns where to send orders. Goroutines that send orders without the scheduler's lock call it while they still
@@ -191,20 +192,26 @@
 	run  int
 }
 
-// unreported returns how many runs were ordered on the worker that no report shows, so that any of its processes may have them.
-func (w *worker) unreported() int {
+// onHeardProcess reports whether no process but those that have reported can have the member's run: the latest report was asked for after the
+// last start order was answered or given up.
+func (m *member) onHeardProcess() bool {
+	return m.recordPending || !m.startSettledAt.IsZero() && m.startSettledAt.Before(m.worker.reportAskedAt)
+}
+
+// unheard returns how many members may be on a process of the worker that has not reported.
+func (w *worker) unheard() int {
 	n := 0
 	for _, m := range w.members {
-		if !m.reported && !m.recordPending {
+		if !m.onHeardProcess() {
 			n++
 		}
 	}
 	return n
 }
 
-// leasesOverFor returns when the member's leases have certainly expired. A member that no report shows may be on a process that has not been heard.
+// leasesOverFor returns when the member's leases have certainly expired.
 func (w *worker) leasesOverFor(m *member) time.Time {
-	if m.reported || m.recordPending || w.nextLeasesOverAt.Before(w.leasesOverAt) {
+	if m.onHeardProcess() || w.nextLeasesOverAt.Before(w.leasesOverAt) {
 		return w.leasesOverAt
 	}
 	return w.nextLeasesOverAt
@@ -212,17 +219,12 @@
 
 // allLeasesOverAt returns when the leases of all members have certainly expired.
 func (w *worker) allLeasesOverAt() time.Time {
-	if w.unreported() > 0 && w.nextLeasesOverAt.After(w.leasesOverAt) {
+	if w.unheard() > 0 && w.nextLeasesOverAt.After(w.leasesOverAt) {
 		return w.nextLeasesOverAt
 	}
 	return w.leasesOverAt
 }
 
-// startSettled reports whether no start order of the member was under way at a time.
-func (m *member) startSettled(at time.Time) bool {
-	return !m.startSettledAt.IsZero() && m.startSettledAt.Before(at)
-}
-
 // compare orders runs by their tasks, then by their numbers.
 func (k runKey) compare(o runKey) int {
 	a, b := k.task, o.task
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -172,30 +172,64 @@
 	}
 }
 
+// Guards against a task that runs again after its end was acknowledged: its worker had restarted under its ID, and a proxy led the next
+// heartbeat over an old connection to the new process.
+func TestEndsOfANewProcessBehindAnOldConnectionAreNotAcknowledged(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	w := h.addWorker("w1", "r1", 8)
+	first := h.startOn(1, w)
+	h.report(w, HeartbeatReport{ProcessStart: 1, Ended: []EndReport{{7, first.Task, first.Run, EndDone, ""}}})
+	h.runs.flush()
+	second := h.startOn(2, w) // on the new process
+	h.awaitConfirmed(w, second)
+	ends := []EndReport{{1, second.Task, second.Run, EndDone, ""}}
+	h.answerHeartbeats(func(o HeartbeatOrder) (HeartbeatReport, error) {
+		if o.AcknowledgedEnd >= 1 {
+			ends = nil
+		}
+		return HeartbeatReport{ProcessStart: 2, Ended: ends}, nil
+	})
+	for range 3 {
+		_, err := h.scheduler.exchangeHeartbeat(t.Context(), w, time.Now())
+		assert.NilError(t, err)
+		h.pass()
+	}
+	assert.Equal(t, h.fleet.started(), 2, "a task started again after its end was acknowledged")
+	assert.Equal(t, h.state(second.Task.Job), ledger.Completed)
+	assert.Equal(t, len(ends), 0, "an end that the process has reported is acknowledged")
+}
+
 // Guards against ends that are never acknowledged, until the worker lists no more of them, because it closes its connection after each
 // answer.
 func TestEndsOfAWorkerThatKeepsNoConnectionAreAcknowledged(t *testing.T) {
 	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
 	w := h.addWorker("w1", "r1", 8)
-	run := h.startOn(1, w)
-	h.report(w, HeartbeatReport{ProcessStart: 1, Ended: []EndReport{{1, run.Task, run.Run, EndDone, ""}}})
+	runs := []RunReport{h.startOn(1, w), h.startOn(2, w)}
+	h.awaitConfirmed(w, runs[0])
+	h.awaitConfirmed(w, runs[1])
+	h.report(w, HeartbeatReport{ProcessStart: 1, Running: runs[1:], Ended: []EndReport{{1, runs[0].Task, runs[0].Run, EndDone, ""}}})
 	h.runs.flush()
-	acknowledged := 0
+	acknowledged := int64(0)
 	h.answerHeartbeats(func(o HeartbeatOrder) (HeartbeatReport, error) {
 		if o.SameProcess {
 			return HeartbeatReport{}, ErrOtherProcessPossible
 		}
-		if o.AcknowledgedEnd == 1 {
-			acknowledged++
+		if o.AcknowledgedEnd > 0 {
+			assert.Equal(t, o.AcknowledgedEnd, acknowledged+1)
 			assert.Equal(t, o.Wait, time.Duration(0), "it may reach another process, which must not keep it")
+			acknowledged++
 		}
-		return HeartbeatReport{ProcessStart: 1}, nil
+		if acknowledged == 0 {
+			return HeartbeatReport{ProcessStart: 1, Running: runs[1:]}, nil
+		}
+		return HeartbeatReport{ProcessStart: 1, Ended: []EndReport{{2, runs[1].Task, runs[1].Run, EndDone, ""}}}, nil
 	})
 	for range 2 * (maxHeldBack + 1) {
 		_, err := h.scheduler.exchangeHeartbeat(t.Context(), w, time.Now())
 		assert.NilError(t, err)
+		h.runs.flush()
 	}
-	assert.Equal(t, acknowledged, 2)
+	assert.Equal(t, acknowledged, int64(2))
 }
 
 func (h *harness) nextHeartbeat(w *worker) HeartbeatOrder {
