Soak: workers that restart have a clock that starts anew, shorten leases, and are cut off soon after

Cause: tests and the soak could not show the users' TWICE. The stand-in's workers shared one clock through all their lives and took leases of any length, so an order that was meant for an earlier process ended on the new one when the scheduler reckoned; and calls that came while a worker was without power were never answered.

A fault, recut, plays the users' order of events once a plan, and the tasks of one job in 64 outlast any lease.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -82,13 +82,15 @@
 }
 
 type taskWorkersCommand struct {
-	Listen   string   `required:"" help:"Address to listen on, shared by all workers."`
-	Worker   []string `required:"" help:"Identifier of a worker; repeat for more workers."`
-	HideRuns bool     `help:"Omit running tasks from the workers' answers, which no real worker may do."`
+	Listen   string        `required:"" help:"Address to listen on, shared by all workers."`
+	Worker   []string      `required:"" help:"Identifier of a worker; repeat for more workers."`
+	MaxLease time.Duration `help:"Length to which workers shorten longer leases (default: none)."`
+	HideRuns bool          `help:"Omit running tasks from the workers' answers, which no real worker may do."`
 }
 
 func (c *taskWorkersCommand) Run(ctx context.Context) error {
 	fleet := taskworker.New(c.Worker...)
+	fleet.MaxLease = c.MaxLease
 	if c.HideRuns {
 		fleet.HideRuns()
 	}
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -41,6 +41,9 @@
 // LosePower lets a worker lose its power. It is up again a little later, and its entry shows its new process later still.
 const LosePower Kind = "power"
 
+// Recut lets a worker lose its power, and cuts it off soon after it is up again, for longer than its leases last. There is at most one in a plan.
+const Recut Kind = "recut"
+
 // OddEntry writes an entry that no worker writes to the list of workers: under a key of its own or, for a while, under that of a worker.
 const OddEntry Kind = "odd"
 
@@ -84,6 +87,9 @@
 	maxFaultLength   = 5 * time.Second
 	restartDelay     = 400 * time.Millisecond // time between the kill and the restart of an instance
 	hangupWait       = 100 * time.Millisecond // within which a process has ended that had no handler for SIGHUP
+	recutOff         = 900 * time.Millisecond // for which a worker is without power, so that the last order of a start reaches its next process
+	recutPause       = 200 * time.Millisecond // for which it can be reached then
+	recutLength      = longestLease + 2*time.Second
 	linkDelay        = 120 * time.Millisecond // delay of each forwarded chunk; well below the timeouts of calls
 )
 
@@ -93,6 +99,9 @@
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 3)), linkKinds, length, instances)...)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 4)), []Kind{OddEntry}, length, instances)...)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, 5)), []Kind{LosePower}, length, instances)...)
+	if recuts := drawFaults(rand.New(rand.NewPCG(seed, 7)), []Kind{Recut}, length-recutLength, instances); len(recuts) > 0 {
+		plan = append(plan, recuts[len(recuts)-1])
+	}
 	random := rand.New(rand.NewPCG(seed, 6))
 	evacuation := Fault{At: time.Second + time.Duration(random.Int64N(int64(2*time.Second))), Kind: Evacuate, Node: random.IntN(instances), Length: evacuateTime + 3*time.Second}
 	if evacuation.At+evacuation.Length < length-faultFreeTail {
@@ -136,7 +145,7 @@
 		if r.injectLinkFault(f) {
 			continue
 		}
-		inject, isWorkerFault := map[Kind]func(context.Context, Fault) error{OddEntry: r.injectOddEntry, LosePower: r.losePower, Evacuate: r.evacuate}[f.Kind]
+		inject, isWorkerFault := map[Kind]func(context.Context, Fault) error{OddEntry: r.injectOddEntry, LosePower: r.losePower, Recut: r.recut, Evacuate: r.evacuate}[f.Kind]
 		if isWorkerFault {
 			if err := inject(ctx, f); err != nil {
 				return err
@@ -176,7 +185,21 @@
 
 // losePower lets a worker lose its power for a tenth of the fault's length. Its entry follows after half of that length.
 func (r *run) losePower(ctx context.Context, f Fault) error {
-	worker, off := int(f.At)%workerCount, f.Length/10
+	return r.restartWorker(ctx, int(f.At)%workerCount, f.Length/10, f.Length/2)
+}
+
+// recut lets a worker lose its power, and cuts it off before most heartbeats to its earlier process have been given up.
+func (r *run) recut(ctx context.Context, f Fault) error {
+	worker := int(f.At) % workerCount
+	if err := r.restartWorker(ctx, worker, recutOff, recutOff+f.Length); err != nil {
+		return err
+	}
+	time.AfterFunc(recutOff+recutPause, func() { r.workerProxies[worker].drop(recutLength) })
+	return nil
+}
+
+// restartWorker lets a worker lose its power for a time. Its entry shows the new process some time after the loss.
+func (r *run) restartWorker(ctx context.Context, worker int, off, listed time.Duration) error {
 	answer, err := r.post(ctx, fmt.Sprintf("http://%s/control/power?worker=w%d&off_ms=%d", r.workersAddress, worker, off.Milliseconds()), nil)
 	if err != nil {
 		return err
@@ -190,7 +213,7 @@
 	r.mu.Lock()
 	r.born[worker] = process.Born
 	r.mu.Unlock()
-	time.AfterFunc(f.Length/2, func() {
+	time.AfterFunc(listed, func() {
 		if err := r.putWorker(ctx, worker); err != nil {
 			fmt.Fprintf(r.options.Progress, "worker %d cannot write its entry: %v\n", worker, err)
 		}
--- a/internal/standin/soak/proxy.go
+++ b/internal/standin/soak/proxy.go
@@ -33,6 +33,7 @@
 	mu           sync.Mutex
 	delay        time.Duration          // delay of each chunk
 	blockedUntil [2]time.Time           // time before which nothing is forwarded, by direction
+	droppedUntil time.Time              // time before which new connections are muted
 	conns        map[*connPair]struct{} // open connections
 }
 
@@ -75,6 +76,7 @@
 	}
 	pair := &connPair{client: conn, server: server}
 	p.mu.Lock()
+	pair.muted = time.Now().Before(p.droppedUntil)
 	p.conns[pair] = struct{}{}
 	p.mu.Unlock()
 	var directions sync.WaitGroup
@@ -153,6 +155,14 @@
 	}
 }
 
+// drop loses all that is sent for a time, as a partition that is longer than the senders' timeouts.
+func (p *proxy) drop(length time.Duration) {
+	p.mu.Lock()
+	p.droppedUntil = time.Now().Add(length)
+	p.mu.Unlock()
+	p.mute()
+}
+
 // resetAll resets both sides of all open connections.
 func (p *proxy) resetAll() {
 	p.mu.Lock()
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -34,6 +34,7 @@
 	startsAfterCancel = 3 * time.Second
 	pollInterval      = 200 * time.Millisecond // interval between two attempts of a repeated call
 	crowdPause        = 50 * time.Millisecond  // of the clients that keep to no limits, so that they do not take the machine's processors
+	longestLease      = 4 * time.Second
 	host              = "jobs.example"
 	apiKey            = "soak-key"
 	// evacuateTime is the time from the acknowledgement of an evacuation until no task may start (evacuate_ms of the platform's bounds).
@@ -172,7 +173,7 @@
 		return err
 	}
 	r.storeAddress, r.workersAddress = addresses[0], addresses[1]
-	args := []string{"tasks", "--listen", r.workersAddress}
+	args := []string{"tasks", "--listen", r.workersAddress, "--max-lease", longestLease.String()}
 	for i := range workerCount {
 		args = append(args, fmt.Sprintf("--worker=w%d", i))
 	}
@@ -203,8 +204,8 @@
 		}
 		r.nodes = append(r.nodes, n)
 		n.settingsPath = filepath.Join(r.options.Directory, n.name+".yaml")
-		text := fmt.Sprintf("instance: %s\ndata_centre: z1\nlisten: {jobs: %q, readiness: %q, control: %q}\nstore: %q\nadvisor: %q\nbounds: {lease_ms: 4000, keep_status_s: 300, evacuate_ms: %d}\n",
-			n.name, addresses[2+3*i], addresses[3+3*i], addresses[4+3*i], n.storeProxy.address(), r.workerProxies[0].address(), evacuateTime.Milliseconds())
+		text := fmt.Sprintf("instance: %s\ndata_centre: z1\nlisten: {jobs: %q, readiness: %q, control: %q}\nstore: %q\nadvisor: %q\nbounds: {lease_ms: %d, keep_status_s: 300, evacuate_ms: %d}\n",
+			n.name, addresses[2+3*i], addresses[3+3*i], addresses[4+3*i], n.storeProxy.address(), r.workerProxies[0].address(), longestLease.Milliseconds(), evacuateTime.Milliseconds())
 		if err := os.WriteFile(n.settingsPath, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -364,7 +365,7 @@
 // submit sends a job once and reports whether this or an earlier attempt was accepted.
 func (r *run) submit(ctx context.Context, id string, n *node, tasks, runTimeMS int) bool {
 	body := fmt.Appendf(nil, `{"spec":"{\"takes_ms\":%d,\"advised\":%t,\"fails\":%d}","phases":[{"count":%d,"cpu":1000,"mem_mb":1000,"gpu":1,"estimate_ms":%d%s}]}`,
-		runTimeMS, queueOf(id) == advisedQueue, failsOf(id), tasks, runTimeMS, paddingOf(id))
+		runTimeMS+extraRunTime(id), queueOf(id) == advisedQueue, failsOf(id), tasks, runTimeMS, paddingOf(id))
 	status, _, err := r.call(ctx, n, http.MethodPost, id, body)
 	if r.options.Violations.DenyAcceptance && id != firstJob && !strings.HasPrefix(id, lastJobs) && err == nil && status == http.StatusOK {
 		status = http.StatusServiceUnavailable
@@ -393,6 +394,14 @@
 	return 0
 }
 
+// extraRunTime returns by how many milliseconds the tasks of a job run longer than others: those of one in 64 outlast any lease.
+func extraRunTime(id string) int {
+	if id[len(id)-1] == '5' && id[len(id)-2]%4 == 1 {
+		return int((longestLease + 2*time.Second).Milliseconds())
+	}
+	return 0
+}
+
 // paddingOf returns fields with which the record of one job in 16 is larger than the store takes. No instance may accept it, and none may
 // stop accepting others because of it.
 func paddingOf(id string) string {
--- a/internal/standin/taskworker/taskworker.go
+++ b/internal/standin/taskworker/taskworker.go
@@ -16,18 +16,22 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/wait"
 )
 
 const (
 	pollInterval  = 5 * time.Millisecond // interval between checks of a waiting call
 	maxListedEnds = 500                  // maximum number of ends in one answer
+	clockSpeed    = 0.98                 // speed of the workers' clocks
 )
 
 // Fleet is a set of workers that can run the same tasks. It is an http.Handler; the header X-Target-Instance selects the worker.
 // It is safe for concurrent use.
 type Fleet struct {
-	router  *mux.Router
-	started time.Time // origin of the workers' clock
+	router *mux.Router
+	// MaxLease is the length to which longer leases are shortened; 0 for none. It is set before the first call.
+	MaxLease time.Duration
 
 	mu       sync.Mutex
 	workers  map[string]*worker
@@ -64,8 +68,9 @@
 	ends         []end           // ends that are not acknowledged yet
 	lastSequence int64           // sequence number of the latest end
 	frozen       bool            // see Freeze
-	born         time.Time       // start of its process
+	born         time.Time       // start of its process, and origin of its clock
 	poweredOff   bool            // see LosePower
+	lostPowerAt  time.Time       // when its earlier process lost its power; zero if there is none
 	closesAt     time.Time       // see Forbid; zero if starts are allowed
 }
 
@@ -97,9 +102,9 @@
 
 // New returns a fleet with one worker for each id.
 func New(ids ...string) *Fleet {
-	f := &Fleet{router: mux.NewRouter(), started: time.Now(), workers: map[string]*worker{}, running: map[string]int{}, finished: map[string]bool{}, tickets: map[string]ticket{}, report: Report{LastStarts: map[string]int64{}}}
+	f := &Fleet{router: mux.NewRouter(), workers: map[string]*worker{}, running: map[string]int{}, finished: map[string]bool{}, tickets: map[string]ticket{}, report: Report{LastStarts: map[string]int64{}}}
 	for _, id := range ids {
-		f.workers[id] = newWorker(f.started)
+		f.workers[id] = newWorker(time.Now())
 	}
 	f.router.HandleFunc("/v1/run-start", f.handler(f.start)).Methods(http.MethodPost)
 	f.router.HandleFunc("/v1/run-stop", f.handler(f.stop)).Methods(http.MethodPost)
@@ -142,8 +147,8 @@
 	f.workers[id].frozen = frozen
 }
 
-// LosePower ends a worker without a trace, and starts it again under its id after a time: its runs are gone, calls in progress and those
-// that come meanwhile get no answer, and its new process knows nothing of before. It returns when the new process starts.
+// LosePower ends a worker without a trace, and starts it again under its id after a time: its runs are gone, calls in progress get no
+// answer, those that come meanwhile reach its new process, which knows nothing of before and whose clock starts anew. It returns when the new process starts.
 func (f *Fleet) LosePower(id string, off time.Duration) (born time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -154,7 +159,7 @@
 	}
 	born = time.Now().Add(off)
 	f.workers[id] = newWorker(born)
-	f.workers[id].closesAt = w.closesAt
+	f.workers[id].closesAt, f.workers[id].lostPowerAt = w.closesAt, time.Now()
 	return born
 }
 
@@ -204,8 +209,15 @@
 	_ = json.NewEncoder(w).Encode(body) // a failed write means that the caller has gone
 }
 
-// clockMS returns the time of the workers' clock in milliseconds.
-func (f *Fleet) clockMS() int64 { return time.Since(f.started).Milliseconds() }
+// clockMS returns the time of the worker's clock in milliseconds.
+func (w *worker) clockMS() int64 {
+	return int64(clockSpeed * float64(time.Since(w.born).Milliseconds()))
+}
+
+// sinceBorn returns how long after its start the worker's clock shows a time.
+func sinceBorn(clockMS int64) time.Duration {
+	return time.Duration(float64(clockMS) / clockSpeed * float64(time.Millisecond))
+}
 
 // openedKey is the key of the time at which a request's connection was opened.
 type openedKey struct{}
@@ -225,16 +237,15 @@
 			writeJSON(w, http.StatusBadRequest, nil)
 			return
 		}
-		f.mu.Lock()
-		target := f.workers[r.Header.Get("X-Target-Instance")]
+		target := f.poweredWorker(r)
 		if target == nil {
-			f.mu.Unlock()
 			writeJSON(w, http.StatusMisdirectedRequest, nil)
 			return
 		}
+		f.mu.Lock()
 		f.endDueRuns(target)
 		opened, known := r.Context().Value(openedKey{}).(time.Time)
-		if target.frozen || time.Now().Before(target.born) || known && opened.Before(target.born) {
+		if target.frozen || r.Context().Err() != nil || known && opened.Before(target.lostPowerAt) {
 			f.mu.Unlock()
 			<-r.Context().Done()
 			return
@@ -242,7 +253,7 @@
 		if c.Token < target.token {
 			f.report.StaleTokens++
 			f.mu.Unlock()
-			f.refuse(w, "fence")
+			refuse(w, target, "fence")
 			return
 		}
 		target.token = c.Token
@@ -253,8 +264,20 @@
 	}
 }
 
-func (f *Fleet) refuse(w http.ResponseWriter, reason string) {
-	writeJSON(w, http.StatusConflict, map[string]any{"clock_ms": f.clockMS(), "reason": reason})
+// poweredWorker returns the worker that a call names, or nil if there is none. If it is without power, the call reaches its next process once
+// that has started, unless the caller gives up before.
+func (f *Fleet) poweredWorker(r *http.Request) *worker {
+	f.mu.Lock()
+	target := f.workers[r.Header.Get("X-Target-Instance")]
+	f.mu.Unlock()
+	if target != nil {
+		wait.For(r.Context(), time.Until(target.born))
+	}
+	return target
+}
+
+func refuse(w http.ResponseWriter, target *worker, reason string) {
+	writeJSON(w, http.StatusConflict, map[string]any{"clock_ms": target.clockMS(), "reason": reason})
 }
 
 // endDueRuns ends the runs of a worker that have completed or whose lease has expired. The caller holds mu.
@@ -299,13 +322,13 @@
 	present := target.runs[c.Task]
 	switch {
 	case present != nil && present.number == c.Run:
-		writeJSON(w, http.StatusOK, map[string]int64{"clock_ms": f.clockMS()})
+		writeJSON(w, http.StatusOK, map[string]int64{"clock_ms": target.clockMS()})
 		return true
 	case c.Run <= target.highestEnded[c.Task]:
-		f.refuse(w, "old")
+		refuse(w, target, "old")
 		return true
-	case c.DeadlineMS <= f.clockMS():
-		f.refuse(w, "late")
+	case c.DeadlineMS <= target.clockMS():
+		refuse(w, target, "late")
 		return true
 	}
 	var s spec
@@ -315,7 +338,7 @@
 	}
 	if s.Advised && !f.tickets[c.Ticket].allows(c.Task, target, time.Now()) {
 		f.report.Unticketed++
-		f.refuse(w, "ticket")
+		refuse(w, target, "ticket")
 		return true
 	}
 	for _, w := range f.workers {
@@ -339,7 +362,7 @@
 	}
 	target.runs[c.Task] = started
 	f.extendLeases(target, c.DeadlineMS)
-	writeJSON(w, http.StatusOK, map[string]int64{"clock_ms": f.clockMS()})
+	writeJSON(w, http.StatusOK, map[string]int64{"clock_ms": target.clockMS()})
 	return true
 }
 
@@ -351,7 +374,11 @@
 
 // extendLeases moves the expiry of a worker's leases forward, never back. The caller holds mu.
 func (f *Fleet) extendLeases(w *worker, deadlineMS int64) {
-	if expiry := f.started.Add(time.Duration(deadlineMS) * time.Millisecond); deadlineMS > 0 && expiry.After(w.leaseExpiry) {
+	expiry := w.born.Add(sinceBorn(deadlineMS))
+	if longest := time.Now().Add(sinceBorn(f.MaxLease.Milliseconds())); f.MaxLease > 0 && expiry.After(longest) {
+		expiry = longest
+	}
+	if deadlineMS > 0 && expiry.After(w.leaseExpiry) {
 		w.leaseExpiry = expiry
 	}
 }
@@ -367,7 +394,7 @@
 	if r := target.runs[c.Task]; r != nil && r.number <= c.Run {
 		f.endRun(target, r, "stopped")
 	}
-	writeJSON(w, http.StatusOK, map[string]int64{"clock_ms": f.clockMS()})
+	writeJSON(w, http.StatusOK, map[string]int64{"clock_ms": target.clockMS()})
 	return true
 }
 
@@ -423,5 +450,5 @@
 	for _, e := range w.ends[:min(len(w.ends), maxListedEnds)] {
 		ends = append(ends, []any{e.sequence, e.task, e.run, e.outcome, e.checkpoint})
 	}
-	return map[string]any{"clock_ms": f.clockMS(), "born": w.born.UnixMilli(), "running": running, "finished": ends}
+	return map[string]any{"clock_ms": w.clockMS(), "born": w.born.UnixMilli(), "running": running, "finished": ends}
 }
