Node: test of tasks on workers that restart and are cut off before they are heard

It plays the users' order of events over HTTP and in real time, with a node in the test's process: four workers lose their power for 0.9 s, a job of 32 tasks comes meanwhile, and they are cut off 0.1 s after their return. The stand-in's workers shorten leases in all tests of the package now, as real ones do.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -75,6 +75,7 @@
 // deployBounded deploys instances with the given bounds that reach the store through a handler.
 func deployBounded(t *testing.T, bounds Bounds, front func(http.Handler) http.Handler, instances int, workers ...string) *deployment {
 	d := &deployment{t: t, bounds: bounds, store: store.New(), fleet: taskworker.New(workers...)}
+	d.fleet.MaxLease = time.Duration(bounds.LeaseMS) * time.Millisecond
 	storeServer := httptest.NewServer(front(d.store))
 	workersServer := httptest.NewServer(d.fleet)
 	t.Cleanup(storeServer.Close)
@@ -291,6 +292,37 @@
 	assert.Equal(t, d.fleet.Report().Doubled, 0)
 }
 
+// Guards against tasks that run twice at the same time because workers restarted and were cut off before they were heard: orders that were meant
+// for their earlier processes gave the new ones longer leases than the scheduler reckoned with.
+func TestTasksOnRestartedWorkersThatAreCutOffRunOnce(t *testing.T) {
+	restarting, others := []string{"w1", "w2", "w3", "w4"}, []string{"w5", "w6", "w7", "w8"}
+	d := deploy(t, 1, append(restarting, others...)...)
+	for _, id := range others {
+		d.putWorker(id, "draining")
+	}
+	time.Sleep(time.Second)
+	for _, id := range restarting {
+		d.fleet.LosePower(id, 900*time.Millisecond)
+	}
+	d.submit(d.instances[0], jobID(1), jobBody(32, 60_000))
+	time.Sleep(time.Second)
+	for _, id := range restarting {
+		d.fleet.Freeze(id, true)
+	}
+	before := d.fleet.Report().Started
+	for _, id := range others {
+		d.putWorker(id, "ready")
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if again := d.fleet.Report().Started - before; again < 32 {
+			return poll.Continue("%d tasks started elsewhere", again)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(50*time.Millisecond))
+	report := d.fleet.Report()
+	assert.Equal(t, report.Doubled, 0, "%d starts before the cut, %v", before, report.Violations)
+}
+
 // Guards against an older configuration that replaces a newer one, and against keys that are accepted after their removal.
 func TestConfigurationVersionNeverDecreases(t *testing.T) {
 	d := deploy(t, 1, "w1")
