Dispatch: start orders are not repeated by the clock of an earlier process

Cause: the lease of a start order is set once, by the clock of the process that was known then. If the next process was heard between two attempts, the repetition gave it, and all runs there, a lease of the greatest length, while leases of heard runs were reckoned from the last renewal.

Change: a start order whose lease goes by another clock than that of the latest report is not sent again, and is withdrawn. The field for leases of unheard processes is called so.

--- a/internal/dispatch/formerprocess_test.go
+++ b/internal/dispatch/formerprocess_test.go
@@ -222,3 +222,24 @@
 		})
 	}
 }
+
+// Guards against leases of all runs on a worker that outlast what the scheduler reckons with: a start order with a lease by the clock of an
+// earlier process was repeated after the next one had been heard.
+func TestStartsAreNotRepeatedByTheClockOfAnEarlierProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+		w := h.addWorker("w1", "r1", 8)
+		h.report(w, HeartbeatReport{ProcessStart: 1, Clock: 500_000})
+		h.fleet.startError = func(StartOrder) error {
+			time.Sleep(startTimeout)
+			return errNoAnswer
+		}
+		h.submit(singleStepJob(1, stepOf(1)))
+		h.pass()
+		time.Sleep(startTimeout / 2)
+		h.report(w, HeartbeatReport{ProcessStart: 2, Clock: 100})
+		time.Sleep(startAttempts * startTimeout)
+		assert.Equal(t, h.fleet.started(), 1)
+		assert.Assert(t, h.fleet.stopped() > 0, "the start is withdrawn")
+	})
+}
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -80,7 +80,8 @@
 	afterOrders           // once start orders may be settled, until which recorded ends are not acknowledged
 )
 
-// exchangeHeartbeat sends one heartbeat, whose leases begin at now, and handles the answer. A panic counts as an unanswered heartbeat, so that one worker's answer cannot end the process.
+// exchangeHeartbeat sends one heartbeat, whose leases begin at now, and handles the answer. A panic counts as an unanswered heartbeat, so that
+// one worker's answer cannot end the process.
 func (s *Scheduler) exchangeHeartbeat(ctx context.Context, w *worker, now time.Time) (next nextStep, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -110,6 +110,7 @@
 	processStart    int64     // start of the worker's process for which the run was planned
 	startAnsweredAt time.Time // when the worker confirmed the start; zero for runs of earlier terms
 	startSettledAt  time.Time // when the last start order was answered or given up, or this term began; zero before
+	leaseClock      int64     // start of the process by whose clock the start order's lease ends
 	stopWanted      bool      // the run is to end
 	stopAnsweredAt  time.Time // when the worker answered the stop order
 
@@ -153,8 +154,8 @@
 	processSeenAt time.Time // when processStart last changed
 	clockProcess  int64     // start of the process whose clock workerClock is
 	leasesOverAt  time.Time // when all leases granted to the process whose clock is known have certainly expired
-	// nextLeasesOverAt is when leases have certainly expired that orders sent so far gave to a process that the scheduler has not heard.
-	nextLeasesOverAt    time.Time
+	// unheardLeasesOverAt is when leases have certainly expired that orders sent so far gave to a process that the scheduler has not heard.
+	unheardLeasesOverAt time.Time
 	withheld            bool  // it is granted no leases, see withheldList
 	withheldIn          int64 // number of the latest list that names it
 	lastHandledEnd      int64 // number of the last reported end that was handled
@@ -211,16 +212,16 @@
 
 // leasesOverFor returns when the member's leases have certainly expired.
 func (w *worker) leasesOverFor(m *member) time.Time {
-	if m.onHeardProcess() || w.nextLeasesOverAt.Before(w.leasesOverAt) {
+	if m.onHeardProcess() || w.unheardLeasesOverAt.Before(w.leasesOverAt) {
 		return w.leasesOverAt
 	}
-	return w.nextLeasesOverAt
+	return w.unheardLeasesOverAt
 }
 
 // allLeasesOverAt returns when the leases of all members have certainly expired.
 func (w *worker) allLeasesOverAt() time.Time {
-	if w.unheard() > 0 && w.nextLeasesOverAt.After(w.leasesOverAt) {
-		return w.nextLeasesOverAt
+	if w.unheard() > 0 && w.unheardLeasesOverAt.After(w.leasesOverAt) {
+		return w.unheardLeasesOverAt
 	}
 	return w.leasesOverAt
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -20,8 +20,8 @@
 	// maxPermanentLease limits the leases on workers with permanent tasks. The platform expects such a task to be at work again 9 s
 	// after its worker was lost, and until its lease has expired it must not start elsewhere.
 	maxPermanentLease  = 7 * time.Second
-	clockDriftFactor   = 1.03 // a worker's clock may be 2 % slow; 1 % is reserve
-	slowestClockFactor = 1.021
+	clockDriftFactor   = 1.03  // a worker's clock may be 2 % slow; 1 % is reserve
+	slowestClockFactor = 1.021 // how much longer than its length a lease lasts by a clock that is 2 % slow
 	// minRepeatTimeout is the least time for an answer with which a start order is repeated; a healthy worker answers within a few milliseconds.
 	minRepeatTimeout = 100 * time.Millisecond
 )
@@ -29,6 +29,7 @@
 // startOrderFor returns the order that starts a member, and grants its lease.
 func (s *Scheduler) startOrderFor(m *member) StartOrder {
 	now := time.Now()
+	m.leaseClock = m.worker.clockProcess
 	return StartOrder{
 		Task: m.taskName(), Run: m.run, Spec: m.unit.job().spec.Spec, LeaseEnd: min(s.grantLease(m.worker, now), s.latestStart(m.worker, now)),
 		Token: s.config.Token, Checkpoint: m.unit.checkpoint, Ticket: m.unit.step.advice.tickets[m.worker.info.ID].text,
@@ -50,15 +51,15 @@
 // the given time. The end of its lease lies far ahead on the clock of such a process, which therefore shortens the lease to the longest one,
 // counted from when the order arrives.
 func (s *Scheduler) noteUnheardProcess(w *worker, givenUpAt time.Time) {
-	if over := givenUpAt.Add(expiryOf(s.config.Bounds.Lease)); over.After(w.nextLeasesOverAt) {
-		w.nextLeasesOverAt = over
+	if over := givenUpAt.Add(expiryOf(s.config.Bounds.Lease)); over.After(w.unheardLeasesOverAt) {
+		w.unheardLeasesOverAt = over
 	}
 }
 
 // noteClock notes the clock of the process that has reported. Before it was heard, orders may have given it leases by the clock of another one.
 func (w *worker) noteClock(r HeartbeatReport) {
-	if r.ProcessStart != w.clockProcess && w.nextLeasesOverAt.After(w.leasesOverAt) {
-		w.leasesOverAt = w.nextLeasesOverAt
+	if r.ProcessStart != w.clockProcess && w.unheardLeasesOverAt.After(w.leasesOverAt) {
+		w.leasesOverAt = w.unheardLeasesOverAt
 	}
 	w.clockProcess, w.workerClock = r.ProcessStart, r.Clock
 }
@@ -184,6 +185,9 @@
 	if m.stopWanted || repeated && m.state != starting || s.ctx.Err() != nil || !s.config.Term.Authority() {
 		return false
 	}
+	if m.leaseClock != m.worker.clockProcess {
+		return false // its lease would outlast those that the process which was heard meanwhile is known to have
+	}
 	if s.evacuated(m.worker) || !s.mayStartAt(m.unit.members) {
 		return false
 	}
