--- a/internal/dispatch/formerprocess_test.go
+++ b/internal/dispatch/formerprocess_test.go
@@ -42,6 +42,8 @@
 const restartingRunTime = time.Minute
 
 func (f *restartingFleet) add(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.machines[id] = &restartingMachine{born: time.Now(), runs: map[runKey]time.Time{}}
 }
 
