Dispatch: work starts on standby workers while the log takes no records

Cause: a start is recorded before it is ordered, so that the next leader knows which workers may have the run. Nothing that becomes ready in an outage of the log could start before its end: steps whose predecessors had ended, failed tasks and gangs, and work that had waited for room.

Change: records of a unit also name standby workers for its later runs. Once a record has been pending for 0.3 s, units start on workers that every record names that may be the newest one; nothing else is placed. The next leader takes each named worker to have such a run until it has reported or its leases are over, keeps a run that it finds, and applies its end. No start without a record is made once a process of the worker that has not been heard could hold a lease beyond what the next leader reckons with (4.25 s after the last confirmed heartbeat with leases of 6 s, 0.4 s with 10 s).

The tests of evacuations flush records before each settled pass: they let a minute go by, during which a log in time takes them.

--- a/internal/dispatch/datacentre_test.go
+++ b/internal/dispatch/datacentre_test.go
@@ -41,8 +41,9 @@
 	h.east, h.west = h.addWorkerIn("east", "e1", "re", 8), h.addWorkerIn("west", "w1", "rw", 8)
 }
 
-// settle makes a pass and waits until its orders are answered.
+// settle makes a pass and waits until its orders are answered. Earlier records are durable before the pass, as tests let minutes go by.
 func (h *evacuationHarness) settle() {
+	h.runs.flush()
 	h.pass()
 	synctest.Wait()
 }
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -46,6 +46,10 @@
 	eventViewLost        = event.Define(2542, "starts withheld", zerolog.WarnLevel, "The operator's records could not be read for so long that an evacuation may have been missed, so no task starts anywhere.", "Check the log service and the scheduler's connection to it.")
 	eventViewRegained    = event.Define(2543, "starts resumed", zerolog.InfoLevel, "The operator's records can be read again.", "")
 	eventSpeeds          = event.Define(2533, "worker speeds judged", zerolog.InfoLevel, "The model finds the workers uneven in speed, or alike again. While they are uneven, work is placed by their slowdown; the fields count workers by it.", "")
+	eventLogLate         = event.Define(2550, "starts wait for the log", zerolog.WarnLevel, "The log has taken no record of a run for some time. Only work starts for which earlier records name workers.", "Check the log service if this persists.")
+	eventLogTimely       = event.Define(2551, "log takes records again", zerolog.InfoLevel, "The log takes records of runs again. The field late_ms says how long it had not.", "")
+	eventUnrecordedStart = event.Define(2552, "unit started before its record", zerolog.InfoLevel, "A run started while the log was late, on workers that an earlier record names.", "")
+	eventAdopted         = event.Define(2553, "unrecorded run found", zerolog.InfoLevel, "A worker has a run, or has reported its end, that an earlier leader started and did not record.", "")
 	eventPreempting      = event.Define(2522, "room reclaimed", zerolog.InfoLevel, "Less urgent work is preempted so that an urgent job can start.", "")
 )
 
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -40,26 +40,31 @@
 
 // flush makes all pending records durable in order, also those that are put meanwhile.
 func (l *memoryLedger) flush() {
-	for {
-		l.mu.Lock()
-		if len(l.waiting) == 0 {
-			l.mu.Unlock()
-			return
-		}
-		next := l.waiting[0]
-		l.waiting = l.waiting[1:]
-		for _, r := range next.records {
-			if r.Value == nil {
-				delete(l.durable, r.Key)
-			} else {
-				l.durable[r.Key] = r.Value
-			}
-		}
+	for l.flushOldest() {
+	}
+}
+
+// flushOldest makes the records of the oldest pending put durable, and reports whether there was one.
+func (l *memoryLedger) flushOldest() bool {
+	l.mu.Lock()
+	if len(l.waiting) == 0 {
 		l.mu.Unlock()
-		if next.done != nil {
-			next.done(nil)
+		return false
+	}
+	next := l.waiting[0]
+	l.waiting = l.waiting[1:]
+	for _, r := range next.records {
+		if r.Value == nil {
+			delete(l.durable, r.Key)
+		} else {
+			l.durable[r.Key] = r.Value
 		}
 	}
+	l.mu.Unlock()
+	if next.done != nil {
+		next.done(nil)
+	}
+	return true
 }
 
 // drop discards the records that are not durable, as a crash of the process does.
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -190,6 +190,7 @@
 			s.config.Events.Emit(eventWorkerReplaced, event.F("worker", w.info.ID), event.F("address", w.info.Address), event.F("tasks", len(w.members)))
 		}
 		s.loseMembers(w, causeWorkerLost)
+		s.clearSuspicions(w, nil)
 	}
 	if w.responsive {
 		s.config.Events.Emit(eventWorkerSilent, event.F("worker", w.info.ID), event.F("cause", err), event.F("tasks", len(w.members)))
@@ -228,6 +229,7 @@
 	s.handleRuns(w, r.Running, sent, now)
 	if !r.Partial {
 		s.loseMissingRuns(w, r, sent)
+		s.clearSuspicions(w, r.Running)
 	}
 }
 
@@ -275,6 +277,9 @@
 // leases. A later run of the unit is stopped: its work is done, and the steps that depend on it may start.
 func (s *Scheduler) handleLateEnd(w *worker, e EndReport) {
 	u := s.unitOf(e.Task)
+	if u != nil && w.suspected[u] && e.Run > u.run {
+		s.noteUnrecordedEnd(u, e)
+	}
 	if e.Ending != EndDone || u == nil || u.state == done || e.Run > u.run || u.failedRun == e.Run || u.step.spec.Permanent || u.job().ended() {
 		return
 	}
@@ -307,6 +312,9 @@
 	for _, r := range runs {
 		key := runKey{r.Task, r.Run}
 		m := w.members[key]
+		if m == nil {
+			m = s.adoptRun(w, key, now)
+		}
 		if m == nil {
 			s.config.Events.Emit(eventStray, event.F("worker", w.info.ID), event.F("born", w.processStart), event.F("task", r.Task), event.F("run", r.Run))
 			target := w.target()
@@ -384,7 +392,8 @@
 	for _, m := range expired {
 		s.loseMember(m, causeLeaseExpired)
 	}
-	if !w.listed && len(w.members) == 0 && now.Sub(w.leasesOverAt) >= withheldAfterLeases {
+	s.clearSuspicions(w, nil)
+	if !w.listed && len(w.members) == 0 && len(w.suspected) == 0 && now.Sub(w.leasesOverAt) >= withheldAfterLeases {
 		if w.stopHeartbeats != nil {
 			w.stopHeartbeats()
 		}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -87,6 +87,8 @@
 	reservedAt       time.Time
 	preemptedWorkers []*worker // workers on which other work was preempted for the unit
 	preemptedAt      time.Time
+	standby          standby // workers on which it may start without a further record
+	suspectedOn      int     // number of workers that may have a run of it that no record shows
 }
 
 type unitState uint8
@@ -171,6 +173,8 @@
 	leavesAt            time.Time     // earliest time when it leaves; zero unless discovery shows it as draining
 	endsRecorded        chan struct{} // signals that lastRecordedEnd has risen
 	stopHeartbeats      func()        // ends the heartbeat loop; nil if there is none
+	// suspected holds the units of which the worker may have a run that an earlier leader started and did not record.
+	suspected map[*unit]bool
 }
 
 // target returns where to send orders. Goroutines that send orders without the scheduler's lock call it while they still
@@ -280,6 +284,9 @@
 		r.State = ledger.UnitDone
 		r.Checkpoint = ""
 	}
+	if u.state != done {
+		r.Standby = u.standby.named
+	}
 	return ledger.UnitRecord(u.name(), r)
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -47,6 +47,8 @@
 	awaited         map[*worker]workload.Resources // room on suitable workers that urgent units wait for, see roomIsDue
 	dueRooms        map[*worker][]dueRoom          // room that members are expected to make, see freeWithin
 
+	logIsLate bool // the log takes no records, so only starts that need none are made
+
 	earmarked      []earmark   // see earmarkWorkers
 	ticketsMissing []string    // workers chosen for units of the current step that wait for their tickets
 	spareQuery     adviceQuery // made at the end of the pass if none is in progress; without a step if there is none
@@ -60,7 +62,7 @@
 	return &plan{
 		scheduler: s, now: now, pools: map[string]*pool{}, keptFor: map[*worker]*step{}, claimed: map[*worker]workload.Resources{},
 		headroomWorkers: map[*worker]bool{}, fitNowhere: map[taskRequirements]waitCause{}, triedInVain: map[*step]bool{}, held: map[kind]int64{},
-		awaited: map[*worker]workload.Resources{}, dueRooms: map[*worker][]dueRoom{},
+		awaited: map[*worker]workload.Resources{}, dueRooms: map[*worker][]dueRoom{}, logIsLate: s.logIsLate(),
 	}
 }
 
@@ -68,6 +70,9 @@
 func (s *Scheduler) pass(now time.Time) {
 	begun := time.Now()
 	s.protect("evacuations", s.noteEvacuations)
+	if s.logIsLate() {
+		s.withdrawUnrecorded(now)
+	}
 	ranks := s.waitingSteps(now)
 	if len(ranks) == 0 {
 		s.holdsNothingSince = nil
@@ -90,7 +95,7 @@
 	}
 	ranks = p.preventStarvation(ranks)
 	slices.SortStableFunc(ranks, compareRanks)
-	if !p.forEach(ranks, p.keepReservations) {
+	if !p.logIsLate && !p.forEach(ranks, p.keepReservations) {
 		return
 	}
 	for _, pl := range p.pools {
@@ -291,7 +296,7 @@
 		if !waits || cause == waitPause {
 			cause, waits = why, true
 		}
-		if u.index >= 0 && r.class > urgent && why != waitTicket && !st.spec.Permanent {
+		if u.index >= 0 && r.class > urgent && why != waitTicket && why != waitUnrecorded && !st.spec.Permanent && !p.logIsLate {
 			break // the step's other tasks need the same, so they do not fit either; urgent ones may each preempt, and some permanent
 			// ones may use the headroom
 		}
@@ -317,6 +322,12 @@
 // placeUnit starts a unit if it fits, and reports whether it did or why not. Otherwise it may preempt other work or reserve
 // workers for the unit.
 func (p *plan) placeUnit(pl *pool, r rank, u *unit) (placed bool, why waitCause) {
+	if u.suspectedOn > 0 {
+		return false, waitUnrecorded
+	}
+	if p.logIsLate {
+		return p.placeOnStandby(pl, r, u)
+	}
 	needs := p.requirementsOf(u)
 	if why, known := p.fitNowhere[needs]; known && u.index >= 0 && r.class > urgent {
 		return false, why
@@ -357,5 +368,8 @@
 func (p *plan) start(pl *pool, u *unit, r rank, chosen []*worker) {
 	p.noteHeld(pl, u, r)
 	p.noteUnsuited(u, chosen)
+	if !p.logIsLate { // or the named ones would be certain no longer
+		u.standby.named = p.nameStandby(pl, u, chosen)
+	}
 	p.scheduler.startRun(u, chosen, p.now)
 }
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -77,6 +77,9 @@
 // restoreUnit sets a unit to its recorded state.
 func (s *Scheduler) restoreUnit(u *unit, state ledger.Unit) {
 	u.run, u.failures, u.failedRun, u.checkpoint = state.Run, state.Failures, state.FailedRun, state.Checkpoint
+	if state.State != ledger.UnitDone {
+		s.suspect(u, state.Standby)
+	}
 	switch state.State {
 	case ledger.UnitDone:
 		u.state = done
@@ -122,14 +125,20 @@
 	if w == nil {
 		w = s.addWorker(id)
 	}
-	m := &member{unit: u, run: u.run, index: i, worker: w, resources: u.step.resources(), state: running, pace: fullPace, runningSince: u.startedAt, startSettledAt: s.createdAt}
 	if u.index >= 0 {
-		m.index = u.index
+		i = u.index
 	}
+	s.addRunningMember(u, i, w)
+	return w
+}
+
+// addRunningMember adds a member to a unit's run that counts as running on a worker.
+func (s *Scheduler) addRunningMember(u *unit, index int, w *worker) *member {
+	m := &member{unit: u, run: u.run, index: index, worker: w, resources: u.step.resources(), state: running, pace: fullPace, runningSince: u.startedAt, startSettledAt: s.createdAt}
 	u.members = append(u.members, m)
 	w.members[m.key()] = m
 	w.free = w.free.Minus(m.resources)
-	return w
+	return m
 }
 
 // reconcileJob completes what the previous term left unfinished: it stops the runs of an ended job and records an outcome
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -105,6 +105,10 @@
 	// holdsNothingSince says since when the kinds of work that wait and hold nothing do so.
 	holdsNothingSince map[kind]time.Time
 
+	runs       *timedLedger // config.Runs
+	preparedAt time.Time    // when standby workers were last named for waiting units
+	logLate    bool         // the log was late in the latest check
+
 	withheld       withheldList
 	forecastRecord forecastRecord
 
@@ -116,7 +120,10 @@
 // New returns a scheduler without jobs and workers. It sends no orders after ctx has ended, which ends with the term.
 func New(ctx context.Context, c Config) *Scheduler {
 	now := time.Now()
+	runs := &timedLedger{Ledger: c.Runs}
+	c.Runs = runs
 	return &Scheduler{
+		runs:   runs,
 		config: c, metrics: newSchedulerMetrics(c.Metrics), createdAt: now, urgentArrivedAt: now, wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, workers: map[string]*worker{}, runTimes: map[string]*runTimeModel{}, urgentDemand: map[string]int64{},
 		forecast: forecast.New(), panicLoggedAt: map[string]time.Time{}, evacuationsNoted: map[string]bool{}, ctx: ctx, loading: true,
@@ -194,6 +201,8 @@
 		s.protect("checks of worker "+w.info.ID, func() { s.checkWorker(w, now) })
 	}
 	s.listWithheld(workers, now)
+	s.checkLog()
+	s.protect("standby workers", func() { s.prepareStandby(now) })
 	s.removeExpiredJobs(now)
 	s.config.Metrics.Gauge("dispatch_workers").Update(float64(len(s.workers)))
 	s.config.Metrics.Gauge("dispatch_jobs").Update(float64(len(s.unfinished)))
--- /dev/null
+++ b/internal/dispatch/standby.go
@@ -0,0 +1,374 @@
+package dispatch
+
+import (
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
+)
+
+// A start order is normally sent once the run's record is durable, so that the next leader knows which workers may have the run. To start
+// work while the log takes no records, the records of a unit also name standby workers for its later runs. A run there needs no record of its
+// own before it starts: the next leader takes each of these workers to have one until it has reported or its leases are over.
+
+const (
+	// mostlyBusy is the share of a pool's accelerators in use above which no standby workers are named for ready units: these wait for room,
+	// and after a change of the leader they would have to wait for silent standby workers, too.
+	mostlyBusy = 0.75
+	// unrecordedStartTime is the least time for an answer that is left when a start without a record is decided on: twice what the order takes
+	// at most, as it is sent a little later.
+	unrecordedStartTime = 2 * minRepeatTimeout
+	logPatience         = 300 * time.Millisecond // a record that is pending for longer shows that the log is late; a healthy append takes about 10 ms
+	prepareInterval     = 200 * time.Millisecond // time between two rounds of naming standby workers for waiting units
+	preparedUnits       = 200                    // most units of one round, half of what the log takes in one append
+	standbyWorkers      = 2                      // standby workers of a single task, and those of a gang beyond the ones that it needs
+)
+
+// standby holds the workers on which runs of a unit may start before their records are durable.
+type standby struct {
+	named   []string // workers that the latest record names, which may not be durable
+	certain []string // workers that each record names that may be the newest one in the log
+	puts    int      // number of records that named workers
+}
+
+// covers reports whether all the given workers are certain.
+func (b *standby) covers(workers []*worker) bool {
+	return !slices.ContainsFunc(workers, func(w *worker) bool { return !slices.Contains(b.certain, w.info.ID) })
+}
+
+// putNaming records the unit with the given standby workers.
+func (s *Scheduler) putNaming(u *unit, named []string, done func(error)) {
+	b := &u.standby
+	b.puts++
+	number := b.puts
+	b.named = named
+	b.certain = slices.DeleteFunc(slices.Clone(b.certain), func(id string) bool { return !slices.Contains(named, id) })
+	s.config.Runs.Put(func(err error) {
+		s.mu.Lock()
+		if err == nil && number == b.puts { // otherwise a later record may be the newest one already
+			b.certain = named
+		}
+		s.mu.Unlock()
+		if done != nil {
+			done(err)
+		}
+	}, u.record())
+}
+
+// timedLedger is a ledger that knows for how long records have been pending.
+type timedLedger struct {
+	Ledger
+	mu      sync.Mutex
+	pending []time.Time // when each put was made whose outcome is not known, in order
+}
+
+// Put queues records as Ledger does.
+func (l *timedLedger) Put(done func(error), records ...ledger.Record) {
+	l.mu.Lock()
+	l.pending = append(l.pending, time.Now())
+	l.mu.Unlock()
+	l.Ledger.Put(func(err error) {
+		l.mu.Lock()
+		l.pending = l.pending[1:] // a put that fails early counts for the oldest, which is no later
+		l.mu.Unlock()
+		if done != nil {
+			done(err)
+		}
+	}, records...)
+}
+
+// pendingFor returns how long the oldest record has been pending.
+func (l *timedLedger) pendingFor() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.pending) == 0 {
+		return 0
+	}
+	return time.Since(l.pending[0])
+}
+
+// logIsLate reports whether a record has been pending for longer than logPatience.
+func (s *Scheduler) logIsLate() bool { return s.runs.pendingFor() > logPatience }
+
+// checkLog logs when the log begins and ceases to be late.
+func (s *Scheduler) checkLog() {
+	late := s.runs.pendingFor()
+	s.config.Metrics.Gauge("dispatch_log_late_ms").Update(float64(late.Milliseconds()))
+	switch isLate := late > logPatience; {
+	case isLate && !s.logLate:
+		s.config.Events.Emit(eventLogLate, event.F("late_ms", late.Milliseconds()))
+	case !isLate && s.logLate:
+		s.config.Events.Emit(eventLogTimely)
+	}
+	s.logLate = late > logPatience
+}
+
+// withdrawUnrecorded lets units wait again whose run is not recorded since the log is late, if they have standby workers.
+func (s *Scheduler) withdrawUnrecorded(now time.Time) {
+	for _, j := range s.unfinished {
+		for _, o := range j.occurrences {
+			if o == nil {
+				continue
+			}
+			for _, st := range o.steps {
+				for _, u := range st.units {
+					if u.state == active && len(u.standby.certain) > 0 && now.Sub(u.startedAt) > logPatience {
+						u.withdraw()
+					}
+				}
+			}
+		}
+	}
+}
+
+// withdraw lets a unit wait again if no start order of its run was sent. The run's number is not used again, as its record may still be
+// written.
+func (u *unit) withdraw() {
+	if slices.ContainsFunc(u.members, func(m *member) bool { return !m.recordPending || m.stopWanted }) {
+		return
+	}
+	for _, m := range u.members {
+		m.state = ended
+		delete(m.worker.members, m.key())
+		m.worker.free = m.worker.free.Plus(m.resources)
+	}
+	u.state, u.members = waiting, nil
+	u.step.unitsWaiting++
+}
+
+// placeOnStandby starts a unit on its standby workers if it fits there, and reports whether it did or why not.
+func (p *plan) placeOnStandby(pl *pool, r rank, u *unit) (placed bool, why waitCause) {
+	// A process that has not been heard keeps a run for the longest lease from when the order arrives, which must end in time, too.
+	if p.scheduler.startTimeout() < unrecordedStartTime {
+		return false, waitLog
+	}
+	var workers []*worker
+	for _, id := range u.standby.certain {
+		if w := p.scheduler.workers[id]; w != nil && w.usable(p.now) && !p.scheduler.evacuated(w) && w.info.Service == u.job().queueSettings.Service {
+			workers = append(workers, w)
+		}
+	}
+	free := func(w *worker) workload.Resources { return w.free }
+	var chosen []*worker
+	if u.index < 0 {
+		chosen = p.pack(workers, u, free)
+	} else if w := p.bestFit(workers, u, free); w != nil {
+		chosen = []*worker{w}
+	}
+	if chosen == nil {
+		return false, waitLog
+	}
+	if p.awaitTickets(u, chosen) {
+		return false, waitTicket
+	}
+	p.start(pl, u, r, chosen)
+	return true, 0
+}
+
+// nameStandby chooses standby workers of a unit. A gang may start again where it is, a single task elsewhere.
+func (p *plan) nameStandby(pl *pool, u *unit, current []*worker) []string {
+	spec, resources := u.step.spec, u.step.resources()
+	candidates := pl.workers
+	if rack := pl.racks[spec.DataRack]; spec.DataRack != "" && len(rack) > 0 {
+		candidates = rack
+	} else if spec.SameRack && len(current) > 0 {
+		candidates = pl.racks[current[0].info.Rack]
+	}
+	var named []string
+	spare, tasks := standbyWorkers, 0 // tasks that must fit on the standby workers, beside the spare ones
+	if u.index < 0 {
+		for _, w := range current {
+			if !slices.Contains(named, w.info.ID) {
+				named = append(named, w.info.ID)
+			}
+		}
+		if len(current) == 0 {
+			tasks = u.size()
+		}
+	}
+	if len(candidates) == 0 {
+		return named
+	}
+	// Units begin at different workers, so that they do not all name the same ones.
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(u.name().Key()))
+	first := int(hash.Sum32() % uint32(len(candidates)))
+	for _, free := range []func(*worker) workload.Resources{func(w *worker) workload.Resources { return w.free }, capacityOf} {
+		for i := range candidates {
+			w := candidates[(first+i)%len(candidates)]
+			fits := min(resources.Count(free(w)), u.spreadAllowance(w))
+			if fits == 0 || slices.Contains(named, w.info.ID) || slices.Contains(current, w) || !p.allowed(w, u) || p.preferenceFor(w, u) == lastResort {
+				continue
+			}
+			named = append(named, w.info.ID)
+			if tasks > 0 {
+				tasks -= fits
+			} else if spare--; spare == 0 {
+				return named
+			}
+		}
+	}
+	return named
+}
+
+// prepareStandby names standby workers for units that have none and may start soon: those of steps that only wait for running units, and ready
+// ones that wait although much is idle.
+func (s *Scheduler) prepareStandby(now time.Time) {
+	if s.logIsLate() || now.Sub(s.preparedAt) < prepareInterval {
+		return
+	}
+	s.preparedAt = now
+	var p *plan
+	prepared := 0
+	for _, j := range s.unfinished {
+		if j.ended() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if o == nil || o.stepsLeft == 0 {
+				continue
+			}
+			for _, st := range o.steps {
+				if st.unitsWaiting == 0 || !st.startsSoon() {
+					continue
+				}
+				if p == nil {
+					p = s.newFleetPlan(now)
+				}
+				pl := p.pools[j.queueSettings.Service]
+				if pl == nil || st.ready() && pl.busyShare() > mostlyBusy {
+					continue
+				}
+				for _, u := range st.units {
+					if u.state != waiting || len(u.standby.named) > 0 || u.suspectedOn > 0 || st.ready() && (u.waitingAt.IsZero() || now.Sub(u.waitingAt) < prepareInterval) {
+						continue
+					}
+					if named := p.nameStandby(pl, u, nil); len(named) > 0 {
+						s.putNaming(u, named, nil)
+						prepared++
+					}
+					if prepared == preparedUnits {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
+// newFleetPlan returns a plan that knows the usable workers.
+func (s *Scheduler) newFleetPlan(now time.Time) *plan {
+	p := newPlan(s, now)
+	for _, w := range s.workers {
+		if w.usable(now) && !s.evacuated(w) {
+			p.addWorker(w)
+		}
+	}
+	for _, pl := range p.pools {
+		pl.sortByID()
+	}
+	return p
+}
+
+// startsSoon reports whether the step is ready, or will be once units that run have ended.
+func (s *step) startsSoon() bool {
+	for _, before := range s.spec.After {
+		if st := s.occurrence.steps[before]; st.unitsLeft > 0 && st.unitsWaiting > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// busyShare returns the share of the pool's accelerators that are booked.
+func (pl *pool) busyShare() float64 {
+	free, total := int64(0), int64(0)
+	for _, w := range pl.workers {
+		free += max(w.free.Accelerators, 0)
+		total += w.info.Capacity.Accelerators
+	}
+	if total == 0 {
+		return 0
+	}
+	return 1 - float64(free)/float64(total)
+}
+
+// suspect notes that each of the given workers may have a run of the unit that no record shows.
+func (s *Scheduler) suspect(u *unit, ids []string) {
+	u.standby = standby{named: ids, certain: ids}
+	for _, id := range ids {
+		w := s.workers[id]
+		if w == nil {
+			w = s.addWorker(id)
+		}
+		if w.suspected == nil {
+			w.suspected = map[*unit]bool{}
+		}
+		if !w.suspected[u] {
+			w.suspected[u] = true
+			u.suspectedOn++
+		}
+	}
+}
+
+// clearSuspicions notes that the worker has no runs but those listed that no record shows.
+func (s *Scheduler) clearSuspicions(w *worker, listed []RunReport) {
+	if len(w.suspected) == 0 {
+		return
+	}
+	still := map[*unit]bool{}
+	for _, r := range listed {
+		if u := s.unitOf(r.Task); u != nil && w.suspected[u] && w.members[runKey{r.Task, r.Run}] == nil {
+			still[u] = true // the run is being stopped
+		}
+	}
+	for u := range w.suspected {
+		if !still[u] {
+			u.suspectedOn--
+			delete(w.suspected, u)
+		}
+	}
+	s.requestPass()
+}
+
+// adoptRun takes over a run of a single task that an earlier leader started and did not record, and returns its member. It returns nil for
+// any other run, which has to be stopped.
+func (s *Scheduler) adoptRun(w *worker, key runKey, now time.Time) *member {
+	u := s.unitOf(key.task)
+	if u == nil || !w.suspected[u] || key.run <= u.run {
+		return nil
+	}
+	s.config.Events.Emit(eventAdopted, event.F("worker", w.info.ID), event.F("task", key.task), event.F("run", key.run), event.F("recorded_run", u.run))
+	s.loseRecordedRun(u)
+	u.run = key.run
+	if u.index < 0 || u.state != waiting || u.job().ended() {
+		return nil
+	}
+	u.state, u.startedAt, u.runTimeUnknown, u.cause = active, now, true, ""
+	u.step.unitsWaiting--
+	m := s.addRunningMember(u, u.index, w)
+	s.putNaming(u, u.standby.named, nil)
+	return m
+}
+
+// noteUnrecordedEnd takes account of the end of a run that an earlier leader started and did not record.
+func (s *Scheduler) noteUnrecordedEnd(u *unit, e EndReport) {
+	s.config.Events.Emit(eventAdopted, event.F("task", e.Task), event.F("run", e.Run), event.F("recorded_run", u.run), event.F("how", e.Ending))
+	s.loseRecordedRun(u)
+	u.run = e.Run
+	if e.Ending == EndFailed && !u.job().ended() {
+		s.countFailure(u)
+		s.failExhausted(u)
+	}
+}
+
+// loseRecordedRun ends the recorded run of a unit of which a later one exists: that was started after the recorded run had ended.
+func (s *Scheduler) loseRecordedRun(u *unit) {
+	for _, m := range slices.Clone(u.members) {
+		s.loseMember(m, causeWorkerLost)
+	}
+}
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -13,8 +13,9 @@
 const requeueDelay = 100 * time.Millisecond
 
 // startRun begins a run of a unit on the given workers, one for each task. The start orders are sent when the run's record
-// is durable.
+// is durable, or at once if an earlier record names the workers for it and the log is late.
 func (s *Scheduler) startRun(u *unit, workers []*worker, now time.Time) {
+	unrecorded := s.logIsLate() && u.standby.covers(workers)
 	u.run++
 	u.state, u.startedAt, u.runTimeUnknown, u.cause = active, now, false, ""
 	u.resumed = u.checkpoint != ""
@@ -36,9 +37,17 @@
 		event.F("tasks", len(workers)), event.F("worker", workers[0].info.ID), event.F("rack", workers[0].info.Rack),
 		event.F("checkpoint", u.checkpoint), event.F("waited_ms", now.Sub(u.waitingAt).Milliseconds())}, s.notePlacement(u)...)...)
 	members := u.members
-	s.config.Runs.Put(func(err error) {
+	if unrecorded {
+		s.config.Events.Emit(eventUnrecordedStart, event.F("job", u.job().spec.ID), event.F("unit", u.name().Key()), event.F("run", u.run), event.F("log_late_ms", s.runs.pendingFor().Milliseconds()))
+		s.metrics.scope.Counter("dispatch_unrecorded_starts").Inc(1)
+		go s.protect("starts", func() { s.sendStarts(members, nil) })
+	}
+	s.putNaming(u, u.standby.named, func(err error) {
+		if unrecorded && !ledger.IsUnrecordable(err) {
+			return
+		}
 		s.protect("starts", func() { s.sendStarts(members, err) })
-	}, u.record())
+	})
 }
 
 // sendStarts sends the start orders of a run that is recorded.
@@ -89,6 +98,9 @@
 		s.stopJob(j, causeJobEnded)
 	}
 	for _, m := range members {
+		if !m.recordPending {
+			continue // it was started before its record, and is being stopped
+		}
 		m.recordPending = false
 		m.noteCause(causeStartNotSent)
 		s.endMember(m, EndLost, "")
@@ -243,7 +255,7 @@
 				}
 			}
 			for _, u := range st.units {
-				if u.run > 0 {
+				if u.run > 0 || len(u.standby.named) > 0 {
 					removals = append(removals, ledger.Record{Key: u.name().Key()})
 				}
 			}
@@ -290,7 +302,12 @@
 		event.F("worker", last.worker.info.ID), event.F("failures", u.failures), event.F("reason", u.cause), event.F("checkpoint", u.checkpoint), event.F("ran_ms", now.Sub(u.startedAt).Milliseconds()),
 		event.F("lost_accelerator_ms", lost.accelerator.Milliseconds()), event.F("lost_core_ms", lost.core.Milliseconds()))
 	s.config.Runs.Put(nil, u.record())
-	if !j.ended() && u.failures >= max(j.queueSettings.MaxAttempts, 1) {
+	s.failExhausted(u)
+}
+
+// failExhausted fails the job of a unit that has failed as often as its queue allows.
+func (s *Scheduler) failExhausted(u *unit) {
+	if j := u.job(); !j.ended() && u.failures >= max(j.queueSettings.MaxAttempts, 1) {
 		s.addUrgentDemand(j, -1)
 		s.conclude(j, ledger.Failed, "a task failed as often as its queue allows")
 		s.stopJob(j, causeJobEnded)
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -20,10 +20,12 @@
 	waitPause                       // pause after a failed run
 	waitView                        // the operator's records could not be read for too long
 	waitSpeed                       // only workers too slow for it have room, and faster ones are about to
+	waitLog                         // the log takes no records, and no worker that an earlier record names has room
+	waitUnrecorded                  // a worker that does not answer may have a run of it that no record shows
 	waitCauses     = iota           // number of causes
 )
 
-var waitNames = [waitCauses]string{"room", "rack", "kept free", "preemption", "advice", "ticket", "pause", "operator view", "speed"}
+var waitNames = [waitCauses]string{"room", "rack", "kept free", "preemption", "advice", "ticket", "pause", "operator view", "speed", "log", "unrecorded run"}
 
 // waits is the time that a step, or a job, has waited by cause.
 type waits [waitCauses]time.Duration
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -100,6 +100,8 @@
 	Workers    []string  `msgpack:"w,omitempty"` // worker of each member of the active run
 	Addresses  []string  `msgpack:"a,omitempty"` // address of each of Workers
 	Started    int64     `msgpack:"t,omitempty"` // start of the active run in Unix milliseconds; 0 if not known
+	// Standby names the workers on which later runs than Run may have been started although no record of them was written.
+	Standby []string `msgpack:"b,omitempty"`
 }
 
 // UnitName identifies a unit. Index is -1 for a gang.
