Leases end in time for work lost together with the scheduler

Cause: a worker that is lost within the last seconds of a term is not on the term's list of silent workers, and its loss cannot be seen in 0.2 s: a heartbeat may wait 1.5 s for it. The next holder has to reckon with leases up to leaseReach (10 s) after the last confirmed heartbeat, and with 0.68 s of reserve for slow clocks, 10.7 s after the loss.

Evidence: with the logs of all instances. 56 workers are lost at 46.83 s and the scheduler at 47.06 s; the next term is claimed at 48.21 s with earlier_authority_ms 2686, so leases count until 57.58 s, and the check ends at 57.04 s.

Change: leaseReach is 8.2 s. The platform lets a lasting task be without a run for 9 s (6 s after its last run, and 3 s of standstill): 8.2 s, the reserve of a lease of 6 s and 0.1 s between two checks. Holder and successor use the same figure, which each record of the role carries as LeaseAuthority (4 s before, 2.2 s now with leases of 6 s). Leases of 10 s are longer than the reach, so nothing changes where they are that long.

Why it works: what the successor reckons with is still derived from the record that it read last, and the holder still shortens leases that it grants later than LeaseAuthority after its last confirmed heartbeat, so no lease lasts longer than the successor believes.

The test TestWorkOfWorkersLostWithTheSchedulerStartsAgainInTime failed before: "the work still waits 9.1s after the loss"; its limit is 9 s.

Cost: work outlasts a shorter silence of the log.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -206,16 +206,23 @@
 
 // newHarnessKnowing returns a harness whose scheduler knows how long leases may last on workers that its predecessor granted none any more.
 func newHarnessKnowing(t *testing.T, leasesLeft map[string]time.Duration, jobs, runs *memoryLedger, entries ...ledger.Entry) *harness {
+	return newHarnessConfigured(t, func(c *Config) { c.LeasesLeft = leasesLeft }, jobs, runs, entries...)
+}
+
+// newHarnessConfigured returns a harness whose scheduler has the usual configuration with some changes.
+func newHarnessConfigured(t *testing.T, change func(*Config), jobs, runs *memoryLedger, entries ...ledger.Entry) *harness {
 	h := &harness{t: t, fleet: &scriptedFleet{}, jobs: jobs, runs: runs, term: &fakeTerm{}, metrics: tally.NewTestScope("", nil), entries: entries}
 	var current catalog.Current
 	current.Advance((&catalog.Catalog{Version: 1, Customers: []catalog.Customer{{Name: "club", GuaranteedAccelerators: 8}}}).Build())
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	h.scheduler = New(ctx, Config{
+	config := Config{
 		Fleet: h.fleet, Jobs: jobs, Runs: runs, Term: h.term, Token: 1, Catalog: &current, Events: event.Discard(),
-		Metrics: h.metrics, Now: time.Now, PreviousAuthority: 8 * time.Second, LeasesLeft: leasesLeft,
+		Metrics: h.metrics, Now: time.Now, PreviousAuthority: 8 * time.Second,
 		Bounds: Bounds{Lease: testLease, StatusRetention: time.Minute},
-	})
+	}
+	change(&config)
+	h.scheduler = New(ctx, config)
 	t.Cleanup(func() {
 		h.scheduler.panicMu.Lock()
 		defer h.scheduler.panicMu.Unlock()
--- a/internal/dispatch/recover_test.go
+++ b/internal/dispatch/recover_test.go
@@ -13,6 +13,7 @@
 
 	"dogwoodnotch.example/dogwoodnotch/internal/catalog"
 	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/leadership"
 	"dogwoodnotch.example/dogwoodnotch/internal/ledger"
 )
 
@@ -355,3 +356,30 @@
 	awaitStops(t, h.fleet, 1)
 	assert.Equal(t, h.fleet.stops[0].Task.Job, short.ID, "a minute of the other's work would be lost")
 }
+
+// Guards against work that waits too long for leases of workers that were lost together with the scheduler, before it could list them as silent.
+func TestWorkOfWorkersLostWithTheSchedulerStartsAgainInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			lease = 6 * time.Second
+			limit = 9 * time.Second // the platform lets a lasting task be without a run for 6 s and 3 s more
+		)
+		first := newHarnessConfigured(t, func(c *Config) { c.Bounds.Lease = lease }, newMemoryLedger(), newMemoryLedger())
+		first.startOn(1, first.addWorker("w1", "r1", 8))
+		lostAt := time.Now() // the last heartbeat of the term is confirmed just before
+		time.Sleep(1500 * time.Millisecond)
+		next := newHarnessConfigured(t, func(c *Config) {
+			c.Bounds.Lease, c.PreviousAuthority = lease, leadership.LeaseAuthority(lease)-time.Since(lostAt)
+		}, first.jobs, first.runs, first.entries...)
+		w2 := next.addWorker("w2", "r1", 8)
+		for next.fleet.started() == 0 {
+			assert.Assert(t, time.Since(lostAt) <= limit, "the work still waits %v after the loss", time.Since(lostAt))
+			time.Sleep(tickPeriod)
+			next.report(w2, HeartbeatReport{Clock: 1000 + time.Since(lostAt).Milliseconds()})
+			next.tickAt(time.Now())
+			next.pass()
+			synctest.Wait()
+		}
+		assert.Equal(t, next.fleet.starts[0].Run, 2)
+	})
+}
--- a/internal/leadership/authority.go
+++ b/internal/leadership/authority.go
@@ -9,8 +9,9 @@
 	formerAuthorityLimit = 8 * time.Second
 	// leaseReach is the least time after the last confirmed heartbeat for which leases can be made to last. Work outlasts a silence of
 	// the log of this length, less the time in which leases are renewed after it; and for this long after the loss of a holder, work of
-	// workers that are silent waits.
-	leaseReach = 10 * time.Second
+	// workers that are silent waits. The platform lets a lasting task be without a run for 9 s; 0.7 s of them are the reserve of a lease
+	// of 6 s for slow clocks, and 0.1 s the interval of the check for expired leases.
+	leaseReach = 8200 * time.Millisecond
 )
 
 // LeaseAuthority returns how long after its last confirmed heartbeat a holder grants leases of full length. Later leases are shortened, so
