Event and gauge for jobs that could run and stand still

Their record cannot tell why: 2523 names one unit per service and only such as wait to be placed; a unit whose run waits for its record, for the answer to an order or for the leases of a silent worker is not waiting in that sense and appears nowhere until it ends.

Twice a second the scheduler now looks for unfinished jobs of which units could run and no run is known to be at work. After 3 s, event 2544 (job stands still) names the job, its first such unit, the reason, the worker it waits for with its silence and leases, and the usable workers and free resources of the service; at most once in 5 s for a job, and for ten jobs per check. The gauge dispatch_standstill_jobs counts all by reason.

Reasons: those of a wait to be placed (room, rack, kept free, preemption, advice, ticket, pause, operator view, speed), record, start order, stop order, silent worker, set aside and not considered. Delisted workers show as usable_workers below known_workers.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -45,6 +45,7 @@
 	eventEvacuationOver  = event.Define(2541, "evacuation over", zerolog.InfoLevel, "The operator's record of an evacuation was removed, so tasks start in the data centre again.", "")
 	eventViewLost        = event.Define(2542, "starts withheld", zerolog.WarnLevel, "The operator's records could not be read for so long that an evacuation may have been missed, so no task starts anywhere.", "Check the log service and the scheduler's connection to it.")
 	eventViewRegained    = event.Define(2543, "starts resumed", zerolog.InfoLevel, "The operator's records can be read again.", "")
+	eventStandstill      = event.Define(2544, "job stands still", zerolog.WarnLevel, "Tasks of the job could run, and none of its runs has been known to be at work for 3 s. The reason is that of the first of these tasks or gangs: what it waits for, or which worker may still have an earlier run. The fields count the workers of its service that are known and usable, and what the usable ones have free.", "Look for the reason in OPERATIONS.md if the service has room.")
 	eventSpeeds          = event.Define(2533, "worker speeds judged", zerolog.InfoLevel, "The model finds the workers uneven in speed, or alike again. While they are uneven, work is placed by their slowdown; the fields count workers by it.", "")
 	eventPreempting      = event.Define(2522, "room reclaimed", zerolog.InfoLevel, "Less urgent work is preempted so that an urgent job can start.", "")
 )
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -27,6 +27,8 @@
 	postponed           bool          // an occurrence was due and not created, see taskBudget
 	occurrences         []*occurrence // by number, nil if not created yet
 	occurrencesCreated  int           // number of occurrences created
+	standsSince         time.Time     // since when it has stood still, see noteStandstills; zero if it does not
+	standstillLoggedAt  time.Time     // when that was last logged
 }
 
 // occurrence is one execution of a job's steps.
@@ -60,6 +62,7 @@
 	goalOf         time.Time
 	waited         waits     // how long units of the step have waited, by cause
 	consideredAt   time.Time // when the latest pass found units of the step waiting; zero if none waited then
+	waitsFor       waitCause // why they waited then
 }
 
 // unit is what starts and ends as a whole: a single task, or all tasks of a gang.
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -89,13 +89,15 @@
 	backlogLoggedAt time.Time                // when the backlog was last logged
 	urgentDemand    map[string]int64         // accelerators that the unfinished jobs of priority 0 need, by customer
 	tickedAt        time.Time                // of the latest periodic checks
-	resumedAt       time.Time                // when the process last went on after a pause
-	urgentArrivedAt time.Time                // when urgent work last came, or this term began
-	laggedAt        time.Time                // when a check last came so late that the process may have been paused
-	speeds          speedSource              // where slowdowns come from; nil for the model
-	uneven          bool                     // the workers differed in speed in the latest pass, see refreshSpeeds
-	queryInProgress bool                     // a query to the advisor is not answered yet
-	nextQueryAt     time.Time                // earliest time of the next query to the advisor, after one without an answer
+	// standstillsNotedAt is when jobs that stand still were last looked for.
+	standstillsNotedAt time.Time
+	resumedAt          time.Time   // when the process last went on after a pause
+	urgentArrivedAt    time.Time   // when urgent work last came, or this term began
+	laggedAt           time.Time   // when a check last came so late that the process may have been paused
+	speeds             speedSource // where slowdowns come from; nil for the model
+	uneven             bool        // the workers differed in speed in the latest pass, see refreshSpeeds
+	queryInProgress    bool        // a query to the advisor is not answered yet
+	nextQueryAt        time.Time   // earliest time of the next query to the advisor, after one without an answer
 	// queryNames holds the workers that the query in progress names, and withdrawQuery gives it up.
 	queryNames    map[string]bool
 	withdrawQuery context.CancelCauseFunc
@@ -131,6 +133,7 @@
 	}
 	s.mu.Unlock()
 	defer func() { s.config.Metrics.Gauge("dispatch_evacuated_workers").Update(0) }() // the next scheduler reports them
+	defer s.resetStandstills()
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	for {
@@ -195,6 +198,7 @@
 	}
 	s.listWithheld(workers, now)
 	s.removeExpiredJobs(now)
+	s.protect("standstills", func() { s.noteStandstills(now) })
 	s.config.Metrics.Gauge("dispatch_workers").Update(float64(len(s.workers)))
 	s.config.Metrics.Gauge("dispatch_jobs").Update(float64(len(s.unfinished)))
 }
--- /dev/null
+++ b/internal/dispatch/standstill.go
@@ -0,0 +1,186 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/event"
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
+)
+
+// Timings and limits of the report on jobs that stand still.
+const (
+	standstillPeriod    = 500 * time.Millisecond // interval between two checks
+	standstillAfter     = 3 * time.Second        // the platform expects a job that could run to have something running by then
+	standstillLogPeriod = 5 * time.Second        // least time between two log entries on a job
+	maxStandstillEvents = 10                     // most jobs that one check logs; the gauge counts all of them
+)
+
+// Reasons why a unit that is not waiting has nothing running. Those of waiting ones are in waitNames.
+const (
+	standsRecord   = "record"         // its run is not recorded yet
+	standsStart    = "start order"    // the order to start it is not answered
+	standsStop     = "stop order"     // its run is to end, and the worker has not confirmed that it has
+	standsSilent   = "silent worker"  // its worker is not heard, so its run may go on until the leases are over
+	standsSetAside = "set aside"      // the handling of its job panicked
+	standsUnseen   = "not considered" // no pass has considered it
+)
+
+// standstillReasons are all reasons, by which the gauge counts.
+var standstillReasons = append([]string{standsRecord, standsStart, standsStop, standsSilent, standsSetAside, standsUnseen}, waitNames[:]...)
+
+// standstill describes a job of which units could run and none is known to.
+type standstill struct {
+	job    *job
+	unit   *unit // the first one that stands
+	units  int   // number of units that stand
+	reason string
+	holder *worker // for which the unit waits; nil if it waits for none
+}
+
+// noteStandstills counts the jobs that have stood still for standstillAfter, and logs those that have stood longest. A job stands still if the
+// turn of some of its units has come and none of its runs is known to be at work.
+func (s *Scheduler) noteStandstills(now time.Time) {
+	if now.Sub(s.standstillsNotedAt) < standstillPeriod {
+		return
+	}
+	s.standstillsNotedAt = now
+	counts := map[string]int{}
+	var due []standstill
+	for _, j := range s.unfinished {
+		found, stands := j.standstill(now)
+		switch {
+		case !stands:
+			j.standsSince = time.Time{}
+		case j.standsSince.IsZero():
+			j.standsSince = now
+		case now.Sub(j.standsSince) >= standstillAfter:
+			counts[found.reason]++
+			if now.Sub(j.standstillLoggedAt) >= standstillLogPeriod {
+				due = append(due, found)
+			}
+		}
+	}
+	for _, reason := range standstillReasons {
+		s.standstillGauge(reason, counts[reason])
+	}
+	slices.SortStableFunc(due, func(a, b standstill) int {
+		return cmp.Compare(a.job.standsSince.UnixNano(), b.job.standsSince.UnixNano())
+	})
+	for _, d := range due[:min(len(due), maxStandstillEvents)] {
+		d.job.standstillLoggedAt = now
+		s.logStandstill(d, now)
+	}
+}
+
+func (s *Scheduler) standstillGauge(reason string, jobs int) {
+	s.config.Metrics.Tagged(map[string]string{"reason": reason}).Gauge("dispatch_standstill_jobs").Update(float64(jobs))
+}
+
+// resetStandstills sets the gauges to 0 at the end of the term, since the next scheduler counts the jobs.
+func (s *Scheduler) resetStandstills() {
+	for _, reason := range standstillReasons {
+		s.standstillGauge(reason, 0)
+	}
+}
+
+// standstill reports whether units of a job could run and none is known to, and why the first one does not.
+func (j *job) standstill(now time.Time) (found standstill, stands bool) {
+	found.job = j
+	if j.ended() {
+		return found, false
+	}
+	for _, o := range j.occurrences {
+		if o == nil || o.stepsLeft == 0 {
+			continue
+		}
+		for _, st := range o.steps {
+			if st.unitsLeft == 0 || !st.ready() {
+				continue
+			}
+			for _, u := range st.units {
+				reason, holder := u.standsFor(now)
+				if reason == "" && u.state != done {
+					return found, false
+				}
+				if reason == "" {
+					continue
+				}
+				if found.units++; found.unit == nil {
+					found.unit, found.reason, found.holder = u, reason, holder
+				}
+			}
+		}
+	}
+	return found, found.units > 0
+}
+
+// standsFor returns why a unit whose turn has come has nothing running, and for which worker it waits, or "" if a run of it is at work or it
+// is done.
+func (u *unit) standsFor(now time.Time) (reason string, holder *worker) {
+	switch u.state {
+	case done:
+		return "", nil
+	case waiting:
+		return u.waitsFor(now), nil
+	}
+	for _, m := range u.members {
+		why := ""
+		switch {
+		case m.state == ended:
+			continue
+		case m.recordPending:
+			why = standsRecord
+		case !m.worker.responsive:
+			why = standsSilent
+		case m.stopWanted:
+			why = standsStop
+		case m.state == starting:
+			why = standsStart
+		default:
+			return "", nil
+		}
+		if reason == "" {
+			reason, holder = why, m.worker
+		}
+	}
+	return reason, holder
+}
+
+// waitsFor returns why a waiting unit waits.
+func (u *unit) waitsFor(now time.Time) string {
+	switch {
+	case now.Before(u.job().setAsideUntil):
+		return standsSetAside
+	case now.Before(u.notBefore):
+		return waitNames[waitPause]
+	case u.step.consideredAt.IsZero():
+		return standsUnseen
+	}
+	return waitNames[u.step.waitsFor]
+}
+
+// logStandstill logs that a job stands still, with what tells its reason: the worker that is awaited, and the room of its service.
+func (s *Scheduler) logStandstill(d standstill, now time.Time) {
+	u := d.unit
+	fields := []event.Field{event.F("job", d.job.spec.ID), event.F("unit", u.name().Key()), event.F("reason", d.reason), event.F("stands_ms", now.Sub(d.job.standsSince).Milliseconds()),
+		event.F("units", d.units), event.F("run", u.run), event.F("service", d.job.queueSettings.Service)}
+	if w := d.holder; w != nil {
+		fields = append(fields, event.F("worker", w.info.ID), event.F("silent_ms", s.silence(w, now).Milliseconds()), event.F("leases_left_ms", w.allLeasesOverAt().Sub(now).Milliseconds()))
+	}
+	known, usable := 0, 0
+	var capacity, free workload.Resources
+	for _, w := range s.workers {
+		if w.info.Service != d.job.queueSettings.Service {
+			continue
+		}
+		known++
+		if w.usable(now) && !s.evacuated(w) {
+			usable++
+			capacity, free = capacity.Plus(w.info.Capacity), free.Plus(w.free)
+		}
+	}
+	s.config.Events.Emit(eventStandstill, append(fields, event.F("known_workers", known), event.F("usable_workers", usable),
+		event.F("accelerators", capacity.Accelerators), event.F("free_accelerators", free.Accelerators), event.F("cpu", capacity.CPU), event.F("free_cpu", free.CPU))...)
+}
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -55,7 +55,7 @@
 	if !st.consideredAt.IsZero() {
 		st.waited[cause] += now.Sub(st.consideredAt)
 	}
-	st.consideredAt = now
+	st.consideredAt, st.waitsFor = now, cause
 }
 
 // waited returns the waits of all steps of the job.
