Wait for the rack of data counts for each task by itself

Cause: within a pass, the verdict on a single task holds for all tasks with the same requirements that come after it. Whether a task may leave the rack of its data depends on how long it has waited, and the requirements left that out, so a task that had just begun its wait kept others from starting whose wait was over. A step of 12 tasks, which leave the rack one by one, kept the jobs behind it waiting for 18 s.

Change: the requirements say whether the wait for the rack is over, as they say whether the task may use the headroom, which also depends on time.

Evidence: TestJobDoesNotStandStillBehindOtherWorkWithDataInItsRack failed before (nothing running for 18.1 s) and passes.

Not changed: a task still begins its wait only when those of its step before it have started, so the tasks of a wide step leave a full rack one by one, each after 1.5 s. The job has something running meanwhile.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -17,6 +17,7 @@
 	resources            workload.Resources
 	permanent            bool
 	mayUseHeadroom       bool
+	mayLeaveRack         bool  // the wait for the rack of its data is over
 	step                 *step // nil unless other rules decide for each step which workers it may use
 }
 
@@ -25,7 +26,7 @@
 	settings, spec := u.job().queueSettings, u.step.spec
 	needs := taskRequirements{
 		service: settings.Service, label: spec.Label, rack: spec.DataRack, resources: u.step.resources(),
-		permanent: spec.Permanent, mayUseHeadroom: p.mayUseHeadroom(u),
+		permanent: spec.Permanent, mayUseHeadroom: p.mayUseHeadroom(u), mayLeaveRack: spec.DataRack != "" && p.now.Sub(u.waitingAt) >= localityWait,
 	}
 	if settings.Advised || spec.MaxPerWorker > 0 || len(u.reservedWorkers) > 0 {
 		needs.step = u.step
