Heartbeat without a wait after a start was withdrawn

What callers saw: after an outage of the log, jobs had nothing running for more than 3 s beside idle workers, when start orders had got no answer.

Cause: once the stop that withdraws a start is answered, the unit starts again when a report that was asked for later does not list the run. The heartbeat that asked for it waited at the worker for an end, and none comes of a run that never began: up to 1.5 s for the heartbeat under way, then 1.5 s for this one, after 1.05 s for the attempts.

Change: the first heartbeat after the answer to such a stop has no wait. Only one has none: the next report is asked for after the stop's answer. If the run had begun, its end is listed and cuts the wait short as before.

Evidence: TestJobWhoseStartOrdersWereLostDoesNotStandStill, 15 times within a heartbeat: 2.6 to 4.1 s until the next start before, 1.2 to 2.6 s now.

Not changed: all start orders of the runs placed during an outage are still sent at once when the log answers, and time out on a holder that is short of processor time. A job whose second start is lost as well can still stand for more than 3 s.

--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -138,7 +138,7 @@
 		order.AcknowledgedEnd, order.SameProcess = w.lastRecordedEnd, true
 	}
 	switch {
-	case w.lastRecordedEnd != w.lastHandledEnd, unacknowledged && order.AcknowledgedEnd == 0:
+	case w.lastRecordedEnd != w.lastHandledEnd, unacknowledged && order.AcknowledgedEnd == 0, w.hasUncheckedWithdrawal():
 	case w.withheld:
 		order.Wait = withheldHeartbeatWait
 	case w.hasMixedWork():
@@ -154,6 +154,17 @@
 	return order, w.target()
 }
 
+// hasUncheckedWithdrawal reports whether a start without an answer was withdrawn and no report was asked for since. If the run never began, no
+// end will be listed that cuts a wait short, and the unit cannot start again before the report.
+func (w *worker) hasUncheckedWithdrawal() bool {
+	for _, m := range w.members {
+		if m.startAnsweredAt.IsZero() && !m.stopAnsweredAt.IsZero() && !m.stopAnsweredAt.Before(w.reportAskedAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // sendHeartbeat sends a heartbeat. If it may not reach the process that answered last, the acknowledgement is held back until the worker
 // has reported again. It returns the number up to which it acknowledged ends.
 func (s *Scheduler) sendHeartbeat(ctx context.Context, w *worker, to Target, order HeartbeatOrder) (report HeartbeatReport, acknowledged int64, err error) {
