Process: FreeAddresses returns no port twice

The test takes each address by a call of its own, and instances listen only later, so two of the up to 15 random ports of a deployment can be the same.

Change: a process remembers the ports that it has got.

That two packages' tests, which run side by side, draw the same port stays possible.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -89,20 +90,43 @@
 	maxPortProbes = 10_000 // attempts of FreeAddresses to find free ports
 )
 
-// FreeAddresses returns n loopback addresses with different ports that were free at the time of the call.
+// assigned holds the ports that FreeAddresses has returned in this process. Their listeners may not be open yet.
+var assigned struct {
+	sync.Mutex
+	ports map[int]bool
+}
+
+// assign reports whether a port was not returned before, and marks it as returned.
+func assign(port int) bool {
+	assigned.Lock()
+	defer assigned.Unlock()
+	if assigned.ports == nil {
+		assigned.ports = map[int]bool{}
+	}
+	if assigned.ports[port] {
+		return false
+	}
+	assigned.ports[port] = true
+	return true
+}
+
+// FreeAddresses returns n loopback addresses with different ports that were free at the time of the call. A process gets no port twice.
 func FreeAddresses(n int) ([]string, error) {
 	addresses := make([]string, 0, n)
 	for range maxPortProbes {
 		if len(addresses) == n {
 			return addresses, nil
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 		if err != nil {
 			continue // the port is in use
 		}
-		defer listener.Close() // open until all ports are found, so that none is returned twice
-		addresses = append(addresses, address)
+		_ = listener.Close()
+		if assign(port) {
+			addresses = append(addresses, address)
+		}
 	}
 	return nil, fmt.Errorf("found %d of %d free ports from %d to %d", len(addresses), n, lowestPort, highestPort)
 }
