Dispatch: a slow log is not late

Cause: the log counted as late once the oldest record had been pending for 0.3 s. If it takes records, but slowly, some record is always that old, and work without standby workers would not start at all.

Change: the log is late if no outcome of a put has become known for 0.3 s while records are pending. It is reported from 1 s on, and its return with the time for which it was late.

Result: TestSlowLogIsNotLate passes.

--- a/internal/dispatch/logoutage_test.go
+++ b/internal/dispatch/logoutage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -192,3 +193,20 @@
 		})
 	}
 }
+
+// Guards against work that cannot start on a log that is slow, but takes records.
+func TestSlowLogIsNotLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := newMemoryLedger()
+		l := &timedLedger{Ledger: inner}
+		l.Put(nil)
+		time.Sleep(logPatience + time.Millisecond)
+		assert.Assert(t, l.stuckFor() > logPatience)
+		l.Put(nil)
+		inner.flushOldest()
+		time.Sleep(logPatience / 2)
+		assert.Equal(t, l.stuckFor(), logPatience/2, "a record was taken just now, although the other one is older")
+		inner.flush()
+		assert.Equal(t, l.stuckFor(), time.Duration(0))
+	})
+}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -109,7 +109,8 @@
 
 	runs       *timedLedger // config.Runs
 	preparedAt time.Time    // when standby workers were last named for waiting units
-	logLate    bool         // the log was late in the latest check
+	// logLateSince says since when the log has been late, if that is logged.
+	logLateSince time.Time
 
 	withheld       withheldList
 	forecastRecord forecastRecord
@@ -204,7 +205,7 @@
 		s.protect("checks of worker "+w.info.ID, func() { s.checkWorker(w, now) })
 	}
 	s.listWithheld(workers, now)
-	s.checkLog()
+	s.checkLog(now)
 	s.protect("standby workers", func() { s.prepareStandby(now) })
 	s.removeExpiredJobs(now)
 	s.protect("standstills", func() { s.noteStandstills(now) })
--- a/internal/dispatch/standby.go
+++ b/internal/dispatch/standby.go
@@ -22,7 +22,8 @@
 	// unrecordedStartTime is the least time for an answer that is left when a start without a record is decided on: twice what the order takes
 	// at most, as it is sent a little later.
 	unrecordedStartTime = 2 * minRepeatTimeout
-	logPatience         = 300 * time.Millisecond // a record that is pending for longer shows that the log is late; a healthy append takes about 10 ms
+	logPatience         = 300 * time.Millisecond // the log is late if it has completed no append for longer while records are pending; a healthy one takes about 10 ms
+	logLateWarning      = time.Second            // the log has to be late for longer to be reported, so that a slow one is not
 	prepareInterval     = 200 * time.Millisecond // time between two rounds of naming standby workers for waiting units
 	preparedUnits       = 200                    // most units of one round, half of what the log takes in one append
 	standbyWorkers      = 2                      // standby workers of a single task, and those of a gang beyond the ones that it needs
@@ -59,11 +60,12 @@
 	}, u.record())
 }
 
-// timedLedger is a ledger that knows for how long records have been pending.
+// timedLedger is a ledger that knows for how long it has not decided on pending records.
 type timedLedger struct {
 	Ledger
-	mu      sync.Mutex
-	pending []time.Time // when each put was made whose outcome is not known, in order
+	mu        sync.Mutex
+	pending   []time.Time // when each put was made whose outcome is not known, in order
+	decidedAt time.Time   // when the outcome of a put last became known
 }
 
 // Put queues records as Ledger does.
@@ -74,6 +76,7 @@
 	l.Ledger.Put(func(err error) {
 		l.mu.Lock()
 		l.pending = l.pending[1:] // a put that fails early counts for the oldest, which is no later
+		l.decidedAt = time.Now()
 		l.mu.Unlock()
 		if done != nil {
 			done(err)
@@ -81,30 +84,31 @@
 	}, records...)
 }
 
-// pendingFor returns how long the oldest record has been pending.
-func (l *timedLedger) pendingFor() time.Duration {
+// stuckFor returns how long records have been pending without the outcome of any becoming known.
+func (l *timedLedger) stuckFor() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.pending) == 0 {
 		return 0
 	}
-	return time.Since(l.pending[0])
+	return min(time.Since(l.pending[0]), time.Since(l.decidedAt))
 }
 
-// logIsLate reports whether a record has been pending for longer than logPatience.
-func (s *Scheduler) logIsLate() bool { return s.runs.pendingFor() > logPatience }
+// logIsLate reports whether the log takes no records at present.
+func (s *Scheduler) logIsLate() bool { return s.runs.stuckFor() > logPatience }
 
 // checkLog logs when the log begins and ceases to be late.
-func (s *Scheduler) checkLog() {
-	late := s.runs.pendingFor()
+func (s *Scheduler) checkLog(now time.Time) {
+	late := s.runs.stuckFor()
 	s.config.Metrics.Gauge("dispatch_log_late_ms").Update(float64(late.Milliseconds()))
-	switch isLate := late > logPatience; {
-	case isLate && !s.logLate:
+	switch {
+	case late > logLateWarning && s.logLateSince.IsZero():
+		s.logLateSince = now.Add(-late)
 		s.config.Events.Emit(eventLogLate, event.F("late_ms", late.Milliseconds()))
-	case !isLate && s.logLate:
-		s.config.Events.Emit(eventLogTimely)
+	case late <= logPatience && !s.logLateSince.IsZero():
+		s.config.Events.Emit(eventLogTimely, event.F("late_ms", now.Sub(s.logLateSince).Milliseconds()))
+		s.logLateSince = time.Time{}
 	}
-	s.logLate = late > logPatience
 }
 
 // withdrawUnrecorded lets units wait again whose run is not recorded since the log is late, if they have standby workers.
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -38,7 +38,7 @@
 		event.F("checkpoint", u.checkpoint), event.F("waited_ms", now.Sub(u.waitingAt).Milliseconds())}, s.notePlacement(u)...)...)
 	members := u.members
 	if unrecorded {
-		s.config.Events.Emit(eventUnrecordedStart, event.F("job", u.job().spec.ID), event.F("unit", u.name().Key()), event.F("run", u.run), event.F("log_late_ms", s.runs.pendingFor().Milliseconds()))
+		s.config.Events.Emit(eventUnrecordedStart, event.F("job", u.job().spec.ID), event.F("unit", u.name().Key()), event.F("run", u.run), event.F("log_late_ms", s.runs.stuckFor().Milliseconds()))
 		s.metrics.scope.Counter("dispatch_unrecorded_starts").Inc(1)
 		go s.protect("starts", func() { s.sendStarts(members, nil) })
 	}
