Dispatch: unrecorded runs take room, and their failures count

Change: a worker whose report lists a run that is not planned there gets no work until a report without it; failures are counted by run; the time is checked again before the order is sent.

--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -288,8 +288,8 @@
 // leases. A later run of the unit is stopped: its work is done, and the steps that depend on it may start.
 func (s *Scheduler) handleLateEnd(w *worker, e EndReport) {
 	u := s.unitOf(e.Task)
-	if u != nil && w.suspected[u] && e.Run > u.run {
-		s.noteUnrecordedEnd(u, e)
+	if u != nil && u.uncountedFrom > 0 && e.Run >= u.uncountedFrom {
+		s.noteUnrecordedEnd(w, u, e)
 	}
 	if e.Ending != EndDone || u == nil || u.state == done || e.Run > u.run || u.failedRun == e.Run || u.step.spec.Permanent || u.job().ended() {
 		return
@@ -320,6 +320,7 @@
 
 // handleRuns updates members from the worker's list of runs, and stops runs that are not planned there.
 func (s *Scheduler) handleRuns(w *worker, runs []RunReport, sent, now time.Time) {
+	w.hasStray = false
 	for _, r := range runs {
 		key := runKey{r.Task, r.Run}
 		m := w.members[key]
@@ -328,6 +329,7 @@
 		}
 		if m == nil {
 			s.config.Events.Emit(eventStray, event.F("worker", w.info.ID), event.F("born", w.processStart), event.F("task", r.Task), event.F("run", r.Run))
+			w.hasStray = true
 			target := w.target()
 			go s.protect("stop", func() { s.stopStrayRun(target, key) })
 			continue
--- a/internal/dispatch/logoutage_test.go
+++ b/internal/dispatch/logoutage_test.go
@@ -36,6 +36,14 @@
 	h.jobs.flush()
 }
 
+// settleOrders settles until units whose run has failed may start again, and waits until all orders have been sent.
+func (h *harness) settleOrders() {
+	h.settle()
+	time.Sleep(requeueDelay + 20*time.Millisecond)
+	h.settle()
+	time.Sleep(50 * time.Millisecond)
+}
+
 func endOf(number int64, task workload.TaskName, run int, ending Ending) HeartbeatReport {
 	return HeartbeatReport{Ended: []EndReport{{Number: number, Task: task, Run: run, Ending: ending}}}
 }
@@ -146,7 +154,7 @@
 			next.addWorker(id, "r1", 1)
 		}
 	}
-	next.settle()
+	next.settleOrders()
 	assert.Equal(t, next.fleet.started(), 0, "the task started while an unrecorded run may be under way")
 
 	w := next.addWorker(holder.info.ID, "r1", 1) // answers without the run: it has ended with its worker
@@ -170,7 +178,7 @@
 			next.addWorker(id, "r1", 1)
 		}
 	}
-	next.settle()
+	next.settleOrders()
 	assert.Equal(t, next.fleet.started(), 0, "the task started a second time")
 	assert.Equal(t, next.fleet.stopped(), 0, "the unrecorded run was stopped")
 	next.report(w, endOf(1, task, run, EndDone))
@@ -210,3 +218,251 @@
 		assert.Equal(t, l.stuckFor(), time.Duration(0))
 	})
 }
+
+// observeSilent shows a worker to the scheduler that has not answered yet.
+func (h *harness) observeSilent(info WorkerInfo) *worker {
+	h.scheduler.Observe(info)
+	w := h.scheduler.workers[info.ID]
+	w.stopHeartbeats()
+	return w
+}
+
+// makeLogLate makes a put that stays pending until the log counts as late.
+func (h *harness) makeLogLate() {
+	h.scheduler.mu.Lock()
+	h.scheduler.config.Runs.Put(nil)
+	h.scheduler.mu.Unlock()
+	time.Sleep(logPatience + 20*time.Millisecond)
+}
+
+// Guards against more runs than the queue allows: the recorded run failed, its retry ran unrecorded, and the next leader hears of the retry first.
+func TestNextLeaderCountsTheFailureOfTheRecordedRunAfterAdoptingALaterOne(t *testing.T) {
+	h, task, run, holder := inOutage(t)
+	h.entries[0].Submission.QueueSettings.MaxAttempts = 2
+	var first *worker // had run 1, which has failed; the record of that is not written
+	h.scheduler.mu.Lock()
+	for _, w := range h.scheduler.workers {
+		if w.lastHandledEnd == 1 {
+			first = w
+		}
+	}
+	h.scheduler.mu.Unlock()
+	next := h.nextTerm()
+	b, x := next.observeSilent(holder.info), next.observeSilent(first.info)
+	next.report(b, HeartbeatReport{Clock: 1000, Running: []RunReport{{Task: task, Run: run, Percent: 10}}})
+	next.report(x, endOf(1, task, 1, EndFailed))
+	next.report(b, endOf(1, task, run, EndFailed))
+	assert.Equal(t, next.state(task.Job), ledger.Failed, "both allowed runs have failed")
+}
+
+// The same with two unrecorded runs that failed on different workers, of which the later is heard first.
+func TestNextLeaderCountsUnrecordedFailuresInAnyOrder(t *testing.T) {
+	for name, reversed := range map[string]bool{"in order": false, "reversed": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+			for _, id := range []string{"w1", "w2", "w3"} {
+				h.addWorker(id, "r1", 1)
+			}
+			j := singleStepJob(1, stepOf(1)) // MaxAttempts is 3
+			h.runJob(j)
+			task := taskName(j, 0)
+			h.makeLogLate()
+			h.report(h.holderOf(task, 1), endOf(1, task, 1, EndFailed))
+			h.startWhatIsReady(2)
+			second := h.fleet.starts[1].Run
+			b := h.holderOf(task, second)
+			h.report(b, endOf(1, task, second, EndFailed))
+			h.startWhatIsReady(3)
+			third := h.fleet.starts[2].Run
+			c := h.holderOf(task, third)
+			assert.Assert(t, c != b)
+			h.runs.flushOldest() // the put that made the log late
+			h.runs.flushOldest() // the failure of run 1
+			next := h.nextTerm()
+			nb, nc := next.observeSilent(b.info), next.observeSilent(c.info)
+			reports := []func(){
+				func() { next.report(nb, endOf(1, task, second, EndFailed)) },
+				func() { next.report(nc, endOf(1, task, third, EndFailed)) },
+			}
+			if reversed {
+				reports[0], reports[1] = reports[1], reports[0]
+			}
+			reports[0]()
+			reports[1]()
+			next.settle()
+			time.Sleep(requeueDelay + 20*time.Millisecond)
+			next.settle()
+			time.Sleep(20 * time.Millisecond)
+			assert.Equal(t, next.fleet.started(), 0, "a fourth run started after three failed ones")
+			assert.Equal(t, next.state(task.Job), ledger.Failed, "three runs have failed")
+		})
+	}
+}
+
+// Guards against a job that never starts while the log is slow (each record durable after 450 ms) and other work keeps it in use.
+func TestNewJobStartsWhileTheLogIsSlow(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	for _, id := range []string{"w1", "w2", "w3"} {
+		h.addWorker(id, "r1", 1)
+	}
+	const latency = 450 * time.Millisecond
+	var made []time.Time
+	begin := time.Now()
+	submitted := false
+	for time.Since(begin) < 5*time.Second && h.fleet.started() == 0 {
+		before := len(h.runs.waiting)
+		h.scheduler.mu.Lock()
+		h.scheduler.config.Runs.Put(nil) // an end that other work has listed
+		h.scheduler.mu.Unlock()
+		if !submitted && time.Since(begin) > time.Second {
+			h.submit(singleStepJob(1, stepOf(1)))
+			submitted = true
+		}
+		h.passInOutage()
+		for range len(h.runs.waiting) - before {
+			made = append(made, time.Now())
+		}
+		for len(made) > 0 && time.Since(made[0]) >= latency {
+			made = made[1:]
+			h.runs.flushOldest()
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.Assert(t, h.fleet.started() > 0, "nothing started in 4 s, although each record was durable after 0.45 s and 3 workers are idle")
+}
+
+// Guards against a job that fails although its task is done.
+func TestFailureOfAnUnrecordedRunDoesNotFailATaskThatIsDone(t *testing.T) {
+	h, task, run, holder := inOutage(t)
+	h.entries[0].Submission.QueueSettings.MaxAttempts = 1
+	next := h.nextTerm()
+	var x *worker
+	next.scheduler.mu.Lock()
+	for _, w := range next.scheduler.workers {
+		for range w.members {
+			x = w
+		}
+	}
+	u := next.scheduler.unitOf(task)
+	u.step.occurrence.stepsLeft++ // another step is left
+	next.scheduler.mu.Unlock()
+	next.report(x, endOf(1, task, 1, EndDone))
+	b := next.observeSilent(holder.info)
+	next.report(b, endOf(1, task, run, EndFailed))
+	assert.Assert(t, next.state(task.Job) != ledger.Failed, "the job failed though its task is done")
+}
+
+// Guards against a gang that runs twice: a member of its unrecorded run is on a worker that does not answer the next leader, or the one after.
+func TestNextLeadersDoNotStartAGangThatMayRunUnrecorded(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	ids := []string{"w1", "w2", "w3", "w4", "w5", "w6"}
+	for _, id := range ids {
+		h.addWorker(id, "r1", 1)
+	}
+	step := stepOf(2)
+	step.Gang = true
+	j := singleStepJob(1, step)
+	h.runJob(j)
+	h.makeLogLate()
+	for i := range 2 {
+		h.report(h.holderOf(taskName(j, i), 1), endOf(1, taskName(j, i), 1, EndFailed))
+	}
+	h.startWhatIsReady(4)
+	run := h.fleet.starts[2].Run
+	b, c := h.holderOf(taskName(j, 0), run), h.holderOf(taskName(j, 1), run)
+	next := h
+	for range 2 {
+		next = next.nextTerm()
+		for _, id := range ids {
+			if id != b.info.ID && id != c.info.ID {
+				next.addWorker(id, "r1", 1)
+			}
+		}
+		w := next.observeSilent(b.info)
+		next.report(w, HeartbeatReport{Clock: 1000, Running: []RunReport{{Task: taskName(j, 0), Run: run}}})
+		time.Sleep(20 * time.Millisecond)
+		assert.Assert(t, next.fleet.stopped() > 0)
+		next.report(w, endOf(1, taskName(j, 0), run, EndStopped))
+		next.settle()
+		time.Sleep(requeueDelay + 20*time.Millisecond)
+		next.settle()
+		time.Sleep(20 * time.Millisecond)
+		assert.Equal(t, next.fleet.started(), 0, "the gang started while a member may run on %s", c.info.ID)
+	}
+	next.report(next.observeSilent(c.info), HeartbeatReport{Clock: 1000})
+	next.settle()
+	awaitStarts(t, next.fleet, 2)
+}
+
+// Guards against more runs than the queue allows: of an unrecorded run of a gang, the member that was stopped for the other's failure is heard first.
+func TestNextLeaderCountsTheFailureOfAnUnrecordedGang(t *testing.T) {
+	for name, brokenFirst := range map[string]bool{"failed first": false, "broken first": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+			for _, id := range []string{"w1", "w2", "w3", "w4", "w5", "w6"} {
+				h.addWorker(id, "r1", 1)
+			}
+			step := stepOf(2)
+			step.Gang = true
+			j := singleStepJob(1, step)
+			j.QueueSettings.MaxAttempts = 2
+			h.runJob(j)
+			h.makeLogLate()
+			for i := range 2 {
+				h.report(h.holderOf(taskName(j, i), 1), endOf(1, taskName(j, i), 1, EndFailed))
+			}
+			h.startWhatIsReady(4)
+			run := h.fleet.starts[2].Run
+			b, c := h.holderOf(taskName(j, 0), run), h.holderOf(taskName(j, 1), run)
+			h.runs.flushOldest() // the put that made the log late
+			h.runs.flushOldest() // the failure of run 1
+			next := h.nextTerm()
+			nb, nc := next.observeSilent(b.info), next.observeSilent(c.info)
+			if brokenFirst {
+				next.report(nb, endOf(1, taskName(j, 0), run, "broken"))
+				next.report(nc, endOf(1, taskName(j, 1), run, EndFailed))
+			} else {
+				next.report(nc, endOf(1, taskName(j, 1), run, EndFailed))
+				next.report(nb, endOf(1, taskName(j, 0), run, "broken"))
+			}
+			assert.Equal(t, next.state(j.ID), ledger.Failed, "two runs have failed, which is all that the queue allows")
+		})
+	}
+}
+
+// Guards against a lease that outlasts what the next leader reckons with: the scheduler was held up between the decision on an unrecorded start
+// and its sending, and by then a process that was not heard could be given too long a lease.
+func TestUnrecordedStartIsNotSentTooLate(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	for _, id := range []string{"w1", "w2", "w3"} {
+		h.addWorker(id, "r1", 1)
+	}
+	j := chainJob(1)
+	h.runJob(j)
+	h.makeLogLate()
+	h.report(h.holderOf(taskName(j, 0), 1), endOf(1, taskName(j, 0), 1, EndDone))
+	h.scheduler.mu.Lock()
+	h.scheduler.pass(time.Now()) // decides on the start
+	h.term.mu.Lock()
+	h.term.unconfirmed = 2 * time.Second // so long goes by until the order is sent
+	h.term.mu.Unlock()
+	left := h.scheduler.startTimeout()
+	h.scheduler.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	assert.Assert(t, left < 0)
+	assert.Equal(t, h.fleet.started(), 1, "a start was sent %v after the latest time", -left)
+}
+
+// Guards against a worker that is given more than it holds, because a run that is being stopped there is not booked.
+func TestNothingStartsBesideARunThatIsNotPlanned(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	w := h.addWorker("w1", "r1", 1)
+	stray := taskName(singleStepJob(7, stepOf(1)), 0)
+	h.report(w, HeartbeatReport{Clock: 1000, Running: []RunReport{{Task: stray, Run: 1}}})
+	h.submit(singleStepJob(1, stepOf(1)))
+	h.settleOrders()
+	assert.Equal(t, h.fleet.started(), 0)
+	h.report(w, endOf(1, stray, 1, EndStopped))
+	h.settle()
+	awaitStarts(t, h.fleet, 1)
+}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -90,8 +90,10 @@
 	reservedAt       time.Time
 	preemptedWorkers []*worker // workers on which other work was preempted for the unit
 	preemptedAt      time.Time
-	standby          standby // workers on which it may start without a further record
-	suspectedOn      int     // number of workers that may have a run of it that no record shows
+	standby          standby      // workers on which it may start without a further record
+	suspectedOn      int          // number of workers that may have a run of it that no record shows
+	uncountedFrom    int          // first run whose failure an earlier leader may not have recorded; 0 if none
+	countedRuns      map[int]bool // runs from uncountedFrom on that are counted in failures
 }
 
 type unitState uint8
@@ -112,6 +114,7 @@
 	resources       workload.Resources
 	state           memberState
 	recordPending   bool      // the run is not recorded yet, so the start order was not sent
+	unrecorded      bool      // the start order is sent before the run is recorded
 	processStart    int64     // start of the worker's process for which the run was planned
 	startAnsweredAt time.Time // when the worker confirmed the start; zero for runs of earlier terms
 	startSettledAt  time.Time // when the last start order was answered or given up, or this term began; zero before
@@ -176,6 +179,7 @@
 	leavesAt            time.Time     // earliest time when it leaves; zero unless discovery shows it as draining
 	endsRecorded        chan struct{} // signals that lastRecordedEnd has risen
 	stopHeartbeats      func()        // ends the heartbeat loop; nil if there is none
+	hasStray            bool          // its latest report listed a run that is not planned there, which takes room until it is stopped
 	// suspected holds the units of which the worker may have a run that an earlier leader started and did not record.
 	suspected map[*unit]bool
 }
@@ -186,7 +190,7 @@
 
 // takesWork reports whether work may start on the worker now, apart from its health.
 func (w *worker) takesWork(now time.Time) bool {
-	return w.listed && !w.info.Draining && w.answers(now) && !w.describesAnotherProcess()
+	return w.listed && !w.info.Draining && w.answers(now) && !w.describesAnotherProcess() && !w.hasStray
 }
 
 // hasLabel reports whether the worker has a label; all have the empty one.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -140,7 +140,7 @@
 	unanswered := errStartNotSent
 	for attempt := range startAttempts {
 		timeout := s.startTimeout()
-		if attempt > 0 && timeout < minRepeatTimeout {
+		if (attempt > 0 || m.unrecorded) && timeout < minRepeatTimeout {
 			return unanswered
 		}
 		givenUpAt := time.Now().Add(max(timeout, minRepeatTimeout)) // counts from before the check, so that a pause after it counts
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -77,8 +77,12 @@
 // restoreUnit sets a unit to its recorded state.
 func (s *Scheduler) restoreUnit(u *unit, state ledger.Unit) {
 	u.run, u.failures, u.failedRun, u.checkpoint = state.Run, state.Failures, state.FailedRun, state.Checkpoint
-	if state.State != ledger.UnitDone {
+	if state.State != ledger.UnitDone && len(state.Standby) > 0 {
 		s.suspect(u, state.Standby)
+		u.uncountedFrom = state.Run + 1
+		if state.State == ledger.UnitActive && state.FailedRun != state.Run {
+			u.uncountedFrom = state.Run
+		}
 	}
 	switch state.State {
 	case ledger.UnitDone:
--- a/internal/dispatch/standby.go
+++ b/internal/dispatch/standby.go
@@ -359,13 +359,18 @@
 	return m
 }
 
-// noteUnrecordedEnd takes account of the end of a run that an earlier leader started and did not record.
-func (s *Scheduler) noteUnrecordedEnd(u *unit, e EndReport) {
-	s.config.Events.Emit(eventAdopted, event.F("task", e.Task), event.F("run", e.Run), event.F("recorded_run", u.run), event.F("how", e.Ending))
-	s.loseRecordedRun(u)
-	u.run = e.Run
-	if e.Ending == EndFailed && !u.job().ended() {
-		s.countFailure(u)
+// noteUnrecordedEnd takes account of the end of a run that an earlier leader may have started, or seen fail, without a record.
+func (s *Scheduler) noteUnrecordedEnd(w *worker, u *unit, e EndReport) {
+	if u.state == done || u.job().ended() {
+		return
+	}
+	s.config.Events.Emit(eventAdopted, event.F("worker", w.info.ID), event.F("task", e.Task), event.F("run", e.Run), event.F("recorded_run", u.run), event.F("how", e.Ending))
+	if e.Run > u.run {
+		s.loseRecordedRun(u)
+		u.run = e.Run
+	}
+	if e.Ending == EndFailed {
+		s.countFailureOf(u, e.Run)
 		s.failExhausted(u)
 	}
 }
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -24,7 +24,7 @@
 	u.members = make([]*member, len(workers))
 	resources := u.step.resources()
 	for i, w := range workers {
-		m := &member{unit: u, run: u.run, index: max(u.index, i), worker: w, resources: resources, recordPending: true, pace: fullPace, processStart: w.processStart}
+		m := &member{unit: u, run: u.run, index: max(u.index, i), worker: w, resources: resources, recordPending: true, unrecorded: unrecorded, pace: fullPace, processStart: w.processStart}
 		if u.index < 0 {
 			m.index = i
 		}
@@ -190,10 +190,21 @@
 // countFailure counts the current run as failed, once for all members of a gang. It is recorded at once, since the worker
 // forgets the end as soon as it is acknowledged, which may be long before the gang's other members have ended.
 func (s *Scheduler) countFailure(u *unit) {
-	if u.failedRun == u.run || u.step.spec.Permanent {
+	s.countFailureOf(u, u.run)
+}
+
+// countFailureOf counts a run as failed, once.
+func (s *Scheduler) countFailureOf(u *unit, run int) {
+	if u.failedRun == run || u.countedRuns[run] || u.step.spec.Permanent {
 		return
 	}
-	u.failedRun = u.run
+	if u.uncountedFrom > 0 {
+		if u.countedRuns == nil {
+			u.countedRuns = map[int]bool{}
+		}
+		u.countedRuns[run] = true
+	}
+	u.failedRun = max(u.failedRun, run)
 	u.failures++
 	s.config.Runs.Put(nil, u.record())
 }
