Dispatch: lost standby workers are named no longer

Cause: records of waiting work went on naming standby workers that were lost, so that each later leader waited for their leases anew.

Change: waiting work no longer names workers that are silent and whose leases are over.

Evidence: TestLostStandbyWorkerIsNotAwaitedByEachLeader fails without the change and passes with it.

--- a/internal/dispatch/logoutage_test.go
+++ b/internal/dispatch/logoutage_test.go
@@ -466,3 +466,43 @@
 	h.settle()
 	awaitStarts(t, h.fleet, 1)
 }
+
+// Guards against work that each leader in turn lets wait for the leases of the same lost worker.
+func TestLostStandbyWorkerIsNotAwaitedByEachLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+		ids := []string{"w1", "w2", "w3", "w4"}
+		for _, id := range ids {
+			h.addWorker(id, "r1", 1)
+		}
+		j := chainJob(1)
+		h.runJob(j)
+		runner := h.holderOf(taskName(j, 0), 1)
+		lost := ""
+		for _, id := range h.scheduler.unitOf(workload.TaskName{Job: j.ID, Step: 1}).standby.named {
+			if id != runner.info.ID {
+				lost = id
+			}
+		}
+		follow := func(h *harness) {
+			for _, id := range ids {
+				if id != lost {
+					w := h.observeSilent(WorkerInfo{ID: id, Address: id + ":1", Service: "render", Rack: "r1", Capacity: runner.info.Capacity})
+					h.report(w, HeartbeatReport{Clock: 1000, Running: h.runsOn(w)})
+				}
+			}
+		}
+		second := h.nextTerm()
+		follow(second)
+		for range 100 {
+			time.Sleep(prepareInterval)
+			follow(second)
+			second.settle()
+		}
+		third := second.nextTerm()
+		follow(third)
+		for id, w := range third.scheduler.workers {
+			assert.Assert(t, id != lost || len(w.suspected) == 0, "the work waits for %s, whose leases were over in the term before", id)
+		}
+	})
+}
--- a/internal/dispatch/standby.go
+++ b/internal/dispatch/standby.go
@@ -226,6 +226,7 @@
 		return
 	}
 	s.preparedAt = now
+	s.dropLostStandby(now)
 	var p *plan
 	prepared := 0
 	for _, j := range s.unfinished {
@@ -264,6 +265,29 @@
 	}
 }
 
+// dropLostStandby names no longer those workers for waiting units that are silent and whose leases are over. Each later leader would wait for
+// their leases anew.
+func (s *Scheduler) dropLostStandby(now time.Time) {
+	lost := func(id string) bool {
+		w := s.workers[id]
+		return w == nil || !w.responsive && !now.Before(w.leasesOverAt)
+	}
+	for _, j := range s.unfinished {
+		for _, o := range j.occurrences {
+			if o == nil || o.stepsLeft == 0 || j.ended() {
+				continue
+			}
+			for _, st := range o.steps {
+				for _, u := range st.units {
+					if u.state == waiting && u.suspectedOn == 0 && slices.ContainsFunc(u.standby.named, lost) {
+						s.putNaming(u, slices.DeleteFunc(slices.Clone(u.standby.named), lost), nil)
+					}
+				}
+			}
+		}
+	}
+}
+
 // newFleetPlan returns a plan that knows the usable workers.
 func (s *Scheduler) newFleetPlan(now time.Time) *plan {
 	p := newPlan(s, now)
