--- /dev/null
+++ b/internal/dispatch/logoutageopen_test.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dogwoodnotch.example/dogwoodnotch/internal/leadership"
+	"dogwoodnotch.example/dogwoodnotch/internal/workload"
+)
+
+// Guards against a next step that stands still in an outage of the whole store, in which the term's heartbeats are not confirmed either.
+func TestNextStepStartsWhileTheTermIsNotConfirmed(t *testing.T) {
+	for _, lease := range []time.Duration{6 * time.Second, 10 * time.Second} {
+		t.Run(lease.String(), func(t *testing.T) {
+			h := newHarnessConfigured(t, func(c *Config) { c.Bounds.Lease = lease }, newMemoryLedger(), newMemoryLedger())
+			for _, id := range []string{"w1", "w2", "w3"} {
+				h.addWorker(id, "r1", 1)
+			}
+			j := chainJob(1)
+			h.runJob(j)
+			h.term.mu.Lock()
+			h.term.unconfirmed = time.Second - leadership.LeaseAuthority(lease) // 1 s after the last confirmed heartbeat
+			h.term.mu.Unlock()
+			h.report(h.holderOf(taskName(j, 0), 1), endOf(1, taskName(j, 0), 1, EndDone))
+			h.startWhatIsReady(2)
+		})
+	}
+}
+
+// Guards against a task that stands still for the outage because its retry was placed before the log counted as late.
+func TestTaskThatFailsAsTheOutageBeginsIsTriedAgain(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	for _, id := range []string{"w1", "w2"} {
+		h.addWorker(id, "r1", 1)
+	}
+	j := singleStepJob(1, stepOf(1))
+	h.runJob(j)
+	h.report(h.holderOf(taskName(j, 0), 1), endOf(1, taskName(j, 0), 1, EndFailed))
+	time.Sleep(requeueDelay + 10*time.Millisecond)
+	h.passInOutage() // 0.1 s into the outage
+	h.startWhatIsReady(2)
+}
+
+// Guards against a job that stands still for the outage because it was accepted just before it.
+func TestJobAcceptedJustBeforeTheOutageStarts(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	for _, id := range []string{"w1", "w2", "w3"} {
+		h.addWorker(id, "r1", 1)
+	}
+	h.submit(singleStepJob(1, stepOf(1)))
+	h.startWhatIsReady(1)
+}
+
+// Guards against an occurrence that becomes due in the outage and stands still.
+func TestOccurrenceThatBecomesDueInTheOutageStarts(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	for _, id := range []string{"w1", "w2", "w3"} {
+		h.addWorker(id, "r1", 1)
+	}
+	j := singleStepJob(1, stepOf(1))
+	j.Schedule = workload.Schedule{Occurrences: 1, First: time.Now().Add(time.Second), Interval: time.Second}
+	h.submit(j)
+	h.settle()
+	time.Sleep(300 * time.Millisecond)
+	h.settle()
+	h.makeLogLate()
+	h.startWhatIsReady(1)
+}
+
+// Guards against a task that waits for ever for a worker that answers, but of whose reports one row cannot be read.
+func TestSuspicionOfAWorkerWithAnUnreadableRowEnds(t *testing.T) {
+	h, task, _, holder := inOutage(t)
+	next := h.nextTerm()
+	for _, id := range []string{"w1", "w2", "w3"} {
+		if id != holder.info.ID {
+			next.addWorker(id, "r1", 1)
+		}
+	}
+	w := next.observeSilent(holder.info)
+	begin := time.Now()
+	next.scheduler.mu.Lock()
+	for _, other := range next.scheduler.workers {
+		other.leasesOverAt = begin // those of the earlier leader are over
+	}
+	next.scheduler.mu.Unlock()
+	for range 20 {
+		next.report(w, HeartbeatReport{Clock: 1000, Partial: true, Unreadable: 1})
+		next.settle()
+		time.Sleep(50 * time.Millisecond)
+	}
+	next.scheduler.mu.Lock()
+	defer next.scheduler.mu.Unlock()
+	assert.Equal(t, next.scheduler.unitOf(task).suspectedOn, 0)
+}
+
+// Guards against work that waits for the leases of a lost worker on which it never ran, though no outage of the log took place.
+func TestWaitingWorkDoesNotWaitForALostWorkerWithoutAnOutage(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	for _, id := range []string{"w1", "w2", "w3", "w4"} {
+		h.addWorker(id, "r1", 1)
+	}
+	j := chainJob(1)
+	h.runJob(j)
+	runner := h.holderOf(taskName(j, 0), 1)
+	second := workload.TaskName{Job: j.ID, Step: 1}
+	h.scheduler.mu.Lock()
+	lost := h.scheduler.unitOf(second).standby.named[0]
+	h.scheduler.mu.Unlock()
+	if lost == runner.info.ID {
+		h.scheduler.mu.Lock()
+		lost = h.scheduler.unitOf(second).standby.named[1]
+		h.scheduler.mu.Unlock()
+	}
+	next := h.nextTerm()
+	for _, id := range []string{"w1", "w2", "w3", "w4"} {
+		if id != lost && id != runner.info.ID {
+			next.addWorker(id, "r1", 1)
+		}
+	}
+	next.report(next.observeSilent(runner.info), endOf(1, taskName(j, 0), 1, EndDone))
+	next.settle()
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, next.fleet.started(), 1, "the second step waits for %s, which never had it; 2 workers are idle; leases over in %v", lost, time.Until(next.scheduler.workers[lost].leasesOverAt))
+}
