Dispatch: one traversal of unfinished steps, one plan of the fleet

Cause: the code of standby workers walked jobs, occurrences and steps three times in its own loops, and repeated how a pass builds its plan and what is free on a worker.

Change: unfinishedSteps, newFleetPlan (also used by the pass) and freeNow. No change of behaviour is intended.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -16,7 +16,7 @@
 func (p *plan) chooseWorkers(pl *pool, u *unit) []*worker {
 	spec := u.step.spec
 	waited := p.now.Sub(u.waitingAt)
-	free := func(w *worker) workload.Resources { return w.free }
+	free := freeNow
 	if u.index >= 0 {
 		if spec.DataRack != "" {
 			if w := p.bestFit(pl.racks[spec.DataRack], u, free); w != nil {
@@ -215,6 +215,9 @@
 	return chosen
 }
 
+// freeNow returns the resources of a worker that no task has booked.
+func freeNow(w *worker) workload.Resources { return w.free }
+
 // capacityOf returns the resources of a worker on which nothing runs.
 func capacityOf(w *worker) workload.Resources { return w.info.Capacity }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -67,6 +67,20 @@
 	}
 }
 
+// newFleetPlan returns a plan that knows the usable workers.
+func (s *Scheduler) newFleetPlan(now time.Time) *plan {
+	p := newPlan(s, now)
+	for _, w := range s.workers {
+		if w.usable(now) && !s.evacuated(w) {
+			p.addWorker(w)
+		}
+	}
+	for _, pl := range p.pools {
+		pl.sortByID()
+	}
+	return p
+}
+
 // pass starts all waiting units that may start and fit.
 func (s *Scheduler) pass(now time.Time) {
 	begun := time.Now()
@@ -84,14 +98,8 @@
 		return
 	}
 	s.refreshSpeeds()
-	p := newPlan(s, now)
-	for _, w := range s.workers {
-		if w.usable(now) && !s.evacuated(w) {
-			p.addWorker(w)
-		}
-	}
+	p := s.newFleetPlan(now)
 	for _, pl := range p.pools {
-		pl.sortByID()
 		pl.headroomTarget = int64(headroomShare * float64(pl.scarceTotal()))
 	}
 	ranks = p.preventStarvation(ranks)
--- a/internal/dispatch/standby.go
+++ b/internal/dispatch/standby.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -113,17 +114,10 @@
 
 // withdrawUnrecorded lets units wait again whose run is not recorded since the log is late, if they have standby workers.
 func (s *Scheduler) withdrawUnrecorded(now time.Time) {
-	for _, j := range s.unfinished {
-		for _, o := range j.occurrences {
-			if o == nil {
-				continue
-			}
-			for _, st := range o.steps {
-				for _, u := range st.units {
-					if u.state == active && len(u.standby.certain) > 0 && now.Sub(u.startedAt) > logPatience {
-						u.withdraw()
-					}
-				}
+	for st := range s.unfinishedSteps() {
+		for _, u := range st.units {
+			if u.state == active && len(u.standby.certain) > 0 && now.Sub(u.startedAt) > logPatience {
+				u.withdraw()
 			}
 		}
 	}
@@ -156,11 +150,10 @@
 			workers = append(workers, w)
 		}
 	}
-	free := func(w *worker) workload.Resources { return w.free }
 	var chosen []*worker
 	if u.index < 0 {
-		chosen = p.pack(workers, u, free)
-	} else if w := p.bestFit(workers, u, free); w != nil {
+		chosen = p.pack(workers, u, freeNow)
+	} else if w := p.bestFit(workers, u, freeNow); w != nil {
 		chosen = []*worker{w}
 	}
 	if chosen == nil {
@@ -201,7 +194,7 @@
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(u.name().Key()))
 	first := int(hash.Sum32() % uint32(len(candidates)))
-	for _, free := range []func(*worker) workload.Resources{func(w *worker) workload.Resources { return w.free }, capacityOf} {
+	for _, free := range []func(*worker) workload.Resources{freeNow, capacityOf} {
 		for i := range candidates {
 			w := candidates[(first+i)%len(candidates)]
 			fits := min(resources.Count(free(w)), u.spreadAllowance(w))
@@ -229,37 +222,27 @@
 	s.dropLostStandby(now)
 	var p *plan
 	prepared := 0
-	for _, j := range s.unfinished {
-		if j.ended() {
+	for st := range s.unfinishedSteps() {
+		if st.unitsWaiting == 0 || !st.startsSoon() {
 			continue
 		}
-		for _, o := range j.occurrences {
-			if o == nil || o.stepsLeft == 0 {
+		if p == nil {
+			p = s.newFleetPlan(now)
+		}
+		pl := p.pools[st.occurrence.job.queueSettings.Service]
+		if pl == nil || st.ready() && pl.busyShare() > mostlyBusy {
+			continue
+		}
+		for _, u := range st.units {
+			if u.state != waiting || len(u.standby.named) > 0 || u.suspectedOn > 0 || st.ready() && (u.waitingAt.IsZero() || now.Sub(u.waitingAt) < prepareInterval) {
 				continue
 			}
-			for _, st := range o.steps {
-				if st.unitsWaiting == 0 || !st.startsSoon() {
-					continue
-				}
-				if p == nil {
-					p = s.newFleetPlan(now)
-				}
-				pl := p.pools[j.queueSettings.Service]
-				if pl == nil || st.ready() && pl.busyShare() > mostlyBusy {
-					continue
-				}
-				for _, u := range st.units {
-					if u.state != waiting || len(u.standby.named) > 0 || u.suspectedOn > 0 || st.ready() && (u.waitingAt.IsZero() || now.Sub(u.waitingAt) < prepareInterval) {
-						continue
-					}
-					if named := p.nameStandby(pl, u, nil); len(named) > 0 {
-						s.putNaming(u, named, nil)
-						prepared++
-					}
-					if prepared == preparedUnits {
-						return
-					}
-				}
+			if named := p.nameStandby(pl, u, nil); len(named) > 0 {
+				s.putNaming(u, named, nil)
+				prepared++
+			}
+			if prepared == preparedUnits {
+				return
 			}
 		}
 	}
@@ -272,34 +255,34 @@
 		w := s.workers[id]
 		return w == nil || !w.responsive && !now.Before(w.leasesOverAt)
 	}
-	for _, j := range s.unfinished {
-		for _, o := range j.occurrences {
-			if o == nil || o.stepsLeft == 0 || j.ended() {
-				continue
-			}
-			for _, st := range o.steps {
-				for _, u := range st.units {
-					if u.state == waiting && u.suspectedOn == 0 && slices.ContainsFunc(u.standby.named, lost) {
-						s.putNaming(u, slices.DeleteFunc(slices.Clone(u.standby.named), lost), nil)
-					}
-				}
+	for st := range s.unfinishedSteps() {
+		for _, u := range st.units {
+			if u.state == waiting && u.suspectedOn == 0 && slices.ContainsFunc(u.standby.named, lost) {
+				s.putNaming(u, slices.DeleteFunc(slices.Clone(u.standby.named), lost), nil)
 			}
 		}
 	}
 }
 
-// newFleetPlan returns a plan that knows the usable workers.
-func (s *Scheduler) newFleetPlan(now time.Time) *plan {
-	p := newPlan(s, now)
-	for _, w := range s.workers {
-		if w.usable(now) && !s.evacuated(w) {
-			p.addWorker(w)
+// unfinishedSteps returns the steps of the unfinished jobs' occurrences that are created and not done.
+func (s *Scheduler) unfinishedSteps() iter.Seq[*step] {
+	return func(yield func(*step) bool) {
+		for _, j := range s.unfinished {
+			if j.ended() {
+				continue
+			}
+			for _, o := range j.occurrences {
+				if o == nil || o.stepsLeft == 0 {
+					continue
+				}
+				for _, st := range o.steps {
+					if !yield(st) {
+						return
+					}
+				}
+			}
 		}
 	}
-	for _, pl := range p.pools {
-		pl.sortByID()
-	}
-	return p
 }
 
 // startsSoon reports whether the step is ready, or will be once units that run have ended.
