Dispatch: stands beside free room are marked, and what room is kept for is named

Cause: event 2544 called every wait beside room that is not given 'kept free', whether headroom, a reservation, a quarantine or a missing label was the reason, and did not say whether the task would fit, or how much of all workers is in use.

Change: the waits are headroom, reserved and quarantine; 2544 has tasks, fits, fits_unusable, in_use_percent and beside_room, and the gauge dispatch_standstill_beside_room counts jobs for which there is room twice over while less than half of the service is in use.

Result: TestStandstillBesideFreeRoomIsMarked; TestWaitForRoomThatIsKeptFreeIsNotedAsSuch asks for the new name.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -97,19 +97,28 @@
 
 // allowed reports whether a worker may run tasks of a unit, regardless of its free resources.
 func (p *plan) allowed(w *worker, u *unit) bool {
+	_, barred := p.barrier(w, u)
+	return !barred
+}
+
+// barrier returns why a worker may not run tasks of a unit, regardless of its free resources, and false if it may.
+func (p *plan) barrier(w *worker, u *unit) (cause waitCause, barred bool) {
+	if u.job().queueSettings.Advised && !u.step.advice.approves(w) {
+		return waitAdvice, true
+	}
+	if !w.hasLabel(u.step.spec.Label) {
+		return waitRoom, true
+	}
 	if holder := p.keptFor[w]; holder != nil && holder != u.step && (holder.urgent() || !u.urgent()) {
-		return false // an urgent unit may use workers kept for a step that is not urgent
+		return waitReserved, true // an urgent unit may use workers kept for a step that is not urgent
 	}
 	if w.health.quarantine > 0 && !w.mayProbe(u, p.now) {
-		return false
+		return waitQuarantine, true
 	}
 	if p.headroomWorkers[w] && !p.mayUseHeadroom(u) {
-		return false
-	}
-	if u.job().queueSettings.Advised && !u.step.advice.approves(w) {
-		return false
+		return waitHeadroom, true
 	}
-	return w.hasLabel(u.step.spec.Label)
+	return 0, false
 }
 
 // preference orders the allowed workers for a unit.
@@ -165,8 +174,8 @@
 		if !better && bestPreference == preferred {
 			continue // most workers, without the checks that follow
 		}
-		if !p.allowed(w, u) {
-			p.roomKeptFree = true
+		if cause, barred := p.barrier(w, u); barred {
+			p.barredRoom[cause]++
 			continue
 		}
 		if u.spreadAllowance(w) == 0 {
@@ -186,21 +195,25 @@
 	pl := p.pools[u.job().queueSettings.Service]
 	goal := p.goal(u.step)
 	candidates := make([]gangCandidate, 0, len(workers))
-	fitting, keptFree := 0, 0
+	fitting, barred := 0, [waitCauses]int{}
 	for _, w := range workers {
 		n := min(resources.Count(free(w)), u.spreadAllowance(w))
 		if n == 0 {
 			continue
 		}
-		if !p.allowed(w, u) {
-			keptFree += n
+		if cause, isBarred := p.barrier(w, u); isBarred {
+			barred[cause] += n
 			continue
 		}
 		candidates = append(candidates, gangCandidate{w, n, p.preferenceFor(w, u), goal.order(w)})
 		fitting += n
 	}
 	if fitting < need {
-		p.roomKeptFree = p.roomKeptFree || fitting+keptFree >= need
+		if fitting+sum(barred[:]) >= need {
+			for cause, tasks := range barred {
+				p.barredRoom[cause] += tasks
+			}
+		}
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b gangCandidate) int {
--- a/internal/dispatch/losses_test.go
+++ b/internal/dispatch/losses_test.go
@@ -118,5 +118,5 @@
 		h.scheduler.pass(start.Add(offset))
 		h.scheduler.mu.Unlock()
 	}
-	assert.Equal(t, h.scheduler.jobs[waitingJob.ID].waited().String(), "kept free 1000")
+	assert.Equal(t, h.scheduler.jobs[waitingJob.ID].waited().String(), "headroom 1000")
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -55,8 +55,8 @@
 	spareQuery     adviceQuery // made at the end of the pass if none is in progress; without a step if there is none
 
 	// Why chooseWorkers found no room for the latest unit, see waitCauseOf.
-	noRackFits   bool // neither the rack of its data nor any single rack that it should run in has room
-	roomKeptFree bool // there is room on workers that are kept free for other work
+	noRackFits bool            // neither the rack of its data nor any single rack that it should run in has room
+	barredRoom [waitCauses]int // tasks of the unit for which there is room on workers that it may not use, by cause
 }
 
 func newPlan(s *Scheduler, now time.Time) *plan {
@@ -320,8 +320,8 @@
 		return waitPreemption
 	case p.noRackFits:
 		return waitRack
-	case p.roomKeptFree:
-		return waitKeptFree
+	case mostOf(p.barredRoom) != waitRoom:
+		return mostOf(p.barredRoom)
 	case u.job().queueSettings.Advised && len(u.step.advice.tickets) == 0:
 		return waitAdvice
 	}
@@ -341,7 +341,7 @@
 	if why, known := p.fitNowhere[needs]; known && u.index >= 0 && r.class > urgent {
 		return false, why
 	}
-	p.noRackFits, p.roomKeptFree = false, false
+	p.noRackFits, p.barredRoom = false, [waitCauses]int{}
 	chosen := p.chooseWorkers(pl, u)
 	if chosen == nil {
 		if chosen = p.chooseFromHeadroom(pl, u); chosen != nil {
--- a/internal/dispatch/standstill.go
+++ b/internal/dispatch/standstill.go
@@ -37,6 +37,51 @@
 	units  int   // number of units that stand
 	reason string
 	holder *worker // for which the unit waits; nil if it waits for none
+
+	fits, fitsUnusable int     // tasks of the unit for which workers of its service have room now, and for which workers that are not usable have
+	shareInUse         float64 // share of the service in use
+}
+
+// besideRoom reports whether there is room for the unit twice over and less than half of its service is in use. The platform expects such a
+// job to have something running within standstillAfter.
+func (d standstill) besideRoom() bool {
+	return d.fits+d.fitsUnusable >= 2*d.unit.size() && d.shareInUse < 0.5
+}
+
+// shareInUse returns the share of a service's scarcest resource that is booked, on all workers that discovery shows.
+func (s *Scheduler) shareInUse(service string) float64 {
+	pl := &pool{}
+	var free workload.Resources
+	for _, w := range s.workers {
+		if w.listed && w.info.Service == service {
+			pl.accelerators += w.info.Capacity.Accelerators
+			pl.cpu += w.info.Capacity.CPU
+			free = free.Plus(w.free)
+		}
+	}
+	total := pl.scarceTotal()
+	if total == 0 {
+		return 1
+	}
+	return 1 - float64(pl.scarceCapacity(free))/float64(total)
+}
+
+// roomFor returns for how many tasks of a unit usable workers of its service have room, and the other ones that discovery shows and that are
+// not leaving.
+func (s *Scheduler) roomFor(u *unit, now time.Time) (usable, unusable int) {
+	resources := u.step.resources()
+	for _, w := range s.workers {
+		if !w.listed || w.info.Draining || w.info.Service != u.job().queueSettings.Service || !w.hasLabel(u.step.spec.Label) || s.evacuated(w) {
+			continue
+		}
+		n := min(resources.Count(w.free), u.spreadAllowance(w))
+		if w.usable(now) {
+			usable += n
+		} else {
+			unusable += n
+		}
+	}
+	return usable, unusable
 }
 
 // noteStandstills counts the jobs that have stood still for standstillAfter, and logs those that have stood longest. A job stands still if the
@@ -46,7 +91,8 @@
 		return
 	}
 	s.standstillsNotedAt = now
-	counts := map[string]int{}
+	counts, besideRoom := map[string]int{}, 0
+	shares := map[string]float64{} // of each service in use
 	var due []standstill
 	for _, j := range s.unfinished {
 		found, stands := j.standstill(now)
@@ -57,6 +103,15 @@
 			j.standsSince = now
 		case now.Sub(j.standsSince) >= standstillAfter:
 			counts[found.reason]++
+			service := j.queueSettings.Service
+			if _, known := shares[service]; !known {
+				shares[service] = s.shareInUse(service)
+			}
+			found.shareInUse = shares[service]
+			found.fits, found.fitsUnusable = s.roomFor(found.unit, now)
+			if found.besideRoom() {
+				besideRoom++
+			}
 			if now.Sub(j.standstillLoggedAt) >= standstillLogPeriod {
 				due = append(due, found)
 			}
@@ -65,6 +120,7 @@
 	for _, reason := range standstillReasons {
 		s.standstillGauge(reason, counts[reason])
 	}
+	s.config.Metrics.Gauge("dispatch_standstill_beside_room").Update(float64(besideRoom))
 	slices.SortStableFunc(due, func(a, b standstill) int {
 		return cmp.Compare(a.job.standsSince.UnixNano(), b.job.standsSince.UnixNano())
 	})
@@ -83,6 +139,7 @@
 	for _, reason := range standstillReasons {
 		s.standstillGauge(reason, 0)
 	}
+	s.config.Metrics.Gauge("dispatch_standstill_beside_room").Update(0)
 }
 
 // standstill reports whether units of a job could run and none is known to, and why the first one does not.
@@ -165,7 +222,8 @@
 func (s *Scheduler) logStandstill(d standstill, now time.Time) {
 	u := d.unit
 	fields := []event.Field{event.F("job", d.job.spec.ID), event.F("unit", u.name().Key()), event.F("reason", d.reason), event.F("stands_ms", now.Sub(d.job.standsSince).Milliseconds()),
-		event.F("units", d.units), event.F("run", u.run), event.F("service", d.job.queueSettings.Service)}
+		event.F("units", d.units), event.F("run", u.run), event.F("service", d.job.queueSettings.Service), event.F("tasks", u.size()), event.F("fits", d.fits),
+		event.F("fits_unusable", d.fitsUnusable), event.F("in_use_percent", int(100*d.shareInUse)), event.F("beside_room", d.besideRoom())}
 	if w := d.holder; w != nil {
 		fields = append(fields, event.F("worker", w.info.ID), event.F("silent_ms", s.silence(w, now).Milliseconds()), event.F("leases_left_ms", w.allLeasesOverAt().Sub(now).Milliseconds()))
 	}
--- a/internal/dispatch/standstill_test.go
+++ b/internal/dispatch/standstill_test.go
@@ -106,6 +106,44 @@
 	}
 }
 
+// Guards against a job that stands still although its service has room and is mostly idle, and is reported like one that has to wait.
+func TestStandstillBesideFreeRoomIsMarked(t *testing.T) {
+	cases := map[string]struct {
+		accelerators, booked int64
+		quarantined          bool
+		want                 string
+	}{
+		"room twice over":                     {accelerators: 8, booked: 3, want: "true"},
+		"room for less than two":              {accelerators: 1, want: "false"},
+		"half in use":                         {accelerators: 8, booked: 4, want: "false"},
+		"room on a worker that is not usable": {accelerators: 8, booked: 3, quarantined: true, want: "true"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+				w := h.addWorker("w1", "r1", c.accelerators)
+				w.free.Accelerators -= c.booked
+				if c.quarantined {
+					w.health.quarantine, w.health.quarantinedUntil = time.Hour, time.Now().Add(time.Hour)
+				}
+				j := singleStepJob(1, stepOf(1))
+				h.submit(j)
+				h.scheduler.jobs[j.ID].createOccurrence(0)
+				for end := time.Now().Add(standstillAfter + standstillPeriod); time.Now().Before(end); time.Sleep(tickPeriod) {
+					h.report(w, HeartbeatReport{Clock: 1000})
+					h.tickAt(time.Now())
+				}
+				logged := h.standstills()
+				assert.Equal(t, len(logged), 1)
+				assert.Equal(t, logged[0].Fields["beside_room"], c.want)
+				marked := h.metrics.Snapshot().Gauges()["dispatch_standstill_beside_room+"].Value()
+				assert.Equal(t, marked, map[string]float64{"true": 1, "false": 0}[c.want])
+			})
+		})
+	}
+}
+
 // Guards against reports of jobs of which a run is at work, or whose next step waits for one.
 func TestJobWithARunAtWorkDoesNotStandStill(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -13,7 +13,9 @@
 const (
 	waitRoom       waitCause = iota // no worker, or not enough of them, has room
 	waitRack                        // there is room, but not in the rack of the data or in a single rack
-	waitKeptFree                    // there is room only on workers that are kept free for other work
+	waitHeadroom                    // there is room only on workers that are kept free for urgent work
+	waitReserved                    // there is room only on workers that are kept free for another unit
+	waitQuarantine                  // there is room only on quarantined workers
 	waitPreemption                  // less urgent work is being stopped for it
 	waitAdvice                      // the advisor has not approved any worker yet
 	waitTicket                      // the ticket of an approved worker with room has expired and is being renewed
@@ -25,7 +27,7 @@
 	waitCauses     = iota           // number of causes
 )
 
-var waitNames = [waitCauses]string{"room", "rack", "kept free", "preemption", "advice", "ticket", "pause", "operator view", "speed", "log", "unrecorded run"}
+var waitNames = [waitCauses]string{"room", "rack", "headroom", "reserved", "quarantine", "preemption", "advice", "ticket", "pause", "operator view", "speed", "log", "unrecorded run"}
 
 // waits is the time that a step, or a job, has waited by cause.
 type waits [waitCauses]time.Duration
@@ -52,6 +54,25 @@
 	return longest, w[longest] > 0
 }
 
+// mostOf returns the cause with the highest count, waitRoom if all are 0.
+func mostOf(counts [waitCauses]int) waitCause {
+	most := waitRoom
+	for cause, n := range counts {
+		if n > counts[most] {
+			most = waitCause(cause)
+		}
+	}
+	return most
+}
+
+func sum(counts []int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
 // noteWait adds the time since the step was last considered to its wait for a cause.
 func (st *step) noteWait(cause waitCause, now time.Time) {
 	if !st.consideredAt.IsZero() {
