Dispatch: a job with nothing at work uses room that is kept for other work

Cause: reservations, the headroom for urgent work, the wait for a rack and quarantine pauses spread scarce room among waiting units, and nothing ended them when room was no longer scarce. The only measure of that, mostlyIdle, counted the usable workers, so it was wrong when some of a service were silent or quarantined, and reservations and quarantines did not look at it.

Change: the measure counts all workers that discovery shows. A job that has stood still for 1 s while less than half of its service is in use gets workers that are reserved or kept for urgent work, then quarantined ones and several racks. Room of a preemption stays kept, and a unit on its last attempt does not run on a quarantined worker.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -40,6 +40,7 @@
 	now             time.Time
 	pools           map[string]*pool
 	keptFor         map[*worker]*step              // workers kept free for a step
+	preemptedFor    map[*worker]bool               // those of them on which other work was stopped for the step
 	claimed         map[*worker]workload.Resources // resources of workers in keptFor that single tasks of that step have claimed
 	headroomWorkers map[*worker]bool               // workers kept free for urgent work
 	fitNowhere      map[taskRequirements]waitCause // requirements that no worker satisfied in this pass, and why
@@ -48,7 +49,8 @@
 	awaited         map[*worker]workload.Resources // room on suitable workers that urgent units wait for, see roomIsDue
 	dueRooms        map[*worker][]dueRoom          // room that members are expected to make, see freeWithin
 
-	logIsLate bool // the log takes no records, so only starts that need none are made
+	logIsLate   bool // the log takes no records, so only starts that need none are made
+	forStanding bool // workers are chosen for a unit that standsBesideFreeRoom
 
 	earmarked      []earmark   // see earmarkWorkers
 	ticketsMissing []string    // workers chosen for units of the current step that wait for their tickets
@@ -61,21 +63,28 @@
 
 func newPlan(s *Scheduler, now time.Time) *plan {
 	return &plan{
-		scheduler: s, now: now, pools: map[string]*pool{}, keptFor: map[*worker]*step{}, claimed: map[*worker]workload.Resources{},
+		scheduler: s, now: now, pools: map[string]*pool{}, keptFor: map[*worker]*step{}, preemptedFor: map[*worker]bool{}, claimed: map[*worker]workload.Resources{},
 		headroomWorkers: map[*worker]bool{}, fitNowhere: map[taskRequirements]waitCause{}, triedInVain: map[*step]bool{}, held: map[kind]int64{},
 		awaited: map[*worker]workload.Resources{}, dueRooms: map[*worker][]dueRoom{}, logIsLate: s.logIsLate(),
 	}
 }
 
-// newFleetPlan returns a plan that knows the usable workers.
+// newFleetPlan returns a plan that knows the usable workers and those that are only kept from work by their quarantine.
 func (s *Scheduler) newFleetPlan(now time.Time) *plan {
 	p := newPlan(s, now)
+	resting := map[string][]*worker{} // by service
 	for _, w := range s.workers {
-		if w.usable(now) && !s.evacuated(w) {
+		switch {
+		case s.evacuated(w):
+		case w.usable(now):
 			p.addWorker(w)
+		case w.takesWork(now):
+			resting[w.info.Service] = append(resting[w.info.Service], w)
 		}
 	}
-	for _, pl := range p.pools {
+	services := s.servicesInUse()
+	for service, pl := range p.pools {
+		pl.resting, pl.shareInUse = resting[service], services[service].share()
 		pl.sortByID()
 	}
 	return p
@@ -338,7 +347,8 @@
 		return p.placeOnStandby(pl, r, u)
 	}
 	needs := p.requirementsOf(u)
-	if why, known := p.fitNowhere[needs]; known && u.index >= 0 && r.class > urgent {
+	stands := p.standsBesideFreeRoom(pl, u)
+	if why, known := p.fitNowhere[needs]; known && u.index >= 0 && r.class > urgent && !stands {
 		return false, why
 	}
 	p.noRackFits, p.barredRoom = false, [waitCauses]int{}
@@ -348,6 +358,9 @@
 			defer p.markHeadroom(pl)
 		}
 	}
+	if chosen == nil && stands {
+		chosen = p.chooseForStanding(pl, u)
+	}
 	if chosen != nil {
 		if p.awaitTickets(u, chosen) {
 			return false, waitTicket
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -11,6 +11,7 @@
 // pool is the usable workers of one service during a pass.
 type pool struct {
 	workers        []*worker
+	resting        []*worker            // quarantined workers that would take work but for the pause before their next probe
 	racks          map[string][]*worker // by rack; a rack lies in one data centre
 	dataCentres    map[string][]*worker // by data centre
 	accelerators   int64                // of all workers
@@ -21,6 +22,7 @@
 	reserved       int64                // scarcest resource of workers kept free by reservations, see scarceCapacity
 	headroomTarget int64                // scarcest resource to be left free for urgent work
 	fastest        float64              // least slowdown of all workers
+	shareInUse     float64              // of the service's scarcest resource at the start of the pass, on all workers that discovery shows
 }
 
 // addWorker adds a usable worker to the pool of its service.
@@ -51,6 +53,7 @@
 func (pl *pool) sortByID() {
 	byID := func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) }
 	slices.SortFunc(pl.workers, byID)
+	slices.SortFunc(pl.resting, byID)
 	for _, groups := range []map[string][]*worker{pl.racks, pl.dataCentres} {
 		for _, group := range groups {
 			slices.SortFunc(group, byID)
@@ -58,8 +61,12 @@
 	}
 }
 
-// mostlyIdle reports whether more than half of the pool's scarcest resource was free at the start of the pass.
+// mostlyIdle reports whether more than half of the scarcest resource of the usable workers, or of all workers of the service, was free at the
+// start of the pass. The platform counts all of them.
 func (pl *pool) mostlyIdle() bool {
+	if pl.shareInUse < 0.5 {
+		return true
+	}
 	if pl.accelerators == 0 {
 		return 2*pl.freeCPUAtStart > pl.cpu
 	}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -72,7 +72,7 @@
 // own resources there, so that the step's other tasks preempt work for themselves.
 func (p *plan) claimWorkers(u *unit) {
 	for _, w := range u.preemptedWorkers {
-		p.keptFor[w] = u.step
+		p.keptFor[w], p.preemptedFor[w] = u.step, true
 		if u.index >= 0 {
 			p.claimed[w] = p.claimed[w].Plus(u.step.resources())
 		}
--- a/internal/dispatch/standstill.go
+++ b/internal/dispatch/standstill.go
@@ -48,22 +48,37 @@
 	return d.fits+d.fitsUnusable >= 2*d.unit.size() && d.shareInUse < 0.5
 }
 
-// shareInUse returns the share of a service's scarcest resource that is booked, on all workers that discovery shows.
-func (s *Scheduler) shareInUse(service string) float64 {
-	pl := &pool{}
-	var free workload.Resources
-	for _, w := range s.workers {
-		if w.listed && w.info.Service == service {
-			pl.accelerators += w.info.Capacity.Accelerators
-			pl.cpu += w.info.Capacity.CPU
-			free = free.Plus(w.free)
-		}
+// serviceUse is what the workers of a service that discovery shows have, usable or not.
+type serviceUse struct{ capacity, free workload.Resources }
+
+// share returns the share of the service's scarcest resource that is booked; 1 if the service is not known.
+func (u *serviceUse) share() float64 {
+	if u == nil {
+		return 1
 	}
+	pl := &pool{accelerators: u.capacity.Accelerators, cpu: u.capacity.CPU}
 	total := pl.scarceTotal()
 	if total == 0 {
 		return 1
 	}
-	return 1 - float64(pl.scarceCapacity(free))/float64(total)
+	return 1 - float64(pl.scarceCapacity(u.free))/float64(total)
+}
+
+// servicesInUse returns the use of each service.
+func (s *Scheduler) servicesInUse() map[string]*serviceUse {
+	services := map[string]*serviceUse{}
+	for _, w := range s.workers {
+		if !w.listed {
+			continue
+		}
+		u := services[w.info.Service]
+		if u == nil {
+			u = &serviceUse{}
+			services[w.info.Service] = u
+		}
+		u.capacity, u.free = u.capacity.Plus(w.info.Capacity), u.free.Plus(w.free)
+	}
+	return services
 }
 
 // roomFor returns for how many tasks of a unit usable workers of its service have room, and the other ones that discovery shows and that are
@@ -92,7 +107,7 @@
 	}
 	s.standstillsNotedAt = now
 	counts, besideRoom := map[string]int{}, 0
-	shares := map[string]float64{} // of each service in use
+	var services map[string]*serviceUse
 	var due []standstill
 	for _, j := range s.unfinished {
 		found, stands := j.standstill(now)
@@ -103,11 +118,10 @@
 			j.standsSince = now
 		case now.Sub(j.standsSince) >= standstillAfter:
 			counts[found.reason]++
-			service := j.queueSettings.Service
-			if _, known := shares[service]; !known {
-				shares[service] = s.shareInUse(service)
+			if services == nil {
+				services = s.servicesInUse()
 			}
-			found.shareInUse = shares[service]
+			found.shareInUse = services[j.queueSettings.Service].share()
 			found.fits, found.fitsUnusable = s.roomFor(found.unit, now)
 			if found.besideRoom() {
 				besideRoom++
