Dispatch: work does not wait without a bound for reports with unreadable rows

A task whose record names a standby worker waited for ever if each report of that worker had a row that cannot be decoded: such a report does not show that the worker has no run of the task, and the worker's leases were renewed.

Reports that are incomplete because of many ends change nothing.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -24,7 +24,7 @@
 	eventWorkerSilent    = event.Define(2513, "worker unheard", zerolog.WarnLevel, "A worker did not answer a heartbeat. Its leases are not renewed until it answers.", "Check the worker if this persists.")
 	eventWorkerAnswers   = event.Define(2514, "worker heard again", zerolog.InfoLevel, "A worker answers heartbeats again.", "")
 	eventWorkerRestarted = event.Define(2515, "worker restarted", zerolog.WarnLevel, "The worker's process is a new one. Runs that it does not report are lost. Either process may have the unheard ones, which were ordered after its latest report was asked for.", "")
-	eventLeasesExpired   = event.Define(2516, "leases lapsed", zerolog.WarnLevel, "A worker was silent for longer than its leases, so its tasks are started elsewhere. The unheard ones were ordered after its latest report was asked for.", "Check the worker.")
+	eventLeasesExpired   = event.Define(2516, "leases lapsed", zerolog.WarnLevel, "A worker was silent, or its reports had unreadable rows while work waited for them, for longer than its leases, so its tasks are started elsewhere. The unheard ones were ordered after its latest report was asked for.", "Check the worker.")
 	eventStray           = event.Define(2517, "stray run stopped", zerolog.WarnLevel, "A worker has a run that is not planned there, so the run is stopped.", "")
 	eventQuarantined     = event.Define(2518, "worker suspected", zerolog.WarnLevel, "Tasks that other workers complete fail or stall on the worker, so it is quarantined and gets only probes.", "Check the worker.")
 	eventQuarantineEnded = event.Define(2519, "worker trusted again", zerolog.InfoLevel, "A probe succeeded on a quarantined worker.", "")
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -136,7 +136,7 @@
 
 // answers reports whether the worker has answered a heartbeat lately and may be granted leases.
 func (w *worker) answers(now time.Time) bool {
-	return w.responsive && now.Sub(w.lastAnswerAt) <= maxSilence && !w.withheld
+	return w.responsive && now.Sub(w.lastAnswerAt) <= maxSilence && !w.withheld && !w.mustLapse(now)
 }
 
 // stalled reports whether the worker's latest reports show no progress of the run for longer than its stallLimit. Time before resumedAt
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -130,7 +130,7 @@
 	if !w.responsive {
 		return order, w.target()
 	}
-	if !w.withheld {
+	if !w.withheld && !w.mustLapse(now) {
 		order.LeaseEnd = s.grantLease(w, now)
 	}
 	unacknowledged := w.lastRecordedEnd > w.lastAcknowledgedEnd
@@ -238,6 +238,12 @@
 	w.noteClock(r)
 	s.handleEnds(w, r.Ended)
 	s.handleRuns(w, r.Running, sent, now)
+	switch {
+	case !r.Partial || r.Unreadable == 0:
+		w.unreadableSince = time.Time{}
+	case w.unreadableSince.IsZero():
+		w.unreadableSince = now
+	}
 	if !r.Partial {
 		s.loseMissingRuns(w, r, sent)
 		s.clearSuspicions(w, r.Running)
@@ -392,10 +398,10 @@
 	s.endMember(m, EndLost, "")
 }
 
-// expireLeases ends the members on a silent worker whose leases have certainly expired. It removes the worker later if discovery
-// no longer shows it.
+// expireLeases ends the members whose leases have certainly expired on a worker that is silent or whose reports have unreadable rows. It
+// removes the worker later if discovery no longer shows it.
 func (s *Scheduler) expireLeases(w *worker, now time.Time) {
-	if now.Before(w.leasesOverAt) || w.responsive && now.Sub(w.lastAnswerAt) < maxSilence {
+	if now.Before(w.leasesOverAt) || w.responsive && now.Sub(w.lastAnswerAt) < maxSilence && w.unreadableSince.IsZero() {
 		return
 	}
 	expired := w.membersWhere(func(m *member) bool { return !now.Before(w.leasesOverFor(m)) })
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -183,6 +183,8 @@
 	hasStray            bool          // its latest report listed a run that is not planned there, which takes room until it is stopped
 	// suspected holds the units of which the worker may have a run that an earlier leader started and did not record.
 	suspected map[*unit]bool
+	// unreadableSince is since when each of its reports has had rows that cannot be decoded, so that runs may be missing; zero if the latest had none.
+	unreadableSince time.Time
 }
 
 // target returns where to send orders. Goroutines that send orders without the scheduler's lock call it while they still
--- a/internal/dispatch/standby.go
+++ b/internal/dispatch/standby.go
@@ -346,6 +346,20 @@
 	s.requestPass()
 }
 
+// mustLapse reports whether the worker's leases must end although it answers: its reports have had unreadable rows for maxSilence, and a
+// unit whose turn has come waits for a report that is certain to show no run of it.
+func (w *worker) mustLapse(now time.Time) bool {
+	if w.unreadableSince.IsZero() || now.Sub(w.unreadableSince) < maxSilence {
+		return false
+	}
+	for u := range w.suspected {
+		if u.state == waiting && u.step.ready() && !u.job().ended() {
+			return true
+		}
+	}
+	return false
+}
+
 // adoptRun takes over a run of a single task that an earlier leader started and did not record, and returns its member. It returns nil for
 // any other run, which has to be stopped.
 func (s *Scheduler) adoptRun(w *worker, key runKey, now time.Time) *member {
