Dispatch: a retry placed as an outage of the log begins keeps its standby worker

A task that failed just before an outage of the log stood until the log was back. Its retry had been placed on its only standby worker before the log counted as late; the record of that run named other workers, so that no worker was certain any more and the run could start nowhere.

Change: a single task that is placed on a certain standby worker names it in the record of that run as well, as gangs do. Once the log is late the run is withdrawn and starts there without a record.

--- a/internal/dispatch/logoutage_test.go
+++ b/internal/dispatch/logoutage_test.go
@@ -112,6 +112,20 @@
 	assert.Assert(t, again != failed)
 }
 
+// Guards against a task that stands still for the outage because its retry was placed before the log counted as late.
+func TestTaskThatFailsAsTheOutageBeginsIsTriedAgain(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	for _, id := range []string{"w1", "w2"} {
+		h.addWorker(id, "r1", 1)
+	}
+	j := singleStepJob(1, stepOf(1))
+	h.runJob(j)
+	h.report(h.holderOf(taskName(j, 0), 1), endOf(1, taskName(j, 0), 1, EndFailed))
+	time.Sleep(requeueDelay + 10*time.Millisecond)
+	h.passInOutage() // 0.1 s into the outage
+	h.startWhatIsReady(2)
+}
+
 // Guards against a gang that is not tried again for as long as the log takes no records.
 func TestBrokenGangIsTriedAgainWhileTheLogTakesNoRecords(t *testing.T) {
 	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
--- a/internal/dispatch/logoutageopen_test.go
+++ b/internal/dispatch/logoutageopen_test.go
@@ -29,20 +29,6 @@
 	}
 }
 
-// Guards against a task that stands still for the outage because its retry was placed before the log counted as late.
-func TestTaskThatFailsAsTheOutageBeginsIsTriedAgain(t *testing.T) {
-	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
-	for _, id := range []string{"w1", "w2"} {
-		h.addWorker(id, "r1", 1)
-	}
-	j := singleStepJob(1, stepOf(1))
-	h.runJob(j)
-	h.report(h.holderOf(taskName(j, 0), 1), endOf(1, taskName(j, 0), 1, EndFailed))
-	time.Sleep(requeueDelay + 10*time.Millisecond)
-	h.passInOutage() // 0.1 s into the outage
-	h.startWhatIsReady(2)
-}
-
 // Guards against a job that stands still for the outage because it was accepted just before it.
 func TestJobAcceptedJustBeforeTheOutageStarts(t *testing.T) {
 	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
--- a/internal/dispatch/standby.go
+++ b/internal/dispatch/standby.go
@@ -166,7 +166,8 @@
 	return true, 0
 }
 
-// nameStandby chooses standby workers of a unit. A gang may start again where it is, a single task elsewhere.
+// nameStandby chooses standby workers of a unit. A gang may start again where it is, a single task elsewhere. A task that is placed on one of
+// its certain standby workers keeps it: if the log is late with the record of the run, the run can only start there.
 func (p *plan) nameStandby(pl *pool, u *unit, current []*worker) []string {
 	spec, resources := u.step.spec, u.step.resources()
 	candidates := pl.workers
@@ -177,16 +178,14 @@
 	}
 	var named []string
 	spare, tasks := standbyWorkers, 0 // tasks that must fit on the standby workers, beside the spare ones
-	if u.index < 0 {
-		for _, w := range current {
-			if !slices.Contains(named, w.info.ID) {
-				named = append(named, w.info.ID)
-			}
-		}
-		if len(current) == 0 {
-			tasks = u.size()
+	for _, w := range current {
+		if !slices.Contains(named, w.info.ID) && (u.index < 0 || slices.Contains(u.standby.certain, w.info.ID)) {
+			named = append(named, w.info.ID)
 		}
 	}
+	if u.index < 0 && len(current) == 0 {
+		tasks = u.size()
+	}
 	if len(candidates) == 0 {
 		return named
 	}
