Leadership, dispatch: records of the term say that all runs are recorded

Callers saw work stand after a change of the scheduler although workers were idle: a task or gang that names a lost standby worker waits until the leases there are over, since an earlier scheduler may have started it there without a record. It waited so after each change, also if that cannot have happened.

Change: each heartbeat and resignation of the term says whether records show all runs that this holder and earlier ones have started. If so, the next scheduler suspects no worker after a resignation, and none that the lost holder had listed as silent: those get no starts until a list without them is recorded. The value is taken after the list and, for a resignation, after the term's end, and read without the scheduler's lock.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -250,9 +250,14 @@
 
 // nextTermKnowing returns a scheduler of the next term, as nextTerm does, which knows how long leases may last on some workers.
 func (h *harness) nextTermKnowing(leasesLeft map[string]time.Duration) *harness {
+	return h.nextTermConfigured(func(c *Config) { c.LeasesLeft = leasesLeft })
+}
+
+// nextTermConfigured returns a scheduler of the next term, as nextTerm does, whose configuration has some changes.
+func (h *harness) nextTermConfigured(change func(*Config)) *harness {
 	h.jobs.drop()
 	h.runs.drop()
-	return newHarnessKnowing(h.t, leasesLeft, h.jobs, h.runs, h.entries...)
+	return newHarnessConfigured(h.t, change, h.jobs, h.runs, h.entries...)
 }
 
 func (h *harness) submit(j *workload.Job) {
--- a/internal/dispatch/logoutageopen_test.go
+++ b/internal/dispatch/logoutageopen_test.go
@@ -57,6 +57,14 @@
 
 // Guards against work that waits for the leases of a lost worker on which it never ran, though no outage of the log took place.
 func TestWaitingWorkDoesNotWaitForALostWorkerWithoutAnOutage(t *testing.T) {
+	next, lost := loseStandbyWorker(t, func(*Config, string) {})
+	assert.Equal(t, next.fleet.started(), 1, "the second step waits for %s, which never had it; 2 workers are idle; leases over in %v", lost, time.Until(next.scheduler.workers[lost].leasesOverAt))
+}
+
+// loseStandbyWorker lets the scheduler change and a worker be lost that the second step of a job names and on which it never ran, ends the
+// first step, and returns the next scheduler, which has some changes in its configuration, with the lost worker.
+func loseStandbyWorker(t *testing.T, change func(c *Config, lost string)) (next *harness, lost string) {
+	t.Helper()
 	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
 	for _, id := range []string{"w1", "w2", "w3", "w4"} {
 		h.addWorker(id, "r1", 1)
@@ -66,14 +74,13 @@
 	runner := h.holderOf(taskName(j, 0), 1)
 	second := workload.TaskName{Job: j.ID, Step: 1}
 	h.scheduler.mu.Lock()
-	lost := h.scheduler.unitOf(second).standby.named[0]
+	named := h.scheduler.unitOf(second).standby.named
 	h.scheduler.mu.Unlock()
+	lost = named[0]
 	if lost == runner.info.ID {
-		h.scheduler.mu.Lock()
-		lost = h.scheduler.unitOf(second).standby.named[1]
-		h.scheduler.mu.Unlock()
+		lost = named[1]
 	}
-	next := h.nextTerm()
+	next = h.nextTermConfigured(func(c *Config) { change(c, lost) })
 	for _, id := range []string{"w1", "w2", "w3", "w4"} {
 		if id != lost && id != runner.info.ID {
 			next.addWorker(id, "r1", 1)
@@ -82,5 +89,5 @@
 	next.report(next.observeSilent(runner.info), endOf(1, taskName(j, 0), 1, EndDone))
 	next.settle()
 	time.Sleep(50 * time.Millisecond)
-	assert.Equal(t, next.fleet.started(), 1, "the second step waits for %s, which never had it; 2 workers are idle; leases over in %v", lost, time.Until(next.scheduler.workers[lost].leasesOverAt))
+	return next, lost
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -65,6 +66,8 @@
 	PreviousAuthority time.Duration    // how long leaders of earlier terms may still renew leases for their full length; negative if not any more
 	// LeasesLeft says how long leases may last on workers that the previous leader granted none any more; zero or negative if they are over.
 	LeasesLeft map[string]time.Duration
+	// MayHaveUnrecordedRuns reports whether earlier leaders may have started runs on a worker that no record shows; nil if on any.
+	MayHaveUnrecordedRuns func(worker string) bool
 	// Evacuations says in which data centres no task may start; nil if it may everywhere.
 	Evacuations Evacuations
 	// OperatorView returns the age of the view of the operator's records from which Evacuations follows; nil if it needs no limit.
@@ -107,6 +110,10 @@
 	// holdsNothingSince says since when the kinds of work that wait and hold nothing do so.
 	holdsNothingSince map[kind]time.Time
 
+	// unrecordedRuns is the number of runs that were started, or found, without a durable record, and suspicions that of units on workers that
+	// may have such a run of an earlier leader. Heartbeats of the term read them without the lock.
+	unrecordedRuns, suspicions atomic.Int64
+
 	runs       *timedLedger // config.Runs
 	preparedAt time.Time    // when standby workers were last named for waiting units
 	// logLateSince says since when the log has been late, if that is logged.
--- a/internal/dispatch/standby.go
+++ b/internal/dispatch/standby.go
@@ -61,6 +61,24 @@
 	}, u.record())
 }
 
+// putUnrecordedRun records the unit with a run that exists already, or is being started.
+func (s *Scheduler) putUnrecordedRun(u *unit, done func(error)) {
+	s.unrecordedRuns.Add(1)
+	s.putNaming(u, u.standby.named, func(err error) {
+		if err == nil {
+			s.unrecordedRuns.Add(-1)
+		}
+		if done != nil {
+			done(err)
+		}
+	})
+}
+
+// RunsRecorded reports whether durable records show all runs that this scheduler and earlier ones have started.
+func (s *Scheduler) RunsRecorded() bool {
+	return s.unrecordedRuns.Load() == 0 && s.suspicions.Load() == 0
+}
+
 // timedLedger is a ledger that knows for how long it has not decided on pending records.
 type timedLedger struct {
 	Ledger
@@ -307,10 +325,13 @@
 	return 1 - float64(free)/float64(total)
 }
 
-// suspect notes that each of the given workers may have a run of the unit that no record shows.
+// suspect notes that each of the given workers may have a run of the unit that no record shows, unless earlier leaders have ruled it out.
 func (s *Scheduler) suspect(u *unit, ids []string) {
 	u.standby = standby{named: ids, certain: ids}
 	for _, id := range ids {
+		if known := s.config.MayHaveUnrecordedRuns; known != nil && !known(id) {
+			continue
+		}
 		w := s.workers[id]
 		if w == nil {
 			w = s.addWorker(id)
@@ -321,6 +342,7 @@
 		if !w.suspected[u] {
 			w.suspected[u] = true
 			u.suspectedOn++
+			s.suspicions.Add(1)
 		}
 	}
 }
@@ -339,6 +361,7 @@
 	for u := range w.suspected {
 		if !still[u] {
 			u.suspectedOn--
+			s.suspicions.Add(-1)
 			delete(w.suspected, u)
 		}
 	}
@@ -375,7 +398,7 @@
 	u.state, u.startedAt, u.runTimeUnknown, u.cause = active, now, true, ""
 	u.step.unitsWaiting--
 	m := s.addRunningMember(u, u.index, w)
-	s.putNaming(u, u.standby.named, nil)
+	s.putUnrecordedRun(u, nil)
 	return m
 }
 
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -42,10 +42,15 @@
 		s.metrics.scope.Counter("dispatch_unrecorded_starts").Inc(1)
 		go s.protect("starts", func() { s.sendStarts(members, nil) })
 	}
+	if unrecorded {
+		s.putUnrecordedRun(u, func(err error) {
+			if ledger.IsUnrecordable(err) {
+				s.protect("starts", func() { s.sendStarts(members, err) })
+			}
+		})
+		return
+	}
 	s.putNaming(u, u.standby.named, func(err error) {
-		if unrecorded && !ledger.IsUnrecordable(err) {
-			return
-		}
 		s.protect("starts", func() { s.sendStarts(members, err) })
 	})
 }
--- a/internal/leadership/authority_test.go
+++ b/internal/leadership/authority_test.go
@@ -77,10 +77,7 @@
 func (s *succession) claimWith(e *Elector) (*Elector, *Term) {
 	s.t.Helper()
 	assert.Assert(s.t, e.claim(s.t.Context()))
-	state := e.Current()
-	term := &Term{Number: state.Term, EarlierAuthority: *state.EarlierAuthority, LeasesLeft: state.LeasesLeft, elector: e, claimed: e.clock()}
-	term.Context, term.cancel = context.WithCancelCause(s.t.Context())
-	return e, term
+	return e, e.newTerm(s.t.Context())
 }
 
 // Guards against tasks that are started again while a holder that was cut off still renews their leases: the holder after it had
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -79,6 +79,8 @@
 	// LeasesLeft names workers that the holder grants no leases before it has written a record without them, and how long after this
 	// record leases there may last; zero or negative if they are over.
 	LeasesLeft map[string]time.Duration `msgpack:"w,omitempty"`
+	// RunsRecorded says that records show all runs that this holder and earlier ones have started.
+	RunsRecorded bool `msgpack:"u,omitempty"`
 }
 
 // candidate is the record of an instance that requests the term of a smaller holder. Scheduling takes most of a small machine's
@@ -100,10 +102,11 @@
 	// LeasesLeft names workers that no earlier holder grants leases any more, and how long after the claim leases there may last.
 	LeasesLeft map[string]time.Duration
 
-	elector *Elector
-	cancel  context.CancelCauseFunc
-	claimed time.Duration // when the role was claimed, by the elector's clock
-	leaving bool          // whether the holder announces its resignation; used by the goroutine that sends heartbeats
+	elector  *Elector
+	previous State // last record of the previous holder
+	cancel   context.CancelCauseFunc
+	claimed  time.Duration // when the role was claimed, by the elector's clock
+	leaving  bool          // whether the holder announces its resignation; used by the goroutine that sends heartbeats
 
 	mu       sync.Mutex
 	withhold Withholder // nil until the holder has one
@@ -122,6 +125,7 @@
 
 	mu              sync.Mutex
 	current         State         // last observed record of the holder
+	previous        State         // the record upon which this instance claimed the role
 	termSeenAt      time.Time     // when the current term was first seen
 	candidate       candidate     // latest request for a term, observed or made
 	candidateSeenAt time.Time     // when that request was observed or made
@@ -401,7 +405,7 @@
 		}
 	}
 	e.mu.Lock()
-	e.current, e.confirmedAt, e.termSeenAt = next, sent, time.Now()
+	e.current, e.previous, e.confirmedAt, e.termSeenAt = next, previous, sent, time.Now()
 	e.earlierUntil = e.clock() + *next.EarlierAuthority // no earlier holder has confirmed a heartbeat since the claim took effect
 	e.mu.Unlock()
 	e.events.Emit(eventClaimed, event.F("term", next.Term), event.F("previous_holder", previous.Holder), event.F("previous_resigned", previous.Resigned), event.F("earlier_authority_ms", next.EarlierAuthority.Milliseconds()))
@@ -432,11 +436,19 @@
 	return nil
 }
 
+// newTerm returns the term that this instance has claimed.
+func (e *Elector) newTerm(ctx context.Context) *Term {
+	e.mu.Lock()
+	state, previous := e.current, e.previous
+	e.mu.Unlock()
+	term := &Term{Number: state.Term, EarlierAuthority: *state.EarlierAuthority, LeasesLeft: state.LeasesLeft, elector: e, previous: previous, claimed: e.clock()}
+	term.Context, term.cancel = context.WithCancelCause(ctx)
+	return term
+}
+
 // holdTerm runs lead and sends heartbeats until the term is lost or ctx ends.
 func (e *Elector) holdTerm(ctx context.Context, lead func(*Term)) {
-	state := e.Current()
-	term := &Term{Number: state.Term, EarlierAuthority: *state.EarlierAuthority, LeasesLeft: state.LeasesLeft, elector: e, claimed: e.clock()}
-	term.Context, term.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
+	term := e.newTerm(context.WithoutCancel(ctx))
 	leadReturned := make(chan struct{})
 	go func() {
 		defer close(leadReturned)
@@ -501,6 +513,7 @@
 	next.Heartbeats++
 	var number int64
 	number, next.LeasesLeft = term.withheld()
+	next.RunsRecorded = term.runsRecorded() // asked after the list, so that no start on its workers is left out
 	next.Leaving = term.leaving
 	sent := e.clock()
 	next.SinceClaim = sent - term.claimed // after the durations that count from the record
@@ -544,6 +557,7 @@
 		return
 	}
 	last.Resigned, last.Successor, last.SinceClaim = true, successor, e.clock()-term.claimed
+	last.RunsRecorded = term.runsRecorded()
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
 	if err := e.write(ctx, last, at); err != nil {
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -40,7 +40,7 @@
 	s := dispatch.New(ctx, dispatch.Config{
 		Fleet: n.workers, Advisor: advisor, Jobs: outcomes, Runs: runs, Term: term, Token: term.Number, Catalog: &n.current,
 		Bounds: n.settings.dispatchBounds(), Events: n.events, Metrics: n.scope, Now: time.Now, PreviousAuthority: term.EarlierAuthority,
-		LeasesLeft: term.LeasesLeft, Evacuations: &n.evacuations,
+		LeasesLeft: term.LeasesLeft, MayHaveUnrecordedRuns: term.MayHaveUnrecordedRuns, Evacuations: &n.evacuations,
 		OperatorView: func() time.Duration { return n.api.CatalogFreshness.Age(time.Now()) },
 	})
 	jobs := n.newSchedulerJobsReader(s)
