Dispatch: no recorded start on a view of jobs that may lack a cancellation

Cause: starts go on as soon as the log takes records, while the reader of jobs pauses up to 0.15 s after a failed read and has not read the cancellation yet.

--- a/internal/dispatch/datacentre.go
+++ b/internal/dispatch/datacentre.go
@@ -115,10 +115,10 @@
 	}
 }
 
-// placeNothing notes the wait of steps while the view of the operator's records is too old for starts.
-func placeNothing(ranks []rank, now time.Time) {
+// placeNothing notes the wait of steps while a view is too old for starts.
+func placeNothing(ranks []rank, cause waitCause, now time.Time) {
 	for _, r := range ranks {
-		r.step.noteWait(waitView, now)
+		r.step.noteWait(cause, now)
 	}
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -103,7 +103,11 @@
 		return
 	}
 	if s.operatorViewLost {
-		placeNothing(ranks, now)
+		placeNothing(ranks, waitView, now)
+		return
+	}
+	if s.noteJobsView(); s.jobsViewLost && !s.logIsLate() {
+		placeNothing(ranks, waitJobsView, now)
 		return
 	}
 	s.refreshSpeeds()
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -33,6 +33,7 @@
 	StatusRetention time.Duration // how long the status of an ended job must be available
 	Tasks           int           // number of tasks that are kept in memory; 0 for no limit
 	Evacuation      time.Duration // from the acknowledgement of an evacuation until no task may start; 0: no limit on the age of the view
+	Cancellation    time.Duration // from the acknowledgement of a cancellation until no task of the job may start; 0: no limit on the age of the view of jobs
 	RecordBytes     int           // largest record that the log takes; 0 if not known
 }
 
@@ -72,6 +73,8 @@
 	Evacuations Evacuations
 	// OperatorView returns the age of the view of the operator's records from which Evacuations follows; nil if it needs no limit.
 	OperatorView func() time.Duration
+	// JobsView returns the age of the view of the jobs and their cancellations; nil if it needs no limit.
+	JobsView func() time.Duration
 }
 
 // Scheduler schedules the jobs of one leadership term on workers. It is safe for concurrent use.
@@ -107,6 +110,7 @@
 	// evacuationsNoted holds the evacuated data centres whose evacuation is logged.
 	evacuationsNoted map[string]bool
 	operatorViewLost bool // the view of the operator's records is too old for starts, which is logged
+	jobsViewLost     bool // the same of the view of jobs
 	// holdsNothingSince says since when the kinds of work that wait and hold nothing do so.
 	holdsNothingSince map[kind]time.Time
 
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -67,7 +67,7 @@
 		return // the term is over
 	}
 	now := time.Now()
-	obsolete := !s.mayStartAt(members) || ticketsExpired(members, now) || slices.ContainsFunc(members, func(m *member) bool { return !m.mayStillStart(now) })
+	obsolete := !s.mayStartAt(members) || !members[0].unrecorded && !s.jobsViewValid() || ticketsExpired(members, now) || slices.ContainsFunc(members, func(m *member) bool { return !m.mayStillStart(now) })
 	for _, m := range members {
 		if m.state != planned {
 			continue
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -23,11 +23,12 @@
 	waitView                        // the operator's records could not be read for too long
 	waitSpeed                       // only workers too slow for it have room, and faster ones are about to
 	waitLog                         // the log takes no records, and no worker that an earlier record names has room
+	waitJobsView                    // cancellations could not be read for too long
 	waitUnrecorded                  // a worker that does not answer may have a run of it that no record shows
 	waitCauses     = iota           // number of causes
 )
 
-var waitNames = [waitCauses]string{"room", "rack", "headroom", "reserved", "quarantine", "preemption", "advice", "ticket", "pause", "operator view", "speed", "log", "unrecorded run"}
+var waitNames = [waitCauses]string{"room", "rack", "headroom", "reserved", "quarantine", "preemption", "advice", "ticket", "pause", "operator view", "speed", "log", "jobs view", "unrecorded run"}
 
 // waits is the time that a step, or a job, has waited by cause.
 type waits [waitCauses]time.Duration
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -37,13 +37,15 @@
 	if n.settings.Advisor != "" {
 		advisor = platform.NewAdvisor(n.client, n.settings.Advisor)
 	}
+	var view ledger.Freshness // of the jobs
 	s := dispatch.New(ctx, dispatch.Config{
 		Fleet: n.workers, Advisor: advisor, Jobs: outcomes, Runs: runs, Term: term, Token: term.Number, Catalog: &n.current,
 		Bounds: n.settings.dispatchBounds(), Events: n.events, Metrics: n.scope, Now: time.Now, PreviousAuthority: term.EarlierAuthority,
 		LeasesLeft: term.LeasesLeft, MayHaveUnrecordedRuns: term.MayHaveUnrecordedRuns, Evacuations: &n.evacuations,
 		OperatorView: func() time.Duration { return n.api.CatalogFreshness.Age(time.Now()) },
+		JobsView:     func() time.Duration { return view.Age(time.Now()) },
 	})
-	jobs := n.newSchedulerJobsReader(s)
+	jobs := n.newSchedulerJobsReader(s, view.MarkSynced)
 	if !retry(ctx, n, func() error { return jobs.Load(ctx) }) {
 		return
 	}
@@ -109,9 +111,9 @@
 }
 
 // newSchedulerJobsReader returns a reader that passes each record of the jobs topic to a scheduler.
-func (n *Node) newSchedulerJobsReader(s *dispatch.Scheduler) *ledger.Reader {
+func (n *Node) newSchedulerJobsReader(s *dispatch.Scheduler, synced func(sent time.Time)) *ledger.Reader {
 	return &ledger.Reader{
-		Log: n.store, Topic: ledger.JobsTopic, Failed: n.readFailed("jobs"),
+		Log: n.store, Topic: ledger.JobsTopic, Synced: synced, Failed: n.readFailed("jobs"),
 		Record: func(r ledger.Record) {
 			e, err := ledger.DecodeEntry(r)
 			if err != nil {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -47,6 +47,7 @@
 	StopMS      int64   `yaml:"stop_ms"`       // longest time that a worker takes to stop a task, in milliseconds; 0 if not known
 	KeepStatusS float64 `yaml:"keep_status_s"` // how long the state of an ended job must be reported, in seconds
 	EvacuateMS  int64   `yaml:"evacuate_ms"`   // longest time from the acknowledgement of an evacuation until no task starts there, in milliseconds; 0 if there is none
+	CancelMS    int64   `yaml:"cancel_ms"`     // longest time from the acknowledgement of a cancellation until no task of the job starts, in milliseconds; 0 if there is none
 	RecordBytes int     `yaml:"record_bytes"`  // largest record that the log takes; 0 for ledger.DefaultRecordLimit
 }
 
@@ -117,7 +118,8 @@
 	b := s.Bounds
 	return dispatch.Bounds{
 		Lease: milliseconds(b.LeaseMS), Stop: milliseconds(b.StopMS), StatusRetention: seconds(b.KeepStatusS), Evacuation: milliseconds(b.EvacuateMS),
-		Tasks:       int(memoryLimitShare / 2 * float64(s.Machine.MemoryMB) * (1 << 20) / taskBytes),
-		RecordBytes: b.RecordBytes,
+		Cancellation: milliseconds(b.CancelMS),
+		Tasks:        int(memoryLimitShare / 2 * float64(s.Machine.MemoryMB) * (1 << 20) / taskBytes),
+		RecordBytes:  b.RecordBytes,
 	}
 }
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -204,8 +204,8 @@
 		}
 		r.nodes = append(r.nodes, n)
 		n.settingsPath = filepath.Join(r.options.Directory, n.name+".yaml")
-		text := fmt.Sprintf("instance: %s\ndata_centre: z1\nlisten: {jobs: %q, readiness: %q, control: %q}\nstore: %q\nadvisor: %q\nbounds: {lease_ms: %d, keep_status_s: 300, evacuate_ms: %d}\n",
-			n.name, addresses[2+3*i], addresses[3+3*i], addresses[4+3*i], n.storeProxy.address(), r.workerProxies[0].address(), longestLease.Milliseconds(), evacuateTime.Milliseconds())
+		text := fmt.Sprintf("instance: %s\ndata_centre: z1\nlisten: {jobs: %q, readiness: %q, control: %q}\nstore: %q\nadvisor: %q\nbounds: {lease_ms: %d, keep_status_s: 300, evacuate_ms: %d, cancel_ms: %d}\n",
+			n.name, addresses[2+3*i], addresses[3+3*i], addresses[4+3*i], n.storeProxy.address(), r.workerProxies[0].address(), longestLease.Milliseconds(), evacuateTime.Milliseconds(), startsAfterCancel.Milliseconds())
 		if err := os.WriteFile(n.settingsPath, []byte(text), 0o600); err != nil {
 			return err
 		}
