--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -49,8 +49,9 @@
 	awaited         map[*worker]workload.Resources // room on suitable workers that urgent units wait for, see roomIsDue
 	dueRooms        map[*worker][]dueRoom          // room that members are expected to make, see freeWithin
 
-	logIsLate   bool // the log takes no records, so only starts that need none are made
-	forStanding bool // workers are chosen for a unit that standsBesideFreeRoom
+	logIsLate    bool           // the log takes no records, so only starts that need none are made
+	forStanding  bool           // workers are chosen for a unit that standsBesideFreeRoom
+	forcedInVain map[*step]bool // steps of which chooseForStanding could not place a unit; those without failures are alike
 
 	earmarked      []earmark   // see earmarkWorkers
 	ticketsMissing []string    // workers chosen for units of the current step that wait for their tickets
@@ -63,7 +64,7 @@
 
 func newPlan(s *Scheduler, now time.Time) *plan {
 	return &plan{
-		scheduler: s, now: now, pools: map[string]*pool{}, keptFor: map[*worker]*step{}, preemptedFor: map[*worker]bool{}, claimed: map[*worker]workload.Resources{},
+		scheduler: s, now: now, pools: map[string]*pool{}, keptFor: map[*worker]*step{}, preemptedFor: map[*worker]bool{}, forcedInVain: map[*step]bool{}, claimed: map[*worker]workload.Resources{},
 		headroomWorkers: map[*worker]bool{}, fitNowhere: map[taskRequirements]waitCause{}, triedInVain: map[*step]bool{}, held: map[kind]int64{},
 		awaited: map[*worker]workload.Resources{}, dueRooms: map[*worker][]dueRoom{}, logIsLate: s.logIsLate(),
 	}
--- a/internal/dispatch/standing_test.go
+++ b/internal/dispatch/standing_test.go
@@ -64,6 +64,7 @@
 func TestJobDoesNotStandBesideFreeRoom(t *testing.T) {
 	gang := func(h *harness, tasks int) *workload.Job {
 		j := gangOf(902, tasks)
+		h.scheduler.urgentArrivedAt = time.Time{} // or the gang would reserve workers beside those that are kept for urgent work
 		h.submit(j)
 		h.pass()
 		return j
@@ -109,6 +110,16 @@
 			h.quarantineFor(time.Hour, workers[7:]...)
 			return noChange
 		}},
+		"room reserved for a gang, for a permanent task": {job: permanent(wholeWorker(1)), setUp: func(h *harness, workers []*worker) func() {
+			h.book(6, workers[2:10]...)
+			gang(h, 3)
+			return noChange
+		}},
+		"room reserved for a gang, for a permanent task once": {job: permanent(wholeWorker(1)), waits: true, setUp: func(h *harness, workers []*worker) func() {
+			h.book(6, workers[1:10]...)
+			gang(h, 3)
+			return noChange
+		}},
 		"room of a preemption": {job: wholeWorker(1), waits: true, setUp: func(h *harness, workers []*worker) func() {
 			h.book(4, workers[2:10]...)
 			u := h.scheduler.jobs[gang(h, 3).ID].occurrences[0].steps[0].units[0]
@@ -134,6 +145,12 @@
 	}
 }
 
+// permanent returns the job with a task that does not end.
+func permanent(j *workload.Job) *workload.Job {
+	j.Steps[0].Permanent = true
+	return j
+}
+
 // lastAttempt returns the job with a limit of one attempt.
 func lastAttempt(j *workload.Job) *workload.Job {
 	j.QueueSettings.MaxAttempts = 1
