Dispatch: as many start orders in progress as the link carries

Cause: nothing limited the start orders in progress.

Change: a window of 16 to 128 orders follows the time that workers take to answer. Urgent starts go first.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -116,6 +116,7 @@
 	state           memberState
 	recordPending   bool      // the run is not recorded yet, so the start order was not sent
 	unrecorded      bool      // the start order is sent before the run is recorded
+	startWaits      bool      // the run is recorded, and its start order waits for its place in the startWindow
 	processStart    int64     // start of the worker's process for which the run was planned
 	startAnsweredAt time.Time // when the worker confirmed the start; zero for runs of earlier terms
 	startSettledAt  time.Time // when the last start order was answered or given up, or this term began; zero before
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -152,12 +152,14 @@
 		if attempt > 0 {
 			s.metrics.orderAnswered("start", "repeated")
 		}
+		sent := time.Now()
 		err := panicAsError(func() error {
 			_, err := s.config.Fleet.Start(ctx, target, o)
 			return err
 		})
 		cancel()
 		reason := refusalOf(err)
+		s.noteStartAnswer(time.Since(sent), err == nil || reason != "")
 		switch {
 		case err == nil, reason == RefusedFenced, reason != "" && attempt == 0:
 			return err
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -118,6 +118,8 @@
 	// may have such a run of an earlier leader. Heartbeats of the term read them without the lock.
 	unrecordedRuns, suspicions atomic.Int64
 
+	starts startWindow
+
 	runs       *timedLedger // config.Runs
 	preparedAt time.Time    // when standby workers were last named for waiting units
 	// logLateSince says since when the log has been late, if that is logged.
@@ -137,6 +139,7 @@
 	runs := &timedLedger{Ledger: c.Runs}
 	c.Runs = runs
 	return &Scheduler{
+		starts: newStartWindow(),
 		runs:   runs,
 		config: c, metrics: newSchedulerMetrics(c.Metrics), createdAt: now, urgentArrivedAt: now, wake: make(chan struct{}, 1),
 		jobs: map[string]*job{}, workers: map[string]*worker{}, runTimes: map[string]*runTimeModel{}, urgentDemand: map[string]int64{},
@@ -221,6 +224,8 @@
 	s.removeExpiredJobs(now)
 	s.protect("standstills", func() { s.noteStandstills(now) })
 	s.config.Metrics.Gauge("dispatch_workers").Update(float64(len(s.workers)))
+	s.config.Metrics.Gauge("dispatch_start_window").Update(float64(s.starts.size))
+	s.config.Metrics.Gauge("dispatch_starts_waiting").Update(float64(len(s.starts.urgent) + len(s.starts.others)))
 	s.config.Metrics.Gauge("dispatch_jobs").Update(float64(len(s.unfinished)))
 }
 
--- a/internal/dispatch/standby.go
+++ b/internal/dispatch/standby.go
@@ -141,10 +141,10 @@
 	}
 }
 
-// withdraw lets a unit wait again if no start order of its run was sent. The run's number is not used again, as its record may still be
-// written.
+// withdraw lets a unit wait again if no start order of its run was sent, or waits to be. The run's number is not used again, as its record may
+// still be written.
 func (u *unit) withdraw() {
-	if slices.ContainsFunc(u.members, func(m *member) bool { return !m.recordPending || m.stopWanted }) {
+	if slices.ContainsFunc(u.members, func(m *member) bool { return !m.recordPending || m.stopWanted || m.startWaits }) {
 		return
 	}
 	for _, m := range u.members {
--- a/internal/dispatch/standstill.go
+++ b/internal/dispatch/standstill.go
@@ -20,7 +20,7 @@
 // Reasons why a unit that is not waiting has nothing running. Those of waiting ones are in waitNames.
 const (
 	standsRecord   = "record"         // its run is not recorded yet
-	standsStart    = "start order"    // the order to start it is not answered
+	standsStart    = "start order"    // the order to start it is not answered, or waits to be sent
 	standsStop     = "stop order"     // its run is to end, and the worker has not confirmed that it has
 	standsSilent   = "silent worker"  // its worker is not heard, so its run may go on until the leases are over
 	standsSetAside = "set aside"      // the handling of its job panicked
@@ -201,6 +201,8 @@
 		switch {
 		case m.state == ended:
 			continue
+		case m.startWaits:
+			why = standsStart
 		case m.recordPending:
 			why = standsRecord
 		case !m.worker.responsive:
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -66,22 +66,29 @@
 	if err != nil {
 		return // the term is over
 	}
-	now := time.Now()
-	obsolete := !s.mayStartAt(members) || !members[0].unrecorded && !s.jobsViewValid() || ticketsExpired(members, now) || slices.ContainsFunc(members, func(m *member) bool { return !m.mayStillStart(now) })
+	mayStart := s.mayStartNow(members)
 	for _, m := range members {
 		if m.state != planned {
 			continue
 		}
-		m.recordPending = false
-		if m.stopWanted || obsolete || !s.config.Term.Authority() {
+		if m.stopWanted || !mayStart {
+			m.recordPending = false
 			m.noteCause(causeStartNotSent)
 			s.endMember(m, EndLost, "")
 			continue
 		}
-		m.state = starting
-		target, order := m.worker.target(), s.startOrderFor(m)
-		go s.protect("start", func() { s.startMember(m, target, order) })
+		s.starts.add(m)
+	}
+	s.sendWaitingStarts()
+}
+
+// mayStartNow reports whether the start orders of members of a run may be sent, of which the record may have waited for the log.
+func (s *Scheduler) mayStartNow(members []*member) bool {
+	now := time.Now()
+	if !s.config.Term.Authority() || !members[0].unrecorded && !s.jobsViewValid() || ticketsExpired(members, now) {
+		return false
 	}
+	return s.mayStartAt(members) && !slices.ContainsFunc(members, func(m *member) bool { return !m.mayStillStart(now) })
 }
 
 // mayStillStart reports whether a member's worker would still be chosen for it. The record of a run may have waited for the log, and the
@@ -137,7 +144,10 @@
 		return false
 	}
 	m.stopWanted, m.cause = true, cause
-	if !m.recordPending {
+	switch {
+	case m.startWaits:
+		go s.protect("stop", func() { s.dropWaitingStart(m) })
+	case !m.recordPending:
 		go s.protect("stop", func() { s.sendStop(m) })
 	}
 	return true
