Soak: jobs that stand beside free resources are found

Change: the stand-in workers report what runs, the starts of each job and the completed tasks of each step, and the soak reads that four times a second. A job that has nothing running for 3 s from 4 s after the last fault on is reported (standing) if a step whose turn has come would fit twice over and less than half of the accelerators is in use. Jobs accepted before a worker that lost its power was back are excused for 13.2 s from the last order to it, the worst bound on leases of docs/invariants.md.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,10 +23,11 @@
 		Seed      uint64        `default:"1" help:"Seed that determines the faults and the load."`
 		Runs      uint64        `default:"1" help:"Number of runs; each one uses the next seed."`
 		Length    time.Duration `default:"30s" help:"Duration of the load in each run."`
+		Calm      time.Duration `default:"9s" help:"Time for which the load goes on after the last fault. Jobs that stand beside free resources are found from 7 s after it on."`
 	}
 	kong.Parse(&flags, kong.Description("Injects faults drawn from a seed and checks the invariants that callers and workers can see."))
 	for seed := flags.Seed; seed < flags.Seed+flags.Runs; seed++ {
-		options := soak.Options{Daemon: flags.Daemon, Standin: flags.Standin, Directory: flags.Directory, Instances: flags.Instances, Seed: seed, Length: flags.Length, Progress: os.Stdout}
+		options := soak.Options{Daemon: flags.Daemon, Standin: flags.Standin, Directory: flags.Directory, Instances: flags.Instances, Seed: seed, Length: flags.Length, Calm: flags.Calm, Progress: os.Stdout}
 		if err := run(options); err != nil {
 			fmt.Fprintf(os.Stderr, "soak: seed %d: %v\n", seed, err)
 			os.Exit(1)
@@ -47,7 +48,7 @@
 	if err != nil {
 		return fmt.Errorf("%w (logs are in %s)", err, o.Directory)
 	}
-	for _, problem := range slices.Concat(verdict.Lost, verdict.FalseRefusals, verdict.Unasked, verdict.Stuck, verdict.Workers.Violations) {
+	for _, problem := range slices.Concat(verdict.Lost, verdict.FalseRefusals, verdict.Unasked, verdict.Stuck, verdict.Standing, verdict.Workers.Violations) {
 		fmt.Println("problem:", problem)
 	}
 	fmt.Printf("%v seed=%d\n", verdict, o.Seed)
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -129,6 +129,7 @@
 	storeUntil := time.Time{}
 	for _, f := range plan {
 		r.sleepUntil(started.Add(f.At))
+		r.noteFault(f, time.Now())
 		if !storeUntil.IsZero() && time.Now().After(storeUntil) {
 			if err := r.setStoreFaults(ctx, r.options.Violations.Store); err != nil {
 				return err
@@ -162,7 +163,29 @@
 			return err
 		}
 	}
-	return r.setStoreFaults(ctx, store.Faults{})
+	if err := r.setStoreFaults(ctx, store.Faults{}); err != nil {
+		return err
+	}
+	r.extendFaults(time.Now()) // the end of the last fault of a process or of the store
+	return nil
+}
+
+// noteFault keeps until when a fault that begins now lasts, unless injectFaults waits for its end.
+func (r *run) noteFault(f Fault, now time.Time) {
+	switch f.Kind {
+	case Delay, CutUp, CutDown, CutFleet, OddEntry, Evacuate:
+		r.extendFaults(now.Add(f.Length))
+	case LosePower: // until its entry shows its new process
+		r.noteLoss(now, now.Add(f.Length/2))
+	case Recut:
+		r.noteLoss(now, now.Add(recutOff+max(recutPause+recutLength, f.Length)))
+	}
+}
+
+func (r *run) extendFaults(end time.Time) {
+	if end.After(r.faultsEnd) {
+		r.faultsEnd = end
+	}
 }
 
 // injectOddEntry writes an odd entry. A worker whose key it took writes its own entry again after the fault's length.
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -1,6 +1,6 @@
 // Package soak runs entry instances as separate processes against the other stand-ins, acts as their callers and operator, and
 // injects faults from outside. It checks the invariants that callers and workers can see: every accepted job ends as its caller
-// asked, no task runs twice or starts in an evacuated data centre, and a job that was refused does not exist.
+// asked, no task runs twice or starts in an evacuated data centre, a job that was refused does not exist, and no job stands beside free resources.
 package soak
 
 import (
@@ -40,6 +40,7 @@
 	// evacuateTime is the time from the acknowledgement of an evacuation until no task may start (evacuate_ms of the platform's bounds).
 	evacuateTime  = 5 * time.Second
 	workerCount   = 6
+	accelerators  = 8                  // of each worker
 	firstJob      = "ffffffffffffffff" // id of the job that is submitted until an instance accepts it
 	lastJobs      = "eeeeeeeeeeeeee"   // beginning of the ids of the jobs that each instance is to accept after the faults
 	workersTopic  = "keyed.servers"    // list of workers
@@ -54,6 +55,7 @@
 	Instances       int
 	Seed            uint64 // seed that determines the load and the faults
 	Length          time.Duration
+	Calm            time.Duration // time for which the load goes on after the last fault, if that is later than its end by Length
 	Progress        io.Writer     // receives one line for each fault
 	Faults          []Fault       // faults in the order of their start; nil draws them from the seed
 	SettleTimeout   time.Duration // time for all accepted jobs to end after the last fault; 0 means settleTimeout
@@ -67,6 +69,7 @@
 	DenyAcceptance bool         // callers see an acceptance as a refusal, but for the first and last jobs
 	DropCancels    bool         // cancellations are not sent, and count as answered startsAfterCancel earlier
 	DeafInstance   bool         // the first instance gets no more calls after the faults
+	DropJobs       bool         // submissions of some jobs are not sent, and count as accepted
 	DropEvacuation bool         // evacuations are acknowledged, but not recorded
 }
 
@@ -77,18 +80,19 @@
 	FalseRefusals                                    []string // jobs that exist although every submission was refused
 	Unasked                                          []string // jobs of which a task started later than startsAfterCancel after their cancellation was answered
 	Stuck                                            []string // instances that accept no job, or whose job does not end, after the faults
+	Standing                                         []string // jobs that had nothing running beside free resources, see findStanding
 	Workers                                          taskworker.Report
 }
 
 // Passed reports whether every invariant held.
 func (v Verdict) Passed() bool {
-	return v.Accepted > 0 && len(v.Lost) == 0 && len(v.FalseRefusals) == 0 && len(v.Unasked) == 0 && len(v.Stuck) == 0 && v.Workers.Doubled == 0 && v.Workers.Forbidden == 0
+	return v.Accepted > 0 && len(v.Lost) == 0 && len(v.FalseRefusals) == 0 && len(v.Unasked) == 0 && len(v.Stuck) == 0 && len(v.Standing) == 0 && v.Workers.Doubled == 0 && v.Workers.Forbidden == 0
 }
 
 // String returns the last line of a run's output.
 func (v Verdict) String() string {
-	return fmt.Sprintf("soak: accepted=%d completed=%d cancelled=%d refused=%d open=%d lost=%d false_refusals=%d unasked=%d stuck=%d started=%d doubled=%d forbidden=%d lapsed=%d unticketed=%d",
-		v.Accepted, v.Completed, v.Cancelled, v.Refused, v.Unknown, len(v.Lost), len(v.FalseRefusals), len(v.Unasked), len(v.Stuck), v.Workers.Started, v.Workers.Doubled, v.Workers.Forbidden, v.Workers.Lapsed, v.Workers.Unticketed)
+	return fmt.Sprintf("soak: accepted=%d completed=%d cancelled=%d refused=%d open=%d lost=%d false_refusals=%d unasked=%d stuck=%d standing=%d started=%d doubled=%d forbidden=%d lapsed=%d unticketed=%d",
+		v.Accepted, v.Completed, v.Cancelled, v.Refused, v.Unknown, len(v.Lost), len(v.FalseRefusals), len(v.Unasked), len(v.Stuck), len(v.Standing), v.Workers.Started, v.Workers.Doubled, v.Workers.Forbidden, v.Workers.Lapsed, v.Workers.Unticketed)
 }
 
 // run is the state of one run.
@@ -103,6 +107,10 @@
 	standIns      []*process.Process
 	client        *http.Client
 
+	observations []observation // written by observe
+	faultsEnd    time.Time     // end of the last fault so far
+	losses       []loss        // workers that lost their power
+
 	mu   sync.Mutex
 	jobs map[string]*submittedJob
 	born [workerCount]int64 // start of each worker's process in Unix milliseconds, 0 for the first one
@@ -111,6 +119,8 @@
 // submittedJob is what a caller knows about its job.
 type submittedJob struct {
 	accepted   bool
+	acceptedAt time.Time
+	steps      []step
 	unknown    bool      // an attempt was answered by neither an acceptance nor a refusal
 	cancelSent bool      // a cancellation was sent, whether or not it was answered
 	cancelled  time.Time // when a cancellation was first answered, also with 410
@@ -143,7 +153,15 @@
 	for _, f := range plan {
 		fmt.Fprintln(options.Progress, f)
 	}
-	loadCtx, stopLoad := context.WithTimeout(ctx, options.Length)
+	observeCtx, stopObserving := context.WithCancel(ctx)
+	defer stopObserving()
+	observed := make(chan struct{})
+	go func() {
+		defer close(observed)
+		r.observe(observeCtx)
+	}()
+	loadEnd := time.Now().Add(options.Length)
+	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	loadDone := make(chan struct{})
 	go func() {
@@ -159,11 +177,20 @@
 	if err := r.injectFaults(ctx, plan); err != nil {
 		return Verdict{}, err
 	}
+	if calm := r.faultsEnd.Add(options.Calm); options.Calm > 0 && calm.After(loadEnd) {
+		loadEnd = calm
+	}
+	r.sleepUntil(loadEnd)
+	stopLoad()
 	<-loadDone
 	if options.Violations.DeafInstance {
 		r.nodes[0].callerProxy.close()
 	}
-	return r.judge(ctx)
+	verdict, err := r.judge(ctx)
+	stopObserving()
+	<-observed
+	verdict.Standing = r.findStanding()
+	return verdict, err
 }
 
 // start starts the stand-ins and the instances, and waits until the first job is accepted.
@@ -254,13 +281,16 @@
 // dataCentreOf returns the data centre of a worker.
 func dataCentreOf(worker int) string { return fmt.Sprintf("z%d", 1+worker/3) }
 
+// rackOf returns the rack of a worker.
+func rackOf(worker int) string { return fmt.Sprintf("r1-%d", 1+worker/3) }
+
 // putWorker writes the entry of a worker in the list of workers.
 func (r *run) putWorker(ctx context.Context, i int) error {
 	r.mu.Lock()
 	born := r.born[i]
 	r.mu.Unlock()
-	entry := fmt.Sprintf(`{"service":"render","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":64000,"mem_mb":262144,"gpu":8},`+
-		`"labels":["a","r1-%d"],"sequence":1,"born":%d}`, r.workerProxies[i].address(), dataCentreOf(i), 1+i/3, born)
+	entry := fmt.Sprintf(`{"service":"render","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":64000,"mem_mb":262144,"gpu":%d},`+
+		`"labels":["a",%q],"sequence":1,"born":%d}`, r.workerProxies[i].address(), dataCentreOf(i), accelerators, rackOf(i), born)
 	return r.put(ctx, workersTopic, fmt.Sprintf("w%d", i), entry)
 }
 
@@ -364,9 +394,13 @@
 
 // submit sends a job once and reports whether this or an earlier attempt was accepted.
 func (r *run) submit(ctx context.Context, id string, n *node, tasks, runTimeMS int) bool {
+	steps := []step{{count: tasks, accelerators: 1}}
 	body := fmt.Appendf(nil, `{"spec":"{\"takes_ms\":%d,\"advised\":%t,\"fails\":%d}","phases":[{"count":%d,"cpu":1000,"mem_mb":1000,"gpu":1,"estimate_ms":%d%s}]}`,
 		runTimeMS+extraRunTime(id), queueOf(id) == advisedQueue, failsOf(id), tasks, runTimeMS, paddingOf(id))
-	status, _, err := r.call(ctx, n, http.MethodPost, id, body)
+	status, err := http.StatusOK, error(nil)
+	if !r.options.Violations.DropJobs || failsOf(id) == 0 {
+		status, _, err = r.call(ctx, n, http.MethodPost, id, body)
+	}
 	if r.options.Violations.DenyAcceptance && id != firstJob && !strings.HasPrefix(id, lastJobs) && err == nil && status == http.StatusOK {
 		status = http.StatusServiceUnavailable
 	}
@@ -374,12 +408,14 @@
 	defer r.mu.Unlock()
 	j := r.jobs[id]
 	if j == nil {
-		j = &submittedJob{}
+		j = &submittedJob{steps: steps}
 		r.jobs[id] = j
 	}
 	switch {
 	case err == nil && status == http.StatusOK:
-		j.accepted = true
+		if !j.accepted {
+			j.accepted, j.acceptedAt = true, time.Now()
+		}
 	case err != nil || status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests && status != http.StatusBadRequest:
 		j.unknown = true
 	}
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,6 +25,12 @@
 	302,  // SIGTERM reached an instance before it had installed its handler and killed it; the run reported an error
 }
 
+// calmSeeds are those of them whose load goes on after the faults, so that jobs that stand are found. All others would take 10 s longer each, too.
+var calmSeeds = []uint64{100, 5110}
+
+// calmLoad is a Calm that is long enough for jobs that stand to be found: calmTime, longestStand and 2 s for jobs of this time to arrive.
+const calmLoad = calmTime + longestStand + 2*time.Second
+
 // buildOptions builds the programs and returns the options of a run with them.
 func buildOptions(t *testing.T) Options {
 	t.Helper()
@@ -42,10 +49,13 @@
 func TestSeededFaultsKeepInvariants(t *testing.T) {
 	o := buildOptions(t)
 	for _, seed := range regressionSeeds {
-		o.Seed, o.Directory = seed, t.TempDir()
+		o.Seed, o.Directory, o.Calm = seed, t.TempDir(), 0
+		if slices.Contains(calmSeeds, seed) {
+			o.Calm = calmLoad
+		}
 		verdict, err := Run(context.Background(), o)
 		assert.NilError(t, err)
-		assert.Assert(t, verdict.Passed(), "seed %d: %v %v %v %v %v", seed, verdict, verdict.Lost, verdict.FalseRefusals, verdict.Unasked, verdict.Stuck)
+		assert.Assert(t, verdict.Passed(), "seed %d: %v %v %v %v %v %v", seed, verdict, verdict.Lost, verdict.FalseRefusals, verdict.Unasked, verdict.Stuck, verdict.Standing)
 	}
 }
 
@@ -58,13 +68,16 @@
 		name       string
 		violations Violations
 		detected   func(Verdict) bool
+		faults     []Fault // nil draws them
+		calm       time.Duration
 	}{
-		{"acknowledged records are not stored", Violations{Store: store.Faults{Forgets: 0.3}}, func(v Verdict) bool { return len(v.Lost) > 0 }},
-		{"accepted jobs are reported as refused", Violations{DenyAcceptance: true}, func(v Verdict) bool { return len(v.FalseRefusals) > 0 }},
-		{"cancellations are lost", Violations{DropCancels: true}, func(v Verdict) bool { return len(v.Unasked) > 0 }},
-		{"an instance answers no callers", Violations{DeafInstance: true}, func(v Verdict) bool { return len(v.Stuck) > 0 }},
-		{"evacuations are lost", Violations{DropEvacuation: true}, func(v Verdict) bool { return v.Workers.Forbidden > 0 }},
-		{"workers hide running tasks", Violations{HideRuns: true}, func(v Verdict) bool { return v.Workers.Doubled > 0 }},
+		{"acknowledged records are not stored", Violations{Store: store.Faults{Forgets: 0.3}}, func(v Verdict) bool { return len(v.Lost) > 0 }, nil, 0},
+		{"accepted jobs stand", Violations{DropJobs: true}, func(v Verdict) bool { return len(v.Standing) > 0 }, []Fault{}, calmLoad},
+		{"accepted jobs are reported as refused", Violations{DenyAcceptance: true}, func(v Verdict) bool { return len(v.FalseRefusals) > 0 }, nil, 0},
+		{"cancellations are lost", Violations{DropCancels: true}, func(v Verdict) bool { return len(v.Unasked) > 0 }, nil, 0},
+		{"an instance answers no callers", Violations{DeafInstance: true}, func(v Verdict) bool { return len(v.Stuck) > 0 }, nil, 0},
+		{"evacuations are lost", Violations{DropEvacuation: true}, func(v Verdict) bool { return v.Workers.Forbidden > 0 }, nil, 0},
+		{"workers hide running tasks", Violations{HideRuns: true}, func(v Verdict) bool { return v.Workers.Doubled > 0 }, nil, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := uint64(1); seed <= 10; seed++ {
@@ -72,6 +85,7 @@
 				if c.violations.DropEvacuation {
 					o.Length = 15 * time.Second // a shorter plan has no evacuation
 				}
+				o.Faults, o.Calm = c.faults, c.calm
 				verdict, err := Run(context.Background(), o)
 				assert.NilError(t, err)
 				if c.detected(verdict) {
--- a/internal/standin/taskworker/advice.go
+++ b/internal/standin/taskworker/advice.go
@@ -26,6 +26,9 @@
 	return t.worker == w && strings.HasPrefix(task, t.step+".") && now.Before(t.expires)
 }
 
+// Advises reports whether the advice service allows a worker for a step, whose name begins with that of its job.
+func Advises(step, worker string) bool { return worker[len(worker)-1]%2 == step[0]%2 }
+
 // advise approves every other worker for a step, at least one, and handles one query at a time.
 func (f *Fleet) advise(out http.ResponseWriter, in *http.Request) {
 	var query struct {
@@ -43,7 +46,7 @@
 	defer f.mu.Unlock()
 	allowed := [][2]string{}
 	for _, id := range query.Workers {
-		if w := f.workers[id]; w != nil && id[len(id)-1]%2 == query.Step[0]%2 {
+		if w := f.workers[id]; w != nil && Advises(query.Step, id) {
 			name := fmt.Sprintf("%s-%s-%d", query.Step, id, len(f.tickets))
 			f.tickets[name] = ticket{query.Step, w, time.Now().Add(ticketValidity)}
 			allowed = append(allowed, [2]string{id, name})
--- a/internal/standin/taskworker/taskworker.go
+++ b/internal/standin/taskworker/taskworker.go
@@ -35,9 +35,11 @@
 
 	mu       sync.Mutex
 	workers  map[string]*worker
-	running  map[string]int  // current number of runs of each task, over all workers
-	hideRuns bool            // see HideRuns
-	finished map[string]bool // tasks whose completion was acknowledged
+	running  map[string]int             // current number of runs of each task, over all workers
+	hideRuns bool                       // see HideRuns
+	finished map[string]bool            // tasks whose completion was acknowledged
+	starts   map[string]int             // number of starts of tasks of each job
+	done     map[string]map[string]bool // tasks of each step that have completed and did not start again
 	tickets  map[string]ticket
 	report   Report
 
@@ -59,6 +61,13 @@
 	LastStarts map[string]int64 `json:"last_starts"` // latest start of a task of each job, in Unix milliseconds
 }
 
+// State is what the workers of a fleet run at one time, and what they have run so far.
+type State struct {
+	Running map[string][]string `json:"running"` // tasks that run, by worker
+	Starts  map[string]int      `json:"starts"`  // number of starts of tasks, by job
+	Done    map[string]int      `json:"done"`    // number of tasks that completed and did not start again, by step (JOB.OCCURRENCE.STEP)
+}
+
 // worker is one worker of a fleet.
 type worker struct {
 	token        int64           // highest fencing token seen
@@ -102,7 +111,7 @@
 
 // New returns a fleet with one worker for each id.
 func New(ids ...string) *Fleet {
-	f := &Fleet{router: mux.NewRouter(), workers: map[string]*worker{}, running: map[string]int{}, finished: map[string]bool{}, tickets: map[string]ticket{}, report: Report{LastStarts: map[string]int64{}}}
+	f := &Fleet{router: mux.NewRouter(), workers: map[string]*worker{}, running: map[string]int{}, finished: map[string]bool{}, tickets: map[string]ticket{}, starts: map[string]int{}, done: map[string]map[string]bool{}, report: Report{LastStarts: map[string]int64{}}}
 	for _, id := range ids {
 		f.workers[id] = newWorker(time.Now())
 	}
@@ -112,6 +121,7 @@
 	f.router.HandleFunc("/v1/advise", f.advise).Methods(http.MethodPost)
 	f.router.HandleFunc("/control/power", f.handlePower).Methods(http.MethodPost)
 	f.router.HandleFunc("/control/forbid", f.handleForbid).Methods(http.MethodPost)
+	f.router.HandleFunc("/report/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, f.State()) }).Methods(http.MethodGet)
 	f.router.HandleFunc("/report/workers", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, f.Report()) }).Methods(http.MethodGet)
 	return f
 }
@@ -132,6 +142,24 @@
 	return report
 }
 
+// State returns the current state. A completion whose end was lost with its worker counts until the task starts again: the scheduler may have
+// recorded it before it could acknowledge it.
+func (f *Fleet) State() State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := State{Running: map[string][]string{}, Starts: maps.Clone(f.starts), Done: map[string]int{}}
+	for id, w := range f.workers {
+		f.endDueRuns(w)
+		for task := range w.runs {
+			s.Running[id] = append(s.Running[id], task)
+		}
+	}
+	for step, tasks := range f.done {
+		s.Done[step] = len(tasks)
+	}
+	return s
+}
+
 // HideRuns makes all workers omit their current runs from their answers. No real worker may do this; it shows that the checks of
 // package soak detect tasks that run twice.
 func (f *Fleet) HideRuns() {
@@ -309,6 +337,11 @@
 	w.ends = append(w.ends, end{sequence: w.lastSequence, task: r.task, run: r.number, outcome: outcome})
 	if outcome == "done" {
 		f.report.Done++
+		step := stepOf(r.task)
+		if f.done[step] == nil {
+			f.done[step] = map[string]bool{}
+		}
+		f.done[step][r.task] = true
 	}
 }
 
@@ -355,6 +388,8 @@
 	}
 	f.report.Started++
 	f.running[c.Task]++
+	f.starts[jobOf(c.Task)]++
+	delete(f.done[stepOf(c.Task)], c.Task)
 	f.report.LastStarts[jobOf(c.Task)] = time.Now().UnixMilli()
 	started := &run{c.Task, c.Run, time.Now(), time.Duration(s.TakesMS) * time.Millisecond, "done"}
 	if c.Run <= s.Fails {
@@ -372,6 +407,9 @@
 	return job
 }
 
+// stepOf returns the step of a task, as JOB.OCCURRENCE.STEP.
+func stepOf(task string) string { return task[:max(strings.LastIndex(task, "."), 0)] }
+
 // extendLeases moves the expiry of a worker's leases forward, never back. The caller holds mu.
 func (f *Fleet) extendLeases(w *worker, deadlineMS int64) {
 	expiry := w.born.Add(sinceBorn(deadlineMS))
--- /dev/null
+++ b/internal/standin/taskworker/taskworker_test.go
@@ -0,0 +1,38 @@
+package taskworker
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func post(t *testing.T, f *Fleet, worker, path, body string) {
+	t.Helper()
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	r.Header.Set("X-Target-Instance", worker)
+	answer := httptest.NewRecorder()
+	f.ServeHTTP(answer, r)
+	assert.Equal(t, answer.Code, http.StatusOK, "%s: %s", path, answer.Body)
+}
+
+// Guards against judging jobs by completions that the scheduler may know of or not, and against missing short runs.
+func TestStateShowsRunsAndCompletions(t *testing.T) {
+	f := New("w0", "w1")
+	start := func(worker, task string, takesMS int) {
+		post(t, f, worker, "/v1/run-start", fmt.Sprintf(`{"task":%q,"run":2,"spec":"{\"takes_ms\":%d}","deadline_ms":60000}`, task, takesMS))
+	}
+	start("w0", "a.0.0.0", 1)
+	start("w1", "a.0.0.1", 1)
+	start("w1", "a.0.1.0", 60_000)
+	time.Sleep(10 * time.Millisecond)
+	assert.DeepEqual(t, f.State(), State{Running: map[string][]string{"w1": {"a.0.1.0"}}, Starts: map[string]int{"a": 3}, Done: map[string]int{"a.0.0": 2}})
+	f.LosePower("w1", 0) // before its end was acknowledged, so the scheduler may know of it or not
+	assert.DeepEqual(t, f.State(), State{Running: map[string][]string{}, Starts: map[string]int{"a": 3}, Done: map[string]int{"a.0.0": 2}})
+	start("w0", "a.0.0.1", 60_000)
+	assert.DeepEqual(t, f.State(), State{Running: map[string][]string{"w0": {"a.0.0.1"}}, Starts: map[string]int{"a": 4}, Done: map[string]int{"a.0.0": 1}})
+}
