Tests: headroom is dropped on full usable workers beside silent ones

Cause: mostlyIdle counts the workers that discovery shows since, silent ones included, so that a service whose usable workers are full counts as mostly idle.

Change: a failing test, no code.

--- a/internal/dispatch/standingreview_test.go
+++ b/internal/dispatch/standingreview_test.go
@@ -179,3 +179,25 @@
 		})
 	}
 }
+
+// Guards against an urgent job that has to wait for preemptions, because silent workers without work make a service count as mostly idle
+// although its usable workers are full.
+func TestHeadroomIsKeptOnUsableWorkersBesideSilentOnes(t *testing.T) {
+	h := newHarness(t, newMemoryLedger(), newMemoryLedger())
+	for i := range 5 {
+		h.addWorker(workerName(i), "r1", 8)
+	}
+	h.fillWithLowPriority(21) // more than half of 40
+	for i := range 6 {
+		h.silence(h.addWorker(workerName(5+i), "r1", 8))
+	}
+	h.submit(singleStepJob(901, stepOf(30)))
+	h.pass()
+	awaitStarts(t, h.fleet, 32)
+	urgent := singleStepJob(902, stepOf(8))
+	urgent.QueueSettings.Priority = 0
+	h.submit(urgent)
+	h.pass()
+	awaitStarts(t, h.fleet, 40)
+	assert.Equal(t, h.fleet.stopped(), 0)
+}
