Dispatch, ledger: repeated starts ask for a recent view of the jobs

Change: each order of a recorded run asks for the view.

An order that is sent at the limit may still arrive up to 0.35 s later.

--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -190,7 +190,7 @@
 	if m.leaseClock != m.worker.clockProcess {
 		return false // its lease would outlast those that the process which was heard meanwhile is known to have
 	}
-	if s.evacuated(m.worker) || !s.mayStartAt(m.unit.members) {
+	if s.evacuated(m.worker) || !s.mayStartAt(m.unit.members) || !m.unrecorded && !s.jobsViewValid() {
 		return false
 	}
 	m.startRepeated = repeated
