Dispatch: limits of ignoring reservations, headroom and quarantine

The measure of an idle service is that of the usable workers again, since a job at a standstill no longer needs another one. Quarantined workers make a pool by themselves; attempts of permanent tasks do not count; a step goes on after a task with failures. Requirements that were not satisfied are not tried again in a pass. The event is logged when the unit is placed. Names say what is ignored (placementlimits.go).

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -109,13 +109,13 @@
 	if !w.hasLabel(u.step.spec.Label) {
 		return waitRoom, true
 	}
-	if holder := p.keptFor[w]; holder != nil && holder != u.step && (holder.urgent() || !u.urgent()) && (p.preemptedFor[w] || !p.forStanding) {
+	if holder := p.keptFor[w]; holder != nil && holder != u.step && (holder.urgent() || !u.urgent()) && (!p.ignoreLimits || p.staysReserved(w, holder)) {
 		return waitReserved, true // an urgent unit may use workers kept for a step that is not urgent
 	}
 	if w.health.quarantine > 0 && !p.mayRunQuarantined(w, u) {
 		return waitQuarantine, true
 	}
-	if p.headroomWorkers[w] && !p.forStanding && !p.mayUseHeadroom(u) {
+	if p.headroomWorkers[w] && !p.ignoreLimits && !p.mayUseHeadroom(u) {
 		return waitHeadroom, true
 	}
 	return 0, false
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -29,7 +29,7 @@
 	occurrencesCreated  int           // number of occurrences created
 	standsSince         time.Time     // since when it has stood still, see noteStandstills; zero if it does not
 	standstillLoggedAt  time.Time     // when that was last logged
-	placementForcedAt   time.Time     // when chooseForStanding last found workers for one of its units
+	limitsIgnoredAt     time.Time     // when chooseIgnoringLimits last found workers for one of its units
 }
 
 // occurrence is one execution of a job's steps.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -49,9 +49,9 @@
 	awaited         map[*worker]workload.Resources // room on suitable workers that urgent units wait for, see roomIsDue
 	dueRooms        map[*worker][]dueRoom          // room that members are expected to make, see freeWithin
 
-	logIsLate    bool           // the log takes no records, so only starts that need none are made
-	forStanding  bool           // workers are chosen for a unit that standsBesideFreeRoom
-	forcedInVain map[*step]bool // steps of which chooseForStanding could not place a unit; those without failures are alike
+	logIsLate     bool                      // the log takes no records, so only starts that need none are made
+	ignoreLimits  bool                      // workers are chosen for a unit that mayIgnoreLimits
+	ignoredInVain map[taskRequirements]bool // requirements that chooseIgnoringLimits did not satisfy in this pass
 
 	earmarked      []earmark   // see earmarkWorkers
 	ticketsMissing []string    // workers chosen for units of the current step that wait for their tickets
@@ -64,7 +64,7 @@
 
 func newPlan(s *Scheduler, now time.Time) *plan {
 	return &plan{
-		scheduler: s, now: now, pools: map[string]*pool{}, keptFor: map[*worker]*step{}, preemptedFor: map[*worker]bool{}, forcedInVain: map[*step]bool{}, claimed: map[*worker]workload.Resources{},
+		scheduler: s, now: now, pools: map[string]*pool{}, keptFor: map[*worker]*step{}, preemptedFor: map[*worker]bool{}, ignoredInVain: map[taskRequirements]bool{}, claimed: map[*worker]workload.Resources{},
 		headroomWorkers: map[*worker]bool{}, fitNowhere: map[taskRequirements]waitCause{}, triedInVain: map[*step]bool{}, held: map[kind]int64{},
 		awaited: map[*worker]workload.Resources{}, dueRooms: map[*worker][]dueRoom{}, logIsLate: s.logIsLate(),
 	}
@@ -73,19 +73,19 @@
 // newFleetPlan returns a plan that knows the usable workers and those that are only kept from work by their quarantine.
 func (s *Scheduler) newFleetPlan(now time.Time) *plan {
 	p := newPlan(s, now)
-	resting := map[string][]*worker{} // by service
 	for _, w := range s.workers {
 		switch {
 		case s.evacuated(w):
 		case w.usable(now):
 			p.addWorker(w)
 		case w.takesWork(now):
-			resting[w.info.Service] = append(resting[w.info.Service], w)
+			pl := p.pool(w.info.Service)
+			pl.resting = append(pl.resting, w)
 		}
 	}
 	services := s.servicesInUse()
 	for service, pl := range p.pools {
-		pl.resting, pl.shareInUse = resting[service], services[service].share()
+		pl.shareInUse = services[service].share()
 		pl.sortByID()
 	}
 	return p
@@ -319,7 +319,7 @@
 		if !waits || cause == waitPause {
 			cause, waits = why, true
 		}
-		if u.index >= 0 && r.class > urgent && why != waitTicket && why != waitUnrecorded && !st.spec.Permanent && !p.logIsLate {
+		if u.index >= 0 && r.class > urgent && why != waitTicket && why != waitUnrecorded && !st.spec.Permanent && !p.logIsLate && !(u.failures > 0 && p.mayIgnoreLimits(pl, u)) {
 			break // the step's other tasks need the same, so they do not fit either; urgent ones may each preempt, and some permanent
 			// ones may use the headroom
 		}
@@ -352,8 +352,13 @@
 		return p.placeOnStandby(pl, r, u)
 	}
 	needs := p.requirementsOf(u)
-	stands := p.standsBesideFreeRoom(pl, u)
-	if why, known := p.fitNowhere[needs]; known && u.index >= 0 && r.class > urgent && !stands {
+	mayIgnore := p.mayIgnoreLimits(pl, u)
+	if why, known := p.fitNowhere[needs]; known && u.index >= 0 && r.class > urgent {
+		if mayIgnore {
+			if chosen := p.chooseIgnoringLimits(pl, u, needs); chosen != nil {
+				return p.startChosen(pl, r, u, chosen, true)
+			}
+		}
 		return false, why
 	}
 	p.noRackFits, p.barredRoom = false, [waitCauses]int{}
@@ -363,18 +368,13 @@
 			defer p.markHeadroom(pl)
 		}
 	}
-	if chosen == nil && stands {
-		chosen = p.chooseForStanding(pl, u)
-	}
 	if chosen != nil {
-		if p.awaitTickets(u, chosen) {
-			return false, waitTicket
-		}
-		if p.awaitsSpeed(pl, r, u, chosen) {
-			return false, waitSpeed
+		return p.startChosen(pl, r, u, chosen, false)
+	}
+	if mayIgnore {
+		if chosen = p.chooseIgnoringLimits(pl, u, needs); chosen != nil {
+			return p.startChosen(pl, r, u, chosen, true)
 		}
-		p.start(pl, u, r, chosen)
-		return true, 0
 	}
 	if u.job().queueSettings.Advised {
 		p.explore(pl, r, u)
@@ -391,6 +391,22 @@
 	return false, why
 }
 
+// startChosen starts a unit on the chosen workers unless it has to wait for their tickets or for faster ones. limitsIgnored says that the
+// workers are kept for other work.
+func (p *plan) startChosen(pl *pool, r rank, u *unit, chosen []*worker, limitsIgnored bool) (placed bool, why waitCause) {
+	if p.awaitTickets(u, chosen) {
+		return false, waitTicket
+	}
+	if p.awaitsSpeed(pl, r, u, chosen) {
+		return false, waitSpeed
+	}
+	if limitsIgnored {
+		p.noteLimitsIgnored(pl, u, chosen)
+	}
+	p.start(pl, u, r, chosen)
+	return true, 0
+}
+
 // start starts a run of a unit of rank r on the chosen workers.
 func (p *plan) start(pl *pool, u *unit, r rank, chosen []*worker) {
 	p.noteHeld(pl, u, r)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -25,13 +25,19 @@
 	shareInUse     float64              // of the service's scarcest resource at the start of the pass, on all workers that discovery shows
 }
 
-// addWorker adds a usable worker to the pool of its service.
-func (p *plan) addWorker(w *worker) {
-	pl := p.pools[w.info.Service]
+// pool returns the pool of a service, which it creates if there is none.
+func (p *plan) pool(service string) *pool {
+	pl := p.pools[service]
 	if pl == nil {
 		pl = &pool{racks: map[string][]*worker{}, dataCentres: map[string][]*worker{}}
-		p.pools[w.info.Service] = pl
+		p.pools[service] = pl
 	}
+	return pl
+}
+
+// addWorker adds a usable worker to the pool of its service.
+func (p *plan) addWorker(w *worker) {
+	pl := p.pool(w.info.Service)
 	if pl.fastest == 0 || w.boundedTime() < pl.fastest {
 		pl.fastest = w.boundedTime()
 	}
@@ -61,12 +67,8 @@
 	}
 }
 
-// mostlyIdle reports whether more than half of the scarcest resource of the usable workers, or of all workers of the service, was free at the
-// start of the pass. The platform counts all of them.
+// mostlyIdle reports whether more than half of the pool's scarcest resource was free at the start of the pass.
 func (pl *pool) mostlyIdle() bool {
-	if pl.shareInUse < 0.5 {
-		return true
-	}
 	if pl.accelerators == 0 {
 		return 2*pl.freeCPUAtStart > pl.cpu
 	}
--- a/internal/dispatch/reservations.go
+++ b/internal/dispatch/reservations.go
@@ -19,7 +19,7 @@
 // that are expected to be free first, within one rack for a gang that should run in one. They are kept from pass to pass
 // until the unit starts, since workers that are chosen anew in each pass never become free.
 func (p *plan) reserve(pl *pool, u *unit) {
-	if u.index >= 0 && 2*pl.scarceCapacity(u.step.resources()) <= pl.scarceCapacity(pl.workers[0].info.Capacity) {
+	if len(pl.workers) == 0 || u.index >= 0 && 2*pl.scarceCapacity(u.step.resources()) <= pl.scarceCapacity(pl.workers[0].info.Capacity) {
 		return // small tasks find room without a reservation
 	}
 	if len(u.reservedWorkers) > 0 {
