--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -319,14 +319,22 @@
 		if !waits || cause == waitPause {
 			cause, waits = why, true
 		}
-		if u.index >= 0 && r.class > urgent && why != waitTicket && why != waitUnrecorded && !st.spec.Permanent && !p.logIsLate && !(u.failures > 0 && p.mayIgnoreLimits(pl, u)) {
-			break // the step's other tasks need the same, so they do not fit either; urgent ones may each preempt, and some permanent
-			// ones may use the headroom
+		if p.othersFitNeither(pl, r, u, why) {
+			break
 		}
 	}
 	return cause, waits, false
 }
 
+// othersFitNeither reports whether the other tasks of the step need not be tried, since one that needs the same did not fit. Urgent ones may each
+// preempt, some permanent ones may use the headroom, and one without failures may use quarantined workers that a unit on its last attempt may not.
+func (p *plan) othersFitNeither(pl *pool, r rank, u *unit, why waitCause) bool {
+	if u.index < 0 || r.class <= urgent || u.step.spec.Permanent || p.logIsLate || why == waitTicket || why == waitUnrecorded {
+		return false
+	}
+	return u.failures == 0 || !p.mayIgnoreLimits(pl, u)
+}
+
 // waitCauseOf returns why a unit that chooseWorkers could not place just now has to wait.
 func (p *plan) waitCauseOf(u *unit) waitCause {
 	switch {
