Soak: 24 workers in three racks, gangs, two steps and whole workers

Change: one in four jobs is a gang of whole workers in one rack, has a second step of up to 48 tasks, or needs whole workers, 16 of a kind one after the other. There are 24 workers in three racks, each a data centre. The stand-in workers know gangs: their members work once all are present, end together, and end `broken` or `alone` otherwise. The advice service takes 1 ms a worker instead of 5, so that a query for 24 workers takes as long as one for 6 did. The plans of faults are the same, but the workers that they hit are others.

--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -39,7 +39,8 @@
 	apiKey            = "soak-key"
 	// evacuateTime is the time from the acknowledgement of an evacuation until no task may start (evacuate_ms of the platform's bounds).
 	evacuateTime  = 5 * time.Second
-	workerCount   = 6
+	workerCount   = 24
+	workersOfRack = 8
 	accelerators  = 8                  // of each worker
 	firstJob      = "ffffffffffffffff" // id of the job that is submitted until an instance accepts it
 	lastJobs      = "eeeeeeeeeeeeee"   // beginning of the ids of the jobs that each instance is to accept after the faults
@@ -265,7 +266,7 @@
 	config := fmt.Sprintf(`{"version":1,"routes":[{"name":"plans","host":%q,"path_prefix":"/plans/","timeout_ms":3000,"target_latency_ms":1000,`+
 		`"priority":1,"service":"render","max_attempts":3,"stretch":3.0},{"name":"checks","host":%q,"path_prefix":"/checks/","timeout_ms":3000,`+
 		`"target_latency_ms":250,"priority":0,"service":"render","max_attempts":3,"stretch":1.5},{"name":"advised","host":%q,"path_prefix":"/advised/","timeout_ms":3000,`+
-		`"target_latency_ms":1000,"priority":1,"service":"render","max_attempts":3,"stretch":3.0,"advice":{"decision_ms":40,"per_worker_ms":5,"validity_ms":1500}}],`+
+		`"target_latency_ms":1000,"priority":1,"service":"render","max_attempts":3,"stretch":3.0,"advice":{"decision_ms":40,"per_worker_ms":1,"validity_ms":1500}}],`+
 		`"services":[{"name":"render"}],"tenants":[{"name":"club","api_keys":[%q],"guaranteed":{"gpu":16}}]}`, host, host, host, apiKey)
 	if err := r.put(ctx, operatorTopic, "config", config); err != nil {
 		return err
@@ -279,10 +280,10 @@
 }
 
 // dataCentreOf returns the data centre of a worker.
-func dataCentreOf(worker int) string { return fmt.Sprintf("z%d", 1+worker/3) }
+func dataCentreOf(worker int) string { return fmt.Sprintf("z%d", 1+worker/workersOfRack) }
 
 // rackOf returns the rack of a worker.
-func rackOf(worker int) string { return fmt.Sprintf("r1-%d", 1+worker/3) }
+func rackOf(worker int) string { return fmt.Sprintf("r1-%d", 1+worker/workersOfRack) }
 
 // putWorker writes the entry of a worker in the list of workers.
 func (r *run) putWorker(ctx context.Context, i int) error {
@@ -394,9 +395,13 @@
 
 // submit sends a job once and reports whether this or an earlier attempt was accepted.
 func (r *run) submit(ctx context.Context, id string, n *node, tasks, runTimeMS int) bool {
-	steps := []step{{count: tasks, accelerators: 1}}
-	body := fmt.Appendf(nil, `{"spec":"{\"takes_ms\":%d,\"advised\":%t,\"fails\":%d}","phases":[{"count":%d,"cpu":1000,"mem_mb":1000,"gpu":1,"estimate_ms":%d%s}]}`,
-		runTimeMS+extraRunTime(id), queueOf(id) == advisedQueue, failsOf(id), tasks, runTimeMS, paddingOf(id))
+	steps := stepsOf(id, tasks)
+	gangs, phases := []string{}, []string{}
+	for _, s := range steps {
+		gangs, phases = append(gangs, fmt.Sprint(s.gangSize())), append(phases, s.phase(runTimeMS, paddingOf(id)))
+	}
+	body := fmt.Appendf(nil, `{"spec":"{\"takes_ms\":%d,\"advised\":%t,\"fails\":%d,\"gangs\":[%s]}","phases":[%s]}`,
+		runTimeMS+extraRunTime(id), queueOf(id) == advisedQueue, failsOf(id), strings.Join(gangs, ","), strings.Join(phases, ","))
 	status, err := http.StatusOK, error(nil)
 	if !r.options.Violations.DropJobs || failsOf(id) == 0 {
 		status, _, err = r.call(ctx, n, http.MethodPost, id, body)
@@ -422,6 +427,45 @@
 	return j.accepted
 }
 
+// stepsOf returns the steps of a job that has the given number of tasks if it is one step of single tasks. One in four jobs is a gang in one rack,
+// has a wide second step, or needs whole workers; 16 of a kind come one after the other, so that the service is full at times and mostly free at others.
+func stepsOf(id string, tasks int) []step {
+	if id == firstJob || strings.HasPrefix(id, lastJobs) {
+		return []step{{count: tasks, accelerators: 1}}
+	}
+	switch id[len(id)-2] {
+	case '3', 'b': // a gang of up to 5 of the 8 workers of a rack
+		return []step{{count: 2 + tasks/2 - tasks/8, accelerators: accelerators, gang: true, sameRack: true}}
+	case '6': // two steps, the second as wide as a quarter of the accelerators
+		return []step{{count: tasks, accelerators: 1}, {count: 6 * tasks, accelerators: 1, after: []int{0}}}
+	case 'd': // whole workers
+		return []step{{count: 1 + tasks/3, accelerators: accelerators}}
+	}
+	return []step{{count: tasks, accelerators: 1}}
+}
+
+func (s step) gangSize() int {
+	if s.gang {
+		return s.count
+	}
+	return 0
+}
+
+// phase returns a step as callers send it.
+func (s step) phase(estimateMS int, padding string) string {
+	more := padding
+	if s.gang {
+		more += `,"gang":true`
+	}
+	if s.sameRack {
+		more += `,"same_rack":true`
+	}
+	if len(s.after) > 0 {
+		more += fmt.Sprintf(`,"after":[%d]`, s.after[0])
+	}
+	return fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":1000,"gpu":%d,"estimate_ms":%d%s}`, s.count, 1000*s.accelerators, s.accelerators, estimateMS, more)
+}
+
 // failsOf returns how many runs of each task of a job fail by its own fault.
 func failsOf(id string) int {
 	if id[len(id)-1]%5 == 2 {
--- a/internal/standin/taskworker/advice.go
+++ b/internal/standin/taskworker/advice.go
@@ -8,10 +8,10 @@
 	"time"
 )
 
-// Times of the advice service. Tickets expire soon, so that faults often come between a ticket and its use.
+// Times of the advice service. A query for a few dozen workers takes less than 0.1 s, so that the service keeps up with the load of package soak. Tickets expire soon, so that faults often come between a ticket and its use.
 const (
 	decisionTime   = 40 * time.Millisecond
-	perWorkerTime  = 5 * time.Millisecond
+	perWorkerTime  = time.Millisecond
 	ticketValidity = 1500 * time.Millisecond
 )
 
--- a/internal/standin/taskworker/taskworker.go
+++ b/internal/standin/taskworker/taskworker.go
@@ -24,6 +24,7 @@
 	pollInterval  = 5 * time.Millisecond // interval between checks of a waiting call
 	maxListedEnds = 500                  // maximum number of ends in one answer
 	clockSpeed    = 0.98                 // speed of the workers' clocks
+	gangWait      = 5 * time.Second      // for which a member of a gang waits for the others
 )
 
 // Fleet is a set of workers that can run the same tasks. It is an http.Handler; the header X-Target-Instance selects the worker.
@@ -38,6 +39,7 @@
 	running  map[string]int             // current number of runs of each task, over all workers
 	hideRuns bool                       // see HideRuns
 	finished map[string]bool            // tasks whose completion was acknowledged
+	gangs    map[string]*gang           // by step and number of the run
 	starts   map[string]int             // number of starts of tasks of each job
 	done     map[string]map[string]bool // tasks of each step that have completed and did not start again
 	tickets  map[string]ticket
@@ -90,6 +92,14 @@
 	started time.Time
 	runTime time.Duration
 	outcome string // how it ends after runTime
+	gang    *gang  // nil for a single task
+}
+
+// gang is the members of a step that must run at the same time, in one run.
+type gang struct {
+	size, present int       // number of members, and of those that have started
+	started       time.Time // when all members were present
+	broken        bool      // a member has ended other than done
 }
 
 // end is the end of a run.
@@ -107,11 +117,12 @@
 	TakesMS int64 `json:"takes_ms"` // run time of each task
 	Fails   int   `json:"fails"`    // number of first runs of each task that fail after half of that time
 	Advised bool  `json:"advised"`  // a start needs a ticket
+	Gangs   []int `json:"gangs"`    // size of the gang of each step, 0 for a step of single tasks or one that is not named
 }
 
 // New returns a fleet with one worker for each id.
 func New(ids ...string) *Fleet {
-	f := &Fleet{router: mux.NewRouter(), workers: map[string]*worker{}, running: map[string]int{}, finished: map[string]bool{}, tickets: map[string]ticket{}, starts: map[string]int{}, done: map[string]map[string]bool{}, report: Report{LastStarts: map[string]int64{}}}
+	f := &Fleet{router: mux.NewRouter(), workers: map[string]*worker{}, running: map[string]int{}, finished: map[string]bool{}, tickets: map[string]ticket{}, gangs: map[string]*gang{}, starts: map[string]int{}, done: map[string]map[string]bool{}, report: Report{LastStarts: map[string]int64{}}}
 	for _, id := range ids {
 		f.workers[id] = newWorker(time.Now())
 	}
@@ -184,6 +195,7 @@
 	w.poweredOff = true
 	for _, r := range w.runs {
 		f.running[r.task]--
+		r.breakGang()
 	}
 	born = time.Now().Add(off)
 	f.workers[id] = newWorker(born)
@@ -311,14 +323,18 @@
 // endDueRuns ends the runs of a worker that have completed or whose lease has expired. The caller holds mu.
 func (f *Fleet) endDueRuns(w *worker) {
 	now := time.Now()
+	for _, other := range f.workers {
+		f.endExpiredRuns(other, now) // breaks gangs whose other members are here
+	}
 	for _, r := range w.runs {
-		completion := r.started.Add(r.runTime)
+		completion, works := r.completion()
 		switch {
-		case !w.leaseExpiry.IsZero() && w.leaseExpiry.Before(now) && w.leaseExpiry.Before(completion):
-			f.report.Lapsed++
-			f.endRun(w, r, "lapsed")
-		case completion.Before(now):
+		case r.gang != nil && r.gang.broken:
+			f.endRun(w, r, "broken")
+		case works && completion.Before(now):
 			f.endRun(w, r, r.outcome)
+		case !works && r.started.Add(gangWait).Before(now):
+			f.endRun(w, r, "alone")
 		}
 	}
 	if !w.leaseExpiry.IsZero() && w.leaseExpiry.Before(now) {
@@ -328,6 +344,51 @@
 	}
 }
 
+// endExpiredRuns ends the runs of a worker whose lease expired before their completion. The caller holds mu.
+func (f *Fleet) endExpiredRuns(w *worker, now time.Time) {
+	if w.leaseExpiry.IsZero() || !w.leaseExpiry.Before(now) {
+		return
+	}
+	for _, r := range w.runs {
+		if completion, works := r.completion(); !works || w.leaseExpiry.Before(completion) {
+			f.report.Lapsed++
+			f.endRun(w, r, "lapsed")
+		}
+	}
+}
+
+// completion returns when a run completes, and whether it works: a gang does not before all its members are present.
+func (r *run) completion() (at time.Time, works bool) {
+	if r.gang == nil {
+		return r.started.Add(r.runTime), true
+	}
+	return r.gang.started.Add(r.runTime), !r.gang.started.IsZero()
+}
+
+// breakGang ends the gang of a run that has not completed.
+func (r *run) breakGang() {
+	if r.gang != nil {
+		r.gang.broken = true
+	}
+}
+
+// joinGang adds a run that starts to its gang, if its step is one.
+func (f *Fleet) joinGang(r *run, sizes []int) {
+	step := stepOf(r.task)
+	i, err := strconv.Atoi(step[strings.LastIndex(step, ".")+1:])
+	if err != nil || i >= len(sizes) || sizes[i] == 0 {
+		return
+	}
+	key := fmt.Sprintf("%s/%d", step, r.number)
+	if f.gangs[key] == nil {
+		f.gangs[key] = &gang{size: sizes[i]}
+	}
+	r.gang = f.gangs[key]
+	if r.gang.present++; r.gang.present == r.gang.size {
+		r.gang.started = r.started
+	}
+}
+
 // endRun ends a run and lists its end. The caller holds mu.
 func (f *Fleet) endRun(w *worker, r *run, outcome string) {
 	delete(w.runs, r.task)
@@ -335,6 +396,9 @@
 	w.lastSequence++
 	w.highestEnded[r.task] = max(w.highestEnded[r.task], r.number)
 	w.ends = append(w.ends, end{sequence: w.lastSequence, task: r.task, run: r.number, outcome: outcome})
+	if outcome != "done" {
+		r.breakGang()
+	}
 	if outcome == "done" {
 		f.report.Done++
 		step := stepOf(r.task)
@@ -391,10 +455,11 @@
 	f.starts[jobOf(c.Task)]++
 	delete(f.done[stepOf(c.Task)], c.Task)
 	f.report.LastStarts[jobOf(c.Task)] = time.Now().UnixMilli()
-	started := &run{c.Task, c.Run, time.Now(), time.Duration(s.TakesMS) * time.Millisecond, "done"}
+	started := &run{task: c.Task, number: c.Run, started: time.Now(), runTime: time.Duration(s.TakesMS) * time.Millisecond, outcome: "done"}
 	if c.Run <= s.Fails {
 		started.runTime, started.outcome = started.runTime/2, "failed"
 	}
+	f.joinGang(started, s.Gangs)
 	target.runs[c.Task] = started
 	f.extendLeases(target, c.DeadlineMS)
 	writeJSON(w, http.StatusOK, map[string]int64{"clock_ms": target.clockMS()})
