--- a/internal/standin/taskworker/taskworker_test.go
+++ b/internal/standin/taskworker/taskworker_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -22,27 +23,29 @@
 
 // Guards against gangs that complete although a member has lapsed or never started.
 func TestMembersOfAGangEndTogether(t *testing.T) {
-	f := New("w0", "w1")
-	start := func(worker, task string, deadlineMS int) {
-		post(t, f, worker, "/v1/run-start", fmt.Sprintf(`{"task":%q,"run":1,"spec":"{\"takes_ms\":30,\"gangs\":[2]}","deadline_ms":%d}`, task, deadlineMS))
-	}
-	start("w0", "a.0.0.0", 60_000)
-	time.Sleep(40 * time.Millisecond)
-	assert.DeepEqual(t, f.State().Running, map[string][]string{"w0": {"a.0.0.0"}})
-	start("w1", "a.0.0.1", 60_000)
-	assert.Equal(t, len(f.State().Done), 0)
-	time.Sleep(40 * time.Millisecond)
-	assert.DeepEqual(t, f.State().Done, map[string]int{"a.0.0": 2})
+	synctest.Test(t, func(t *testing.T) {
+		f := New("w0", "w1")
+		start := func(worker, task string, deadlineMS int) {
+			post(t, f, worker, "/v1/run-start", fmt.Sprintf(`{"task":%q,"run":1,"spec":"{\"takes_ms\":30,\"gangs\":[2]}","deadline_ms":%d}`, task, deadlineMS))
+		}
+		start("w0", "a.0.0.0", 60_000)
+		time.Sleep(40 * time.Millisecond)
+		assert.DeepEqual(t, f.State().Running, map[string][]string{"w0": {"a.0.0.0"}})
+		start("w1", "a.0.0.1", 60_000)
+		assert.Equal(t, len(f.State().Done), 0)
+		time.Sleep(40 * time.Millisecond)
+		assert.DeepEqual(t, f.State().Done, map[string]int{"a.0.0": 2})
 
-	f = New("w0", "w1")
-	start("w0", "b.0.0.0", 60_000)
-	start("w1", "b.0.0.1", 10) // lapses before the gang completes
-	time.Sleep(40 * time.Millisecond)
-	f.mu.Lock()
-	f.endDueRuns(f.workers["w0"])
-	f.mu.Unlock()
-	assert.Equal(t, f.workers["w0"].ends[0].outcome, "broken")
-	assert.Equal(t, f.workers["w1"].ends[0].outcome, "lapsed")
+		f = New("w0", "w1")
+		start("w0", "b.0.0.0", 60_000)
+		start("w1", "b.0.0.1", 10) // lapses before the gang completes
+		time.Sleep(40 * time.Millisecond)
+		f.mu.Lock()
+		f.endDueRuns(f.workers["w0"])
+		f.mu.Unlock()
+		assert.Equal(t, f.workers["w0"].ends[0].outcome, "broken")
+		assert.Equal(t, f.workers["w1"].ends[0].outcome, "lapsed")
+	})
 }
 
 // Guards against judging jobs by completions that the scheduler may know of or not, and against missing short runs.
