Taskworker: an acknowledged end counts after a later start of its task

By the logs, the scheduler heard of the end of a run after its leases were over and the task had started again elsewhere, applied the end and stopped the later run (event 2535); the job was concluded. The stand-in had dropped the completion at the later start.

Change: an end that the scheduler acknowledges counts as a completion again.

Measured: TestAcknowledgedEndCountsAfterALaterStart fails without the change.

--- a/internal/standin/taskworker/taskworker.go
+++ b/internal/standin/taskworker/taskworker.go
@@ -401,14 +401,19 @@
 	}
 	if outcome == "done" {
 		f.report.Done++
-		step := stepOf(r.task)
-		if f.done[step] == nil {
-			f.done[step] = map[string]bool{}
-		}
-		f.done[step][r.task] = true
+		f.noteDone(r.task)
 	}
 }
 
+// noteDone notes that a task has completed. The caller holds mu.
+func (f *Fleet) noteDone(task string) {
+	step := stepOf(task)
+	if f.done[step] == nil {
+		f.done[step] = map[string]bool{}
+	}
+	f.done[step][task] = true
+}
+
 // start starts a run. A repeated start of a current run has no effect.
 func (f *Fleet) start(w http.ResponseWriter, target *worker, c command) (powered bool) {
 	f.mu.Lock()
@@ -533,6 +538,9 @@
 			continue
 		}
 		f.report.Acknowledged++
+		if e.outcome == "done" {
+			f.noteDone(e.task) // the task may have started again before the scheduler heard of the end
+		}
 		if e.outcome == "done" && !e.leaseExpired {
 			f.finished[e.task] = true
 		}
--- a/internal/standin/taskworker/taskworker_test.go
+++ b/internal/standin/taskworker/taskworker_test.go
@@ -64,3 +64,19 @@
 	start("w0", "a.0.0.1", 60_000)
 	assert.DeepEqual(t, f.State(), State{Running: map[string][]string{"w0": {"a.0.0.1"}}, Starts: map[string]int{"a": 4}, Done: map[string]int{"a.0.0": 1}})
 }
+
+// Guards against a job that is judged to stand although it has completed: the scheduler hears of the end of a run after it has started the task
+// again, applies it and stops the later run.
+func TestAcknowledgedEndCountsAfterALaterStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New("w0", "w1")
+		command := `{"task":"a.0.0.0","run":%d,"spec":"{\"takes_ms\":%d}","deadline_ms":60000}`
+		post(t, f, "w0", "/v1/run-start", fmt.Sprintf(command, 1, 10))
+		time.Sleep(20 * time.Millisecond)
+		assert.DeepEqual(t, f.State().Done, map[string]int{"a.0.0": 1})
+		post(t, f, "w1", "/v1/run-start", fmt.Sprintf(command, 2, 10_000))
+		assert.DeepEqual(t, f.State().Done, map[string]int{"a.0.0": 0})
+		post(t, f, "w0", "/v1/hold", `{"last_seen":1}`)
+		assert.DeepEqual(t, f.State().Done, map[string]int{"a.0.0": 1})
+	})
+}
