--- a/internal/standin/soak/standing.go
+++ b/internal/standin/soak/standing.go
@@ -24,14 +24,6 @@
 	ordersAfterLoss = 3 * time.Second
 )
 
-// step is what a caller asks for with one step of a job.
-type step struct {
-	count, accelerators int   // number of tasks, and accelerators of each
-	gang                bool  // all tasks run at the same time
-	sameRack            bool  // in one rack
-	after               []int // steps that must be completed before
-}
-
 // observedWorker is a worker as the platform lists it.
 type observedWorker struct {
 	id, rack     string
--- a/internal/standin/taskworker/taskworker.go
+++ b/internal/standin/taskworker/taskworker.go
@@ -24,7 +24,6 @@
 	pollInterval  = 5 * time.Millisecond // interval between checks of a waiting call
 	maxListedEnds = 500                  // maximum number of ends in one answer
 	clockSpeed    = 0.98                 // speed of the workers' clocks
-	gangWait      = 5 * time.Second      // for which a member of a gang waits for the others
 )
 
 // Fleet is a set of workers that can run the same tasks. It is an http.Handler; the header X-Target-Instance selects the worker.
@@ -95,13 +94,6 @@
 	gang    *gang  // nil for a single task
 }
 
-// gang is the members of a step that must run at the same time, in one run.
-type gang struct {
-	size, present int       // number of members, and of those that have started
-	started       time.Time // when all members were present
-	broken        bool      // a member has ended other than done
-}
-
 // end is the end of a run.
 type end struct {
 	sequence     int64 // sequence number, by which callers acknowledge ends
@@ -357,38 +349,6 @@
 	}
 }
 
-// completion returns when a run completes, and whether it works: a gang does not before all its members are present.
-func (r *run) completion() (at time.Time, works bool) {
-	if r.gang == nil {
-		return r.started.Add(r.runTime), true
-	}
-	return r.gang.started.Add(r.runTime), !r.gang.started.IsZero()
-}
-
-// breakGang ends the gang of a run that has not completed.
-func (r *run) breakGang() {
-	if r.gang != nil {
-		r.gang.broken = true
-	}
-}
-
-// joinGang adds a run that starts to its gang, if its step is one.
-func (f *Fleet) joinGang(r *run, sizes []int) {
-	step := stepOf(r.task)
-	i, err := strconv.Atoi(step[strings.LastIndex(step, ".")+1:])
-	if err != nil || i >= len(sizes) || sizes[i] == 0 {
-		return
-	}
-	key := fmt.Sprintf("%s/%d", step, r.number)
-	if f.gangs[key] == nil {
-		f.gangs[key] = &gang{size: sizes[i]}
-	}
-	r.gang = f.gangs[key]
-	if r.gang.present++; r.gang.present == r.gang.size {
-		r.gang.started = r.started
-	}
-}
-
 // endRun ends a run and lists its end. The caller holds mu.
 func (f *Fleet) endRun(w *worker, r *run, outcome string) {
 	delete(w.runs, r.task)
