--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -270,7 +270,7 @@
 func (r *run) forbidStarts(ctx context.Context, dataCentre, from string) error {
 	for i := range workerCount {
 		if dataCentreOf(i) == dataCentre {
-			if _, err := r.post(ctx, fmt.Sprintf("http://%s/control/forbid?worker=w%d&from=%s", r.workersAddress, i, from), nil); err != nil {
+			if err := r.postRepeatedly(ctx, fmt.Sprintf("http://%s/control/forbid?worker=w%d&from=%s", r.workersAddress, i, from), nil); err != nil {
 				return err
 			}
 		}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -297,8 +297,13 @@
 
 // put writes a record as the platform does, retrying while the store starts.
 func (r *run) put(ctx context.Context, topic, name, value string) (err error) {
+	return r.postRepeatedly(ctx, "http://"+r.storeAddress+"/control/records?topic="+topic+"&key="+name, []byte(value))
+}
+
+// postRepeatedly calls a stand-in until it answers, since a busy machine can hold up a call for longer than callTimeout.
+func (r *run) postRepeatedly(ctx context.Context, url string, body []byte) (err error) {
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
-		if _, err = r.post(ctx, "http://"+r.storeAddress+"/control/records?topic="+topic+"&key="+name, []byte(value)); err == nil {
+		if _, err = r.post(ctx, url, body); err == nil {
 			return nil
 		}
 	}
